Serve a request from caller to owner's upstream through any node

Cause: the repository was empty; every later measurement needs a path that works.

Before: nothing ran. Leases, takeover, limits and retries are not there yet.

Conclusion: the log and the routing table carry the path; ownership without leases is not safe and comes next.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Every target uses the virtual environment in .venv, which `make .venv` creates from pinned versions.
+PY := .venv/bin/python
+export PYTHONPATH := src:.
+
+.PHONY: test unit check format
+
+.venv: .venv/.installed
+
+.venv/.installed: requirements.txt pyproject.toml
+	test -x $(PY) || python3 -m venv .venv
+	$(PY) -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(PY) -m pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch .venv/.installed
+
+format: .venv
+	$(PY) -m black --quiet src standins tools tests
+	$(PY) -m ruff check --quiet --fix src standins tools tests
+
+check: .venv
+	$(PY) -m black --check --quiet src standins tools tests
+	$(PY) -m ruff check --quiet src standins tools tests
+
+unit: .venv
+	$(PY) -m unittest discover -s tests -t .
+
+test: check unit
--- /dev/null
+++ b/src/auburnsail/_fleet.py
@@ -0,0 +1,206 @@
+"""The state of the fleet: a pure fold over the fleet log."""
+
+import hashlib
+from dataclasses import dataclass, field
+
+from ._model import (
+    Assign,
+    Close,
+    Command,
+    DeclareLost,
+    Entry,
+    Grant,
+    Join,
+    Leave,
+    Session,
+    SessionId,
+    SetWatchers,
+    Succeed,
+    Transfer,
+    encode_entry,
+)
+from ._shards import NO_OWNER, ShardTable
+from .exceptions import InvariantViolation
+
+__all__ = ["FleetState", "SessionRow", "Verdict"]
+
+SEALS_TO_CLOSE = 2
+GENESIS = b""
+
+
+@dataclass(slots=True)
+class SessionRow:
+    """One open session with its place in the owner index."""
+
+    session: Session
+    index: int
+    revision: int
+
+
+@dataclass(slots=True)
+class Verdict:
+    """Whether a command took effect, with the reason if it did not."""
+
+    command: Command
+    applied: bool
+    reason: str = ""
+
+
+@dataclass(slots=True)
+class FleetState:
+    """Open sessions and shard owners at one version of the log.
+
+    Attributes:
+        version: Version of the last entry applied.
+        digest: Digest of the last entry applied.
+        sessions: Open sessions by identity.
+        by_index: Open sessions by owner index.
+        tables: Shard tables by keyed service.
+    """
+
+    version: int = 0
+    digest: bytes = GENESIS
+    sessions: dict[SessionId, SessionRow] = field(default_factory=dict)
+    by_index: dict[int, SessionRow] = field(default_factory=dict)
+    tables: dict[str, ShardTable] = field(default_factory=dict)
+
+    def add_service(self, service: str, shards: int) -> None:
+        """Creates the shard table of a keyed service if it does not exist."""
+        self.tables.setdefault(service, ShardTable(shards))
+
+    def owner(self, service: str, shard: int) -> SessionRow | None:
+        """Returns the owner of a shard, or None if it has none."""
+        return self.by_index.get(self.tables[service].owner[shard])
+
+    def epoch(self, service: str, shard: int) -> int:
+        """Returns the epoch of a shard."""
+        return self.tables[service].epoch[shard]
+
+    def apply(self, entry: Entry) -> list[Verdict]:
+        """Applies the next entry.
+
+        Args:
+            entry: Must follow the last entry applied.
+
+        Returns:
+            One verdict per command. All nodes reach the same verdicts.
+
+        Raises:
+            InvariantViolation: The entry does not follow the last one.
+        """
+        if entry.version != self.version + 1 or entry.parent != self.digest:
+            raise InvariantViolation(
+                f"entry {entry.version} does not follow version {self.version}", step="fleet.apply"
+            )
+        verdicts = []
+        for command in entry.commands:
+            reason = self._apply_command(command, entry.version)
+            verdicts.append(Verdict(command, not reason, reason))
+        self.version = entry.version
+        self.digest = hashlib.blake2s(encode_entry(entry), digest_size=16).digest()
+        return verdicts
+
+    def _apply_command(self, command: Command, version: int) -> str:
+        match command:
+            case Join(session=session):
+                return self._join(session, version)
+            case SetWatchers(session=session_id, expected=expected, watchers=watchers):
+                return self._set_watchers(session_id, expected, watchers, version)
+            case Close(session=session_id, evidence=evidence, grants=grants):
+                return self._close_sealed(session_id, evidence, grants)
+            case Leave(session=session_id) | DeclareLost(session=session_id):
+                grants = command.grants if isinstance(command, DeclareLost) else ()
+                return self._end(session_id, grants)
+            case Succeed(old=old, control_address=address, grants=grants):
+                return self._succeed(old, address, grants)
+            case Transfer():
+                return self._transfer(command)
+            case Assign(service=service, grants=grants):
+                return self._grant(service, grants, NO_OWNER)
+
+    def _join(self, session: Session, version: int) -> str:
+        if session.id in self.sessions:
+            return "session is open already"
+        if any(row.session.id.node == session.id.node for row in self.sessions.values()):
+            return "an older session of this node is still open"
+        index = next(i for i in range(NO_OWNER) if i not in self.by_index)
+        row = SessionRow(session, index, version)
+        self.sessions[session.id] = row
+        self.by_index[index] = row
+        return ""
+
+    def _set_watchers(
+        self, session_id: SessionId, expected: int, watchers: tuple[SessionId, ...], version: int
+    ) -> str:
+        row = self.sessions.get(session_id)
+        if row is None:
+            return "session is not open"
+        if row.revision != expected:
+            return "session has changed"
+        row.session = _with_watchers(row.session, watchers)
+        row.revision = version
+        return ""
+
+    def _close_sealed(self, session_id: SessionId, evidence, grants) -> str:
+        row = self.sessions.get(session_id)
+        if row is None:
+            return "session is not open"
+        sealers = {item.watcher for item in evidence} & set(row.session.watchers)
+        if len(sealers) < min(SEALS_TO_CLOSE, len(row.session.watchers)) or not sealers:
+            return "too few of the session's watchers sealed it"
+        return self._end(session_id, grants)
+
+    def _succeed(self, old: SessionId, address: str, grants: tuple[Grant, ...]) -> str:
+        row = self.sessions.get(old)
+        if row is None:
+            return "session is not open"
+        if row.session.control_address != address:
+            return "successor holds another address"
+        return self._end(old, grants)
+
+    def _end(self, session_id: SessionId, grants: tuple[Grant, ...]) -> str:
+        row = self.sessions.pop(session_id, None)
+        if row is None:
+            return "session is not open"
+        del self.by_index[row.index]
+        table = self.tables.get(row.session.service)
+        if table is None:
+            return ""
+        for shard in table.owned_by(row.index):
+            table.assign(shard, NO_OWNER)
+        self._grant(row.session.service, grants, NO_OWNER)
+        return ""
+
+    def _transfer(self, command: Transfer) -> str:
+        source = self.sessions.get(command.source)
+        if source is None:
+            return "source session is not open"
+        grant = Grant(command.target, command.shards)
+        return self._grant(command.service, (grant,), source.index)
+
+    def _grant(self, service: str, grants: tuple[Grant, ...], expected_owner: int) -> str:
+        table = self.tables.get(service)
+        if table is None:
+            return "service is not keyed"
+        skipped = 0
+        for grant in grants:
+            target = self.sessions.get(grant.to)
+            for shard in grant.shards:
+                if target is None or table.owner[shard] != expected_owner:
+                    skipped += 1
+                    continue
+                table.assign(shard, target.index)
+        return f"{skipped} shards had another owner or no target" if skipped else ""
+
+
+def _with_watchers(session: Session, watchers: tuple[SessionId, ...]) -> Session:
+    return Session(
+        id=session.id,
+        region=session.region,
+        domain=session.domain,
+        data_address=session.data_address,
+        control_address=session.control_address,
+        service=session.service,
+        slots=session.slots,
+        watchers=watchers,
+    )
--- /dev/null
+++ b/src/auburnsail/_log.py
@@ -0,0 +1,88 @@
+"""A versioned, write-once log in the store's table with conditional appends."""
+
+import msgspec
+
+from ._store import Check, Committed, Put, TableStore, Transaction
+from .exceptions import ConflictError
+
+__all__ = ["LogRecord", "VersionedLog"]
+
+
+class LogRecord(msgspec.Struct, frozen=True):
+    """One stored record.
+
+    Attributes:
+        version: Position in the log, from 1.
+        id: Identifies the append attempt.
+        data: The record's content.
+    """
+
+    version: int
+    id: str
+    data: bytes
+
+
+class VersionedLog:
+    """A log whose records are written once and in order.
+
+    The row ``<name>/head`` is written once per append, so its row version is the log's version.
+
+    Args:
+        store: Where the log is kept.
+        name: Prefix of the log's rows.
+    """
+
+    def __init__(self, store: TableStore, name: str) -> None:
+        self._store = store
+        self._name = name
+
+    def head(self) -> int:
+        """Returns the version of the newest record, 0 for an empty log."""
+        row = self._store.read(f"{self._name}/head")
+        return row.version if row else 0
+
+    def read_after(self, version: int) -> list[LogRecord]:
+        """Returns the records that follow a version."""
+        rows = self._store.scan(f"{self._name}/log/", self._record_key(version))
+        return [msgspec.msgpack.decode(row.value, type=LogRecord) for row in rows]
+
+    def read(self, version: int) -> LogRecord | None:
+        """Returns one record, or None if it does not exist."""
+        row = self._store.read(self._record_key(version))
+        return msgspec.msgpack.decode(row.value, type=LogRecord) if row else None
+
+    def append(self, expected: int, append_id: str, data: bytes) -> int:
+        """Appends a record if the log's version is still the expected one.
+
+        Args:
+            expected: Version that the record builds on.
+            append_id: The same for every attempt to append this record.
+            data: The record's content.
+
+        Returns:
+            The version of the record.
+
+        Raises:
+            ConflictError: Another record took the place.
+            StoreUnavailableError: The record was not written by this call.
+            OutcomeUnknownError: The record may have been written; append again with the same
+                arguments until the outcome is definite.
+        """
+        version = expected + 1
+        record = msgspec.msgpack.encode(LogRecord(version, append_id, data))
+        transaction = Transaction(
+            (Check(f"{self._name}/head", expected),),
+            (
+                Put(f"{self._name}/head", append_id.encode()),
+                Put(self._record_key(version), record),
+            ),
+        )
+        if isinstance(self._store.commit(transaction), Committed):
+            return version
+        winner = self.read(version)
+        if winner is not None and winner.id == append_id:
+            return version
+        raise ConflictError(f"version {version} was taken", step="log.append", peer=self._name)
+
+    def _record_key(self, version: int) -> str:
+        return f"{self._name}/log/{version:016d}"
--- /dev/null
+++ b/src/auburnsail/_shards.py
@@ -0,0 +1,43 @@
+"""Shards: parts of a keyed service's key space, their owners and epochs."""
+
+from array import array
+
+import xxhash
+
+__all__ = ["NO_OWNER", "ShardTable", "shard_of"]
+
+NO_OWNER = 0xFFFF
+
+
+def shard_of(key: str, shards: int) -> int:
+    """Returns the shard that a key belongs to.
+
+    Args:
+        key: The key as the caller sent it.
+        shards: Number of shards of the service.
+    """
+    return xxhash.xxh64_intdigest(key.encode()) % shards
+
+
+class ShardTable:
+    """Owner index and epoch of every shard of one service.
+
+    Args:
+        shards: Number of shards.
+    """
+
+    def __init__(self, shards: int) -> None:
+        self.owner = array("H", [NO_OWNER]) * shards
+        self.epoch = array("I", [0]) * shards
+
+    def __len__(self) -> int:
+        return len(self.owner)
+
+    def assign(self, shard: int, owner: int) -> None:
+        """Gives a shard to an owner at the next epoch."""
+        self.owner[shard] = owner
+        self.epoch[shard] += 1
+
+    def owned_by(self, owner: int) -> list[int]:
+        """Returns the shards of one owner in ascending order."""
+        return [shard for shard, index in enumerate(self.owner) if index == owner]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of auburnsail."""
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development programs: demonstration, benchmarks, randomised runs and experiments."""
