Add a benchmark of the request path

Cause: the aim of 300 us processor time per hop had no measurement behind it.

Change: `make bench` starts a platform stand-in, two nodes and minimal upstreams, and measures direct, one hop, two hops and 64 MB downloads. Processor time is that of each process as the operating system counts it, so it includes the node's timers.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format
+.PHONY: test unit check format bench
 
 .venv: .venv/.installed
 
@@ -24,3 +24,6 @@
 	$(PY) -m unittest discover -s tests -t .
 
 test: check unit
+
+bench: .venv
+	$(PY) -m tools.bench
--- /dev/null
+++ b/tools/bench.py
@@ -0,0 +1,263 @@
+"""Benchmark of the request path: direct, one hop, two hops and large downloads.
+
+Processor time is read from the operating system for each process before and after a run and divided
+by the requests answered in between, so it includes the node's timers.
+"""
+
+import os
+import subprocess
+import sys
+import tempfile
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import msgspec
+import psutil
+
+from auburnsail._pool import HttpPeer
+from tests.fleet import ROOT, SECRET, free_port, wait_until
+from tools.bench_parts import LoadResult
+
+LARGE_BYTES = 64 << 20
+SHARDS = 64
+MAX_HOP_CPU_US = 300
+RSS_EVERY_S = 0.02
+BUSY_SHARE = 0.85
+PACED_RATE = 200
+
+
+class Bench:
+    """A platform stand-in, two nodes and their upstreams."""
+
+    def __init__(self, folder: str) -> None:
+        self._folder = Path(folder)
+        self._environ = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        self._processes: dict[str, subprocess.Popen] = {}
+        self.data: dict[str, str] = {}
+        self.upstreams: dict[str, str] = {}
+        self._store = f"127.0.0.1:{free_port()}"
+
+    def start(self) -> None:
+        """Starts all processes and waits until both nodes serve."""
+        self._spawn("platform", "standins.platform", "--listen", self._store)
+        platform = HttpPeer(self._store)
+        wait_until(lambda: platform.fetch("GET", "/admin/faults", timeout_s=1).status == 200, "up")
+        tree = self._folder / "tree.json"
+        services = {"catalogue": {"keyed": True, "shards": SHARDS}}
+        tree.write_bytes(msgspec.json.encode({"services": services}))
+        command = ["-m", "auburnsail._cli_operator", "settings", "init"]
+        subprocess.run(
+            [sys.executable, *command, "--store", f"http://{self._store}", str(tree)],
+            env=self._environ,
+            cwd=ROOT,
+            check=True,
+            capture_output=True,
+        )
+        for name in ("a", "b"):
+            self._start_node(name)
+        for address in self.data.values():
+            for number in range(SHARDS):
+                wait_until(lambda a=address, n=number: self.owner(a, n) != "", "service")
+
+    def stop(self) -> None:
+        """Ends the processes that this benchmark started."""
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.wait()
+
+    def owner(self, address: str, number: int) -> str:
+        """Returns the name of the upstream that answers for a key, or an empty string."""
+        answer = HttpPeer(address).fetch("GET", f"/catalogue/key-{number}", timeout_s=2)
+        return answer.body.decode().strip() if answer.status == 200 else ""
+
+    def key_of(self, name: str) -> str:
+        """Returns a key that a node owns."""
+        address = self.data["a"]
+        return next(f"key-{n}" for n in range(1000) if self.owner(address, n) == name)
+
+    def process(self, name: str) -> psutil.Process:
+        """Returns a started process."""
+        return psutil.Process(self._processes[name].pid)
+
+    def _start_node(self, name: str) -> None:
+        data, control, upstream = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        path = self._folder / f"{name}.json"
+        settings = {
+            "node": name,
+            "region": "wien",
+            "domain": f"wien-{name}",
+            "data_address": data,
+            "control_address": control,
+            "store_url": f"http://{self._store}",
+            "objects_url": f"http://{self._store}",
+            "fleet_secret": SECRET,
+        }
+        path.write_bytes(msgspec.json.encode(settings))
+        self._spawn(f"node {name}", "auburnsail._cli_node", str(path))
+        arguments = ["--name", name, "--service", "catalogue"]
+        arguments += ["--listen", upstream, "--node", control]
+        self._spawn(f"upstream {name}", "tools.bench_parts", "upstream", *arguments)
+        self.data[name] = data
+        self.upstreams[name] = upstream
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> None:
+        command = [sys.executable, "-m", module, *arguments]
+        log = (self._folder / "log.txt").open("ab")
+        self._processes[name] = subprocess.Popen(
+            command, env=self._environ, cwd=ROOT, stdout=log, stderr=log
+        )
+
+
+@dataclass(slots=True)
+class Run:
+    """Figures of one run."""
+
+    requests: int
+    errors: int
+    wall_s: float
+    latencies_us: list[int]
+    cpu_s: dict[str, float]
+    client_busy: float
+    peak_rss_mb: dict[str, float]
+
+    def cpu_us(self, name: str) -> float:
+        """Returns the processor time of a process per request in microseconds."""
+        return self.cpu_s[name] / max(1, self.requests) * 1e6
+
+    def percentile_us(self, share: float) -> int:
+        """Returns a percentile of the latency in microseconds."""
+        ordered = sorted(self.latencies_us)
+        return ordered[min(len(ordered) - 1, int(len(ordered) * share))] if ordered else 0
+
+    def limit(self) -> str:
+        """Names the processes that were busy for most of the run."""
+        busy = {name: cpu_s / self.wall_s for name, cpu_s in self.cpu_s.items()}
+        busy["load generators"] = self.client_busy
+        limiting = [f"{n} {v:.0%}" for n, v in busy.items() if v >= BUSY_SHARE]
+        return ", ".join(limiting) or "none above " + f"{BUSY_SHARE:.0%}"
+
+
+def measure(
+    bench: Bench,
+    address: str,
+    target: str,
+    names: list[str],
+    *,
+    clients: int,
+    connections: int,
+    seconds: float,
+    rate: float = 0.0,
+) -> Run:
+    """Runs load generators and reads the processor time of the named processes."""
+    command = [sys.executable, "-m", "tools.bench_parts", "load", address, target]
+    command += ["--seconds", str(seconds), "--connections", str(connections), "--rate", str(rate)]
+    environ = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+    processes = {name: bench.process(name) for name in names}
+    before = {name: _cpu_s(process) for name, process in processes.items()}
+    rss = dict.fromkeys(names, 0.0)
+    started = [
+        subprocess.Popen(command, env=environ, cwd=ROOT, stdout=subprocess.PIPE)
+        for _ in range(clients)
+    ]
+    watched = seconds + 0.5
+    end = time.monotonic() + watched
+    while time.monotonic() < end:
+        for name, process in processes.items():
+            rss[name] = max(rss[name], process.memory_info().rss / (1 << 20))
+        time.sleep(RSS_EVERY_S)
+    results = [msgspec.json.decode(p.communicate()[0], type=LoadResult) for p in started]
+    cpu_s = {name: _cpu_s(process) - before[name] for name, process in processes.items()}
+    return Run(
+        sum(result.requests for result in results),
+        sum(result.errors for result in results),
+        max(result.wall_s for result in results),
+        [value for result in results for value in result.latencies_us],
+        cpu_s,
+        max(result.cpu_s / result.wall_s for result in results),
+        rss,
+    )
+
+
+def _cpu_s(process: psutil.Process) -> float:
+    times = process.cpu_times()
+    return times.user + times.system
+
+
+def _print_small(bench: Bench, seconds: float) -> float:
+    own, other = bench.key_of("a"), bench.key_of("b")
+    cases = (
+        ("direct", bench.upstreams["a"], own, ["upstream a"]),
+        ("one hop", bench.data["a"], own, ["node a", "upstream a"]),
+        ("two hops", bench.data["a"], other, ["node a", "node b", "upstream b"]),
+    )
+    click.echo(
+        f"{'path':<10}{'req/s':>8}{'errors':>8}{'CPU us per request and node':>30}"
+        f"{'p50 us':>8}{'p99 us':>8}  at {2 * PACED_RATE}/s; limiting at full load"
+    )
+    hop_us = 0.0
+    for label, address, key, names in cases:
+        target = f"/catalogue/{key}"
+        full = measure(bench, address, target, names, clients=3, connections=6, seconds=seconds)
+        paced = measure(
+            bench,
+            address,
+            target,
+            names,
+            clients=2,
+            connections=4,
+            seconds=seconds,
+            rate=PACED_RATE,
+        )
+        nodes = [name for name in names if name.startswith("node")]
+        cpu = ", ".join(f"{name} {full.cpu_us(name):.0f}" for name in nodes) or "-"
+        click.echo(
+            f"{label:<10}{full.requests / full.wall_s:>8.0f}{full.errors + paced.errors:>8}{cpu:>30}"
+            f"{paced.percentile_us(0.5):>8}{paced.percentile_us(0.99):>8}  {full.limit()}"
+        )
+        if label == "one hop":
+            hop_us = full.cpu_us("node a")
+    return hop_us
+
+
+def _print_large(bench: Bench, seconds: float) -> None:
+    own, other = bench.key_of("a"), bench.key_of("b")
+    cases = (
+        ("direct", bench.upstreams["a"], own, ["upstream a"]),
+        ("one hop", bench.data["a"], own, ["node a", "upstream a"]),
+        ("two hops", bench.data["a"], other, ["node a", "node b", "upstream b"]),
+    )
+    click.echo(f"\n{'64 MB':<10}{'MB/s':>8}{'errors':>8}  CPU ms per MB, peak RSS MB")
+    for label, address, key, names in cases:
+        target = f"/catalogue/{key}/large"
+        run = measure(bench, address, target, names, clients=2, connections=2, seconds=seconds)
+        megabytes = run.requests * LARGE_BYTES / (1 << 20)
+        nodes = [name for name in names if name.startswith("node")]
+        detail = "; ".join(
+            f"{n} {run.cpu_s[n] * 1000 / max(1, megabytes):.2f} ms, {run.peak_rss_mb[n]:.0f} MB"
+            for n in nodes
+        )
+        click.echo(f"{label:<10}{megabytes / run.wall_s:>8.0f}{run.errors:>8}  {detail}")
+
+
+@click.command()
+@click.option("--seconds", default=4.0, show_default=True, help="Length of each run.")
+def main(seconds: float) -> None:
+    """Measures the request path and exits with 1 if one hop costs more than its limit."""
+    with tempfile.TemporaryDirectory(prefix="auburnsail-bench-") as folder:
+        bench = Bench(folder)
+        try:
+            bench.start()
+            hop_us = _print_small(bench, seconds)
+            _print_large(bench, seconds)
+        finally:
+            bench.stop()
+    verdict = "within" if hop_us <= MAX_HOP_CPU_US else "above"
+    click.echo(f"\nbench: one hop {hop_us:.0f} us CPU, {verdict} the limit of {MAX_HOP_CPU_US} us")
+    sys.exit(hop_us > MAX_HOP_CPU_US)
+
+
+if __name__ == "__main__":
+    main()
