Set TCP_NODELAY on connections that a node accepts

Cause: an answer leaves in two segments, and the second one waited about 40 ms for the delayed acknowledgement of the first.

Change: HttpServer, a subclass of gevent's WSGI server, sets TCP_NODELAY on accepted connections.

--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -5,11 +5,11 @@
 import gevent
 import msgspec
 import structlog
-from gevent.pywsgi import WSGIServer
 
 from ._clock import BootClock, Timers
 from ._fleet import FleetState
 from ._forward import ProxyApplication
+from ._http_server import HttpServer
 from ._log import VersionedLog
 from ._model import (
     Assign,
@@ -83,7 +83,7 @@
             (self._settings.control_address, self._serve_control),
         ):
             host, _, port = address.rpartition(":")
-            WSGIServer((host, int(port)), application, log=None, error_log=None).start()
+            HttpServer((host, int(port)), application, log=None, error_log=None).start()
         self._log.info("node started", address=self._settings.data_address)
         while True:
             try:
