Decide placement: sketch, successors, plans and reservations

Cause: shards need new owners after a loss, and owners need to move load without a central planner. Change: a space-saving sketch with its bounds, decayed loads per shard, grants for closed sessions, plans of one owner, the target's reservation decision, a move budget and a book of reservations. All decisions are pure. A misleading report may raise a server's counted load by 25% at most.

--- a/src/auburnsail/_placement.py
+++ b/src/auburnsail/_placement.py
@@ -1,12 +1,16 @@
 """The placement policy: pure functions that decide where shards go.
 
 `choose_successors` places the shards of closed sessions, `plan_moves` plans for one owner, and
-`decide_reservation` is the target's side of a planned move. None of them does I/O or reads a clock.
+`decide_reservation` is the target's side of a planned move. None of them does I/O, reads a clock
+or draws random numbers.
 """
 
+import heapq
+from bisect import bisect_left
 from collections.abc import Sequence
+from dataclasses import dataclass
 
-from ._model import Grant, SessionId
+from ._model import SessionId
 from ._placement_model import (
     CHURN_FIRST,
     DEFAULT_LIMITS,
@@ -25,6 +29,14 @@
     ShardLoad,
     Weights,
 )
+from ._reserve import (
+    MoveBudget,
+    ReservationBook,
+    decide_reservation,
+    ready_capacity,
+    trusted_load,
+)
+from ._successors import choose_successors
 
 __all__ = [
     "CHURN_FIRST",
@@ -34,10 +46,12 @@
     "ClosedSession",
     "Limits",
     "Move",
+    "MoveBudget",
     "MoveReason",
     "OwnerView",
     "PlacementSettings",
     "Plan",
+    "ReservationBook",
     "ReservationReply",
     "ReservationRequest",
     "ServerLoad",
@@ -45,27 +59,217 @@
     "Weights",
     "choose_successors",
     "decide_reservation",
+    "move_ms",
     "plan_moves",
+    "transfer_batches",
 ]
 
+# A planned move makes a shard unavailable for its drain and the commit: about 50 ms when it is
+# idle and up to 100 ms when requests are in flight all the time.
+IDLE_MOVE_MS = 50.0
+BUSY_MOVE_EXTRA_MS = 50.0
+AVERAGE_MOVE_MS = 75.0
+
+# Price of moving one average shard, in the unit of the imbalance term. With weights of 1 an
+# average shard moves when source and target differ by 10% of the mean (see _gain).
+MOVE_PRICE = 0.2
+
+
+@dataclass(slots=True)
+class _Target:
+    server: ServerLoad
+    load: float
+    room: float
 
-def choose_successors(
-    closed: Sequence[ClosedSession], servers: Sequence[ServerLoad]
-) -> dict[SessionId, tuple[Grant, ...]]:
-    """Chooses new owners for the shards of closed sessions."""
-    raise NotImplementedError
+
+def move_ms(load: float) -> float:
+    """Returns how long a planned move is expected to make a shard unavailable.
+
+    Args:
+        load: Busy slots of the shard; the chance that a drain has to wait for a request.
+    """
+    return IDLE_MOVE_MS + BUSY_MOVE_EXTRA_MS * min(1.0, load)
 
 
 def plan_moves(view: OwnerView, weights: Weights, limits: Limits = DEFAULT_LIMITS) -> Plan:
-    """Plans moves for one owner."""
-    raise NotImplementedError
-
-
-def decide_reservation(
-    target: ServerLoad,
-    mean_utilisation: float,
-    request: ReservationRequest,
-    limits: Limits = DEFAULT_LIMITS,
-) -> ReservationReply:
-    """Decides whether a target takes shards."""
-    raise NotImplementedError
+    """Plans moves for one owner.
+
+    An owner that is leaving, or whose upstream has no capacity, moves all its shards. Another one moves shards as long as the gain in balance
+    exceeds the price of the move. A shard whose hot key makes it larger than the difference
+    between source and target is never worth moving; its smaller neighbours move instead.
+
+    Args:
+        view: The owner's own shard loads and a sample of its peers.
+        weights: From the settings.
+        limits: From the settings.
+
+    Returns:
+        Moves that still need a reservation of their target, most useful first.
+    """
+    moving = sum(view.shards.get(shard, 0.0) for shard in view.in_transit)
+    own_load = max(0.0, trusted_load(view.own) - moving)
+    mean = _mean_utilisation(view)
+    if view.own.leaving or view.own.capacity <= 0:
+        return _plan_drain(view, mean, limits)
+    if mean <= 0:
+        return Plan(detail="no load")
+    return _plan_balance(view, own_load, mean, weights, limits)
+
+
+def transfer_batches(
+    moves: Sequence[Move], limits: Limits = DEFAULT_LIMITS
+) -> list[tuple[Move, ...]]:
+    """Splits a plan into transfers of one target each.
+
+    Args:
+        moves: Moves whose targets have reserved room.
+        limits: `drain_batches` bounds the share of the moves that one transfer contains.
+    """
+    size = max(1, -(-len(moves) // limits.drain_batches))
+    by_target: dict[SessionId, list[Move]] = {}
+    for move in moves:
+        by_target.setdefault(move.target, []).append(move)
+    return [
+        tuple(group[start : start + size])
+        for group in by_target.values()
+        for start in range(0, len(group), size)
+    ]
+
+
+def _mean_utilisation(view: OwnerView) -> float:
+    servers = (view.own, *view.peers)
+    capacity = sum(server.capacity for server in servers if not server.leaving)
+    load = sum(trusted_load(server) for server in servers)
+    return load / capacity if capacity > 0 else 0.0
+
+
+def _plan_balance(
+    view: OwnerView, own_load: float, mean: float, weights: Weights, limits: Limits
+) -> Plan:
+    fixed = view.in_transit | view.settling
+    free = sorted((load, shard) for shard, load in view.shards.items() if shard not in fixed)
+    targets = _open_targets(view, limits.max_utilisation, limits)
+    moves: list[Move] = []
+    while len(moves) < min(limits.moves_per_plan, view.moves_left):
+        best = _best_move(view, own_load, mean, free, targets, weights)
+        if best is None:
+            break
+        index, target = best
+        load, shard = free.pop(index)
+        filling = target.server.age_ms < limits.slow_start_ms
+        reason = MoveReason.FILL if filling else MoveReason.BALANCE
+        moves.append(Move(shard, load, target.server.session, reason))
+        own_load -= load
+        target.load += load
+        target.room -= load
+    detail = f"utilisation {own_load / view.own.capacity:.2f} after {len(moves)} moves"
+    return Plan(tuple(moves), (), mean, detail)
+
+
+def _open_targets(view: OwnerView, share: float, limits: Limits) -> list[_Target]:
+    targets = []
+    for server in view.peers:
+        if server.leaving or server.capacity <= 0 or server.session == view.own.session:
+            continue
+        load = trusted_load(server) + server.reserved
+        room = ready_capacity(server, limits) * share - load
+        targets.append(_Target(server, load, room))
+    return sorted(targets, key=lambda target: target.server.session)
+
+
+def _best_move(
+    view: OwnerView,
+    own_load: float,
+    mean: float,
+    free: list[tuple[float, int]],
+    targets: list[_Target],
+    weights: Weights,
+) -> tuple[int, _Target] | None:
+    if own_load <= mean * view.own.capacity:
+        return None
+    best_gain = 0.0
+    best = None
+    for target in targets:
+        excess = own_load / view.own.capacity - target.load / target.server.capacity
+        if excess <= 0:
+            continue
+        ideal = excess / (1 / view.own.capacity + 1 / target.server.capacity)
+        limit = min(ideal, target.room)
+        # The gain grows up to the ideal load, so only the shards next to it can be the best.
+        position = bisect_left(free, (limit, -1))
+        for index in (position - 1, position):
+            if not 0 <= index < len(free) or free[index][0] > target.room:
+                continue
+            gain = _gain(view, own_load, target, mean, free[index][0], weights)
+            if gain > best_gain:
+                best_gain = gain
+                best = (index, target)
+    return best
+
+
+def _gain(
+    view: OwnerView, own_load: float, target: _Target, mean: float, load: float, weights: Weights
+) -> float:
+    """Returns the worth of a move: less squared deviation from the mean, minus its price.
+
+    Deviations are in units of the mean. An average shard has the share ``1 / fair_shards`` of a
+    server's load, so its move between servers that differ by d gains about
+    ``2 * d / fair_shards``; the price has the same divisor.
+    """
+    own, peer = view.own.capacity, target.server.capacity
+    unit = (own + peer) / 2 * mean
+    spread = own_load / own - target.load / peer
+    less_deviation = (2 * load * spread - load * load * (1 / own + 1 / peer)) / (unit * mean)
+    cost = weights.churn + weights.unavailable * move_ms(load) / AVERAGE_MOVE_MS
+    price = MOVE_PRICE * cost / weights.imbalance / max(1.0, view.fair_shards)
+    return less_deviation - price
+
+
+def _plan_drain(view: OwnerView, mean: float, limits: Limits) -> Plan:
+    """Assigns every shard of a leaving owner, largest first, to the least utilised target.
+
+    Targets in a domain that another server is leaving come last, because the whole domain may be
+    about to leave and the shards would move twice. So does room beyond a cold server's share.
+    """
+    leaving_domains = {server.domain for server in view.peers if server.leaving}
+    targets = _open_targets(view, limits.max_drain_utilisation, limits)
+    preferred = [target for target in targets if target.server.domain not in leaving_domains]
+    loads = [(load, shard) for shard, load in view.shards.items() if shard not in view.in_transit]
+    loads.sort(key=lambda item: (-item[0], item[1]))
+    moves, rest = _fill_least_utilised(loads, preferred or targets)
+    if rest:
+        more, rest = _fill_least_utilised(rest, targets)
+        moves += more
+    if rest:
+        for target in targets:
+            cold = target.server.capacity - ready_capacity(target.server, limits)
+            target.room += cold * limits.max_drain_utilisation
+        more, rest = _fill_least_utilised(rest, targets)
+        moves += more
+    moves.sort(key=lambda move: (move.load, move.shard))
+    detail = f"drain of {len(loads)} shards, {len(rest)} without room"
+    return Plan(tuple(moves), tuple(shard for _, shard in rest), mean, detail)
+
+
+def _fill_least_utilised(
+    loads: list[tuple[float, int]], targets: list[_Target]
+) -> tuple[list[Move], list[tuple[float, int]]]:
+    moves: list[Move] = []
+    rest: list[tuple[float, int]] = []
+    heap = [(target.load / target.server.capacity, number) for number, target in enumerate(targets)]
+    heapq.heapify(heap)
+    for load, shard in loads:
+        skipped = []
+        while heap and targets[heap[0][1]].room < load:
+            skipped.append(heapq.heappop(heap))
+        if not heap:
+            rest.append((load, shard))
+        else:
+            target = targets[heap[0][1]]
+            target.load += load
+            target.room -= load
+            moves.append(Move(shard, load, target.server.session, MoveReason.DRAIN))
+            heapq.heapreplace(heap, (target.load / target.server.capacity, heap[0][1]))
+        for item in skipped:
+            heapq.heappush(heap, item)
+    return moves, rest
--- a/src/auburnsail/_placement_model.py
+++ b/src/auburnsail/_placement_model.py
@@ -207,11 +207,15 @@
 
     Attributes:
         source: The owner.
+        source_load: The owner's load without the shards that are in transit already.
+        source_capacity: The owner's capacity.
         shards: What it wants to transfer, most important first.
         drain: The owner is leaving, so the target accepts up to its drain limit.
     """
 
     source: SessionId
+    source_load: float
+    source_capacity: float
     shards: tuple[ShardLoad, ...]
     drain: bool = False
 
--- /dev/null
+++ b/src/auburnsail/_reserve.py
@@ -0,0 +1,172 @@
+"""The target's side of planned moves, and the bounds that owner and target keep.
+
+Load that a node counted itself outranks what its upstream reports: reports lag or mislead.
+"""
+
+from dataclasses import dataclass
+
+from ._model import SessionId
+from ._placement_model import (
+    DEFAULT_LIMITS,
+    Limits,
+    ReservationReply,
+    ReservationRequest,
+    ServerLoad,
+)
+
+__all__ = [
+    "MoveBudget",
+    "ReservationBook",
+    "decide_reservation",
+    "ready_capacity",
+    "trusted_load",
+    "warmth",
+]
+
+NS_PER_MS = 1_000_000
+MS_PER_MINUTE = 60_000
+
+# A report may raise the counted load by this factor at most and never lower it: an upstream can
+# have work that does not pass its node, but a wrong report must not empty or flood a server.
+MAX_REPORT_FACTOR = 1.25
+
+# Share of its capacity that a server takes right after joining; less would delay its fill without
+# need, because a shard always brings some load at once.
+COLD_SHARE = 0.1
+
+# A target may exceed the mean by this share, so that measurement noise does not decline a move.
+RESERVATION_SLACK = 0.02
+
+# Avoids a division by zero for a source whose upstream has gone.
+MIN_CAPACITY = 1e-9
+
+
+def trusted_load(server: ServerLoad) -> float:
+    """Returns the load to plan with: the counted load, raised a little by a higher report."""
+    if server.reported is None:
+        return server.load
+    return min(max(server.reported, server.load), server.load * MAX_REPORT_FACTOR)
+
+
+def warmth(age_ms: int, limits: Limits = DEFAULT_LIMITS) -> float:
+    """Returns the share of its capacity that a server of this age is filled to."""
+    if age_ms >= limits.slow_start_ms:
+        return 1.0
+    return COLD_SHARE + (1 - COLD_SHARE) * age_ms / limits.slow_start_ms
+
+
+def ready_capacity(server: ServerLoad, limits: Limits = DEFAULT_LIMITS) -> float:
+    """Returns the slots that a server is ready for at its age."""
+    return server.capacity * warmth(server.age_ms, limits)
+
+
+def decide_reservation(
+    target: ServerLoad,
+    mean_utilisation: float,
+    request: ReservationRequest,
+    limits: Limits = DEFAULT_LIMITS,
+) -> ReservationReply:
+    """Decides which of the requested shards a target has room for.
+
+    A balance move must not leave the target busier than its source, unless the target stays below
+    the mean. A drain move only needs capacity.
+
+    Args:
+        target: The target's own state, with what it has reserved so far.
+        mean_utilisation: Of the servers that the target sampled.
+        request: The owner's request.
+        limits: Bounds on utilisation.
+    """
+    if target.leaving or target.capacity <= 0:
+        return ReservationReply(detail="target is leaving or has no capacity")
+    ready = ready_capacity(target, limits)
+    share = limits.max_drain_utilisation if request.drain else limits.max_utilisation
+    projected = trusted_load(target) + target.reserved
+    source_load = request.source_load
+    accepted = []
+    for shard in request.shards:
+        after = projected + shard.load
+        if after > ready * share:
+            continue
+        source_after = (source_load - shard.load) / max(request.source_capacity, MIN_CAPACITY)
+        bound = max(mean_utilisation, source_after) * (1 + RESERVATION_SLACK)
+        if not request.drain and after / target.capacity > bound:
+            continue
+        projected = after
+        source_load -= shard.load
+        accepted.append(shard.shard)
+    declined = len(request.shards) - len(accepted)
+    detail = f"no room for {declined} of {len(request.shards)} shards" if declined else ""
+    return ReservationReply(tuple(accepted), detail)
+
+
+@dataclass(frozen=True, slots=True)
+class _Reservation:
+    load: float
+    expires_ns: int
+
+
+class ReservationBook:
+    """Room that one target has promised and that has not been used yet.
+
+    Args:
+        limits: How long a reservation lasts.
+    """
+
+    def __init__(self, limits: Limits = DEFAULT_LIMITS) -> None:
+        self._limits = limits
+        self._rows: dict[tuple[SessionId, int], _Reservation] = {}
+
+    def reserve(
+        self, request: ReservationRequest, reply: ReservationReply, now_ns: int
+    ) -> ReservationReply:
+        """Records an accepted reply and returns it. A repeated request replaces its reservation."""
+        loads = {shard.shard: shard.load for shard in request.shards}
+        expires_ns = now_ns + self._limits.reservation_ms * NS_PER_MS
+        for shard in reply.accepted:
+            self._rows[request.source, shard] = _Reservation(loads[shard], expires_ns)
+        return reply
+
+    def release(self, source: SessionId, shard: int) -> None:
+        """Ends a reservation, because the shard has arrived or its move was given up."""
+        self._rows.pop((source, shard), None)
+
+    def reserved(self, now_ns: int, repeated: ReservationRequest | None = None) -> float:
+        """Returns the promised load and forgets what has expired.
+
+        Args:
+            now_ns: Current time.
+            repeated: A request whose own earlier reservations are left out, so that a request
+                that is sent again does not compete with itself.
+        """
+        expired = [key for key, row in self._rows.items() if row.expires_ns <= now_ns]
+        for key in expired:
+            del self._rows[key]
+        own = {(repeated.source, shard.shard) for shard in repeated.shards} if repeated else set()
+        return sum(row.load for key, row in self._rows.items() if key not in own)
+
+
+class MoveBudget:
+    """Balance moves that one owner may still start: a token bucket of one minute's moves.
+
+    Args:
+        per_minute: Moves per minute.
+    """
+
+    def __init__(self, per_minute: int) -> None:
+        self._per_minute = per_minute
+        self._tokens = float(per_minute)
+        self._refilled_ns: int | None = None
+
+    def available(self, now_ns: int) -> int:
+        """Returns how many moves may start now."""
+        if self._refilled_ns is not None:
+            elapsed_ms = max(0, now_ns - self._refilled_ns) / NS_PER_MS
+            gained = elapsed_ms * self._per_minute / MS_PER_MINUTE
+            self._tokens = min(self._per_minute, self._tokens + gained)
+        self._refilled_ns = now_ns
+        return int(self._tokens)
+
+    def spend(self, moves: int) -> None:
+        """Counts moves that were started."""
+        self._tokens -= moves
--- /dev/null
+++ b/src/auburnsail/_sketch.py
@@ -0,0 +1,159 @@
+"""Load measurement with bounded memory: a heavy-hitter sketch of keys and decayed shard loads."""
+
+import heapq
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+
+__all__ = ["HeavyHitter", "HeavyHitters", "ShardLoads"]
+
+NS_PER_MS = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class HeavyHitter:
+    """A key with bounds on its weight: ``weight - error <= true weight <= weight``."""
+
+    key: str
+    weight: float
+    error: float
+
+
+@dataclass(slots=True)
+class _Counter:
+    weight: float
+    error: float
+
+
+class HeavyHitters:
+    """Space-saving sketch: the heaviest keys of a stream in memory for `capacity` keys.
+
+    With `total` as the sum of all weights added, decayed like the counters:
+
+    - a counter never understates: ``true <= weight`` for every key that it holds;
+    - it overstates by at most its own error: ``weight - error <= true``;
+    - no error exceeds ``total / capacity``;
+    - every key whose true weight exceeds ``total / capacity`` is held.
+
+    Args:
+        capacity: Number of counters.
+    """
+
+    def __init__(self, capacity: int) -> None:
+        if capacity < 1:
+            raise ValueError("a sketch needs at least one counter")
+        self._capacity = capacity
+        self._counters: dict[str, _Counter] = {}
+        # One (weight, key) per counter. Weights only grow between decays, so an outdated item is
+        # a lower bound and is corrected when it reaches the top.
+        self._heap: list[tuple[float, str]] = []
+        self._total = 0.0
+
+    @property
+    def total(self) -> float:
+        """Returns the decayed sum of all weights added."""
+        return self._total
+
+    def __len__(self) -> int:
+        return len(self._counters)
+
+    def add(self, key: str, weight: float = 1.0) -> None:
+        """Counts one occurrence of a key.
+
+        Args:
+            key: The key.
+            weight: Its weight, not negative; for example the time that a request took.
+        """
+        self._total += weight
+        counter = self._counters.get(key)
+        if counter is not None:
+            counter.weight += weight
+        elif len(self._counters) < self._capacity:
+            self._insert(key, _Counter(weight, 0.0))
+        else:
+            least = self._remove_lightest()
+            self._insert(key, _Counter(least + weight, least))
+
+    def decay(self, factor: float) -> None:
+        """Multiplies all weights by a factor between 0 and 1, so that old requests count less."""
+        self._total *= factor
+        for counter in self._counters.values():
+            counter.weight *= factor
+            counter.error *= factor
+        self._heap = [(counter.weight, key) for key, counter in self._counters.items()]
+        heapq.heapify(self._heap)
+
+    def top(self, count: int) -> list[HeavyHitter]:
+        """Returns the heaviest keys, heaviest first."""
+        items = ((counter.weight, key) for key, counter in self._counters.items())
+        return [
+            HeavyHitter(key, weight, self._counters[key].error)
+            for weight, key in heapq.nlargest(count, items)
+        ]
+
+    def _insert(self, key: str, counter: _Counter) -> None:
+        self._counters[key] = counter
+        heapq.heappush(self._heap, (counter.weight, key))
+
+    def _remove_lightest(self) -> float:
+        while True:
+            weight, key = self._heap[0]
+            actual = self._counters[key].weight
+            if weight == actual:
+                heapq.heappop(self._heap)
+                del self._counters[key]
+                return weight
+            heapq.heapreplace(self._heap, (actual, key))
+
+
+class ShardLoads:
+    """Busy slots per owned shard, averaged with exponential decay.
+
+    The data path adds the time of each request to a plain counter; `tick` folds the counters into
+    the averages, so that a request costs one dictionary update.
+
+    Args:
+        half_life_ms: Age at which a request counts half.
+    """
+
+    def __init__(self, half_life_ms: float = 20_000) -> None:
+        self._half_life_ns = half_life_ms * NS_PER_MS
+        self._busy_ns: dict[int, int] = {}
+        self._loads: dict[int, float] = {}
+        self._folded_ns: int | None = None
+
+    @property
+    def loads(self) -> Mapping[int, float]:
+        """Returns busy slots by shard, as of the last tick."""
+        return self._loads
+
+    @property
+    def total(self) -> float:
+        """Returns the busy slots of all shards."""
+        return sum(self._loads.values())
+
+    def record(self, shard: int, busy_ns: int) -> None:
+        """Adds the time for which one request of a shard kept a slot busy."""
+        self._busy_ns[shard] = self._busy_ns.get(shard, 0) + busy_ns
+
+    def adopt(self, shard: int, load: float) -> None:
+        """Starts a shard at the load that its former owner stated."""
+        self._loads[shard] = load
+
+    def retain(self, shards: Iterable[int]) -> None:
+        """Drops every shard but the given ones, which bounds the memory to owned shards."""
+        keep = set(shards)
+        self._loads = {shard: self._loads.get(shard, 0.0) for shard in keep}
+        self._busy_ns = {shard: busy for shard, busy in self._busy_ns.items() if shard in keep}
+
+    def tick(self, now_ns: int) -> None:
+        """Folds the requests since the last tick into the averages."""
+        if self._folded_ns is None or now_ns <= self._folded_ns:
+            self._folded_ns = now_ns if self._folded_ns is None else self._folded_ns
+            return
+        elapsed_ns = now_ns - self._folded_ns
+        kept = 0.5 ** (elapsed_ns / self._half_life_ns)
+        for shard in self._busy_ns.keys() | self._loads.keys():
+            recent = self._busy_ns.get(shard, 0) / elapsed_ns
+            self._loads[shard] = self._loads.get(shard, 0.0) * kept + recent * (1 - kept)
+        self._busy_ns.clear()
+        self._folded_ns = now_ns
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,213 @@
+"""The placement policy: successors, plans and reservations."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from auburnsail._model import SessionId
+from auburnsail._placement import (
+    CHURN_FIRST,
+    UNAVAILABLE_FIRST,
+    ClosedSession,
+    Limits,
+    MoveBudget,
+    OwnerView,
+    ReservationBook,
+    ReservationRequest,
+    ServerLoad,
+    ShardLoad,
+    Weights,
+    choose_successors,
+    decide_reservation,
+    plan_moves,
+    transfer_batches,
+)
+
+NS_PER_S = 1_000_000_000
+DOMAINS = ("nord-1", "nord-2", "sud-1", "sud-2")
+
+
+def server(number: int, load: float = 4.0, **changes) -> ServerLoad:
+    """Returns a server with 10 slots; the number decides its domain."""
+    domain = DOMAINS[number % len(DOMAINS)]
+    values = {"capacity": 10.0, "load": load, **changes}
+    return ServerLoad(SessionId(f"n{number:03}", 1), domain[:-2], domain, **values)
+
+
+@st.composite
+def servers(draw, least: int = 0, most: int = 24):
+    """Draws servers with any load, some of them leaving, cold or misreporting."""
+    count = draw(st.integers(least, most))
+    rows = st.tuples(
+        st.floats(0, 12), st.booleans(), st.sampled_from([0, 20_000, 10**9]), st.floats(0, 100)
+    )
+    return [
+        server(number, load, leaving=leaving, age_ms=age_ms, reported=reported)
+        for number, (load, leaving, age_ms, reported) in enumerate(
+            draw(st.lists(rows, min_size=count, max_size=count))
+        )
+    ]
+
+
+@st.composite
+def views(draw):
+    """Draws what an owner sees, with some shards in transit or settling."""
+    peers = draw(servers(0, 8))
+    loads = draw(st.dictionaries(st.integers(0, 500), st.floats(0, 3), max_size=40))
+    some = st.frozensets(st.sampled_from(sorted(loads)), max_size=4) if loads else st.just(set())
+    own = server(100, sum(loads.values()), leaving=draw(st.booleans()))
+    return OwnerView(
+        own=own,
+        shards=loads,
+        peers=tuple(peers),
+        fair_shards=max(1, len(loads)),
+        in_transit=frozenset(draw(some)),
+        settling=frozenset(draw(some)),
+        moves_left=draw(st.integers(0, 10)),
+    )
+
+
+class SuccessorsTest(unittest.TestCase):
+    """Grants for the shards of closed sessions."""
+
+    @given(servers(), st.integers(1, 4), st.integers(0, 60), st.randoms(use_true_random=False))
+    def test_every_shard_is_granted_once_to_an_open_session(self, all_servers, ended, shards, rng):
+        """Guards against a shard that is lost or granted twice, and against a view's order
+        changing the grants, which would make two appenders disagree."""
+        owned = [range(number, shards, ended) for number in range(ended)]
+        closed = [
+            ClosedSession(SessionId(f"n{number:03}", 1), DOMAINS[number], tuple(owned[number]), 3.0)
+            for number in range(ended)
+        ]
+        grants = choose_successors(closed, all_servers)
+        usable = {s.session for s in all_servers[ended:] if not s.leaving}
+        for item in closed:
+            granted = Counter(shard for grant in grants[item.session] for shard in grant.shards)
+            self.assertEqual(granted, Counter(item.shards if usable else ()))
+            self.assertLessEqual({grant.to for grant in grants[item.session]}, usable)
+        rng.shuffle(all_servers)
+        rng.shuffle(closed)
+        self.assertEqual(choose_successors(closed, all_servers), grants)
+
+    def test_grants_follow_room_and_avoid_the_failing_domain(self):
+        """Guards against all shards of a failure landing on one server or in the same domain."""
+        closed = [
+            ClosedSession(SessionId(f"n{number:03}", 1), DOMAINS[0], tuple(range(400)), 4.0)
+            for number in (0, 4)
+        ]
+        rest = [server(1, 6.0), server(2, 2.0), server(3, 2.0), server(8, 0.0)]
+        granted = Counter()
+        for grants in choose_successors(closed, rest).values():
+            for grant in grants:
+                granted[grant.to.node] += len(grant.shards)
+        self.assertNotIn("n008", granted)
+        self.assertAlmostEqual(granted["n002"] / 800, 4 / 8, delta=0.01)
+        self.assertAlmostEqual(granted["n001"] / 800, 0, delta=0.01)
+
+    def test_independent_appenders_spread_over_a_large_fleet(self):
+        """Guards against appenders that do not see each other's grants choosing one server."""
+        fleet = [server(number, 4.0 - number / 1000) for number in range(200)]
+        granted = Counter()
+        for number in range(40):
+            item = ClosedSession(SessionId(f"n{number:03}", 1), DOMAINS[0], tuple(range(25)), 4.0)
+            for grant in choose_successors([item], fleet)[item.session]:
+                granted[grant.to] += len(grant.shards)
+        self.assertLess(max(granted.values()), 5 * sum(granted.values()) / 200)
+
+
+class PlanTest(unittest.TestCase):
+    """Plans of one owner."""
+
+    @settings(max_examples=300)
+    @given(views(), st.sampled_from([UNAVAILABLE_FIRST, CHURN_FIRST, Weights()]))
+    def test_plans_keep_to_their_limits(self, view, weights):
+        """Guards against moves beyond a limit, of a foreign or moving shard, or without a gain."""
+        limits = Limits(moves_per_plan=6)
+        plan = plan_moves(view, weights, limits)
+        moved = [move.shard for move in plan.moves]
+        loads = {s.session: s.load for s in view.peers}
+        open_peers = {s.session for s in view.peers if not s.leaving}
+        self.assertEqual(plan_moves(view, weights, limits), plan)
+        self.assertEqual(len(moved), len(set(moved)))
+        self.assertLessEqual({move.target for move in plan.moves}, open_peers)
+        for batch in transfer_batches(plan.moves, limits):
+            self.assertEqual(len({move.target for move in batch}), 1)
+            self.assertLessEqual(len(batch), -(-len(moved) // limits.drain_batches))
+        if view.own.leaving:
+            expected = set(view.shards) - view.in_transit
+            self.assertEqual(set(moved) | set(plan.stranded), expected)
+            self.assertFalse(set(moved) & set(plan.stranded))
+            return
+        self.assertLessEqual(set(moved), set(view.shards) - view.in_transit - view.settling)
+        self.assertLessEqual(len(moved), min(6, view.moves_left))
+        own = view.own.load - sum(view.shards[shard] for shard in view.in_transit)
+        for move in plan.moves:
+            self.assertLess(loads[move.target] + move.load, own)
+            loads[move.target] += move.load
+            own -= move.load
+        for peer in view.peers:
+            if loads[peer.session] > peer.load:
+                self.assertLessEqual(loads[peer.session], peer.capacity * limits.max_utilisation)
+
+    def test_cold_neighbours_of_a_hot_key_move_away(self):
+        """Guards against moving a hot shard back and forth, which never balances it."""
+        shards = {0: 5.0, **dict.fromkeys(range(1, 31), 0.1)}
+        peers = (server(1, 5.0), server(2, 5.0))
+        view = OwnerView(server(100, 8.0), shards, peers, fair_shards=30)
+        plan = plan_moves(view, UNAVAILABLE_FIRST)
+        self.assertTrue(plan.moves)
+        self.assertNotIn(0, {move.shard for move in plan.moves})
+
+    def test_a_misleading_report_neither_attracts_nor_repels_much(self):
+        """Guards against an upstream that reports no load, or far too much, moving shards."""
+        shards = dict.fromkeys(range(40), 0.1)
+        peers = (server(1, 4.0, reported=0.0), server(2, 4.0, reported=4.0))
+        view = OwnerView(server(100, 4.0, reported=0.0), shards, peers, fair_shards=40)
+        self.assertEqual(plan_moves(view, UNAVAILABLE_FIRST).moves, ())
+        liar = OwnerView(server(100, 4.0, reported=400.0), shards, peers, fair_shards=40)
+        moved = sum(move.load for move in plan_moves(liar, UNAVAILABLE_FIRST).moves)
+        self.assertLess(moved, 1.0)
+
+
+class ReservationTest(unittest.TestCase):
+    """The target's side."""
+
+    @given(
+        servers(1, 1),
+        st.lists(st.tuples(st.lists(st.floats(0.01, 4), max_size=8), st.booleans()), max_size=8),
+    )
+    def test_many_owners_cannot_overfill_a_target(self, target, requests):
+        """Guards against owners that all see the same idle target and fill it beyond its limit."""
+        book = ReservationBook()
+        base = target[0]
+        for number, (loads, drain) in enumerate(requests):
+            request = ReservationRequest(
+                SessionId(f"o{number}", 1),
+                source_load=12.0,
+                source_capacity=10.0,
+                shards=tuple(ShardLoad(shard, load) for shard, load in enumerate(loads)),
+                drain=drain,
+            )
+            for _ in range(2):
+                reserved = book.reserved(NS_PER_S, repeated=request)
+                own = server(0, base.load, age_ms=base.age_ms, reserved=reserved)
+                own = own if not base.leaving else server(0, base.load, leaving=True)
+                reply = book.reserve(request, decide_reservation(own, 0.6, request), NS_PER_S)
+                self.assertLessEqual(set(reply.accepted), set(range(len(loads))))
+        promised = book.reserved(NS_PER_S)
+        if base.leaving:
+            self.assertEqual(promised, 0)
+        if promised:
+            self.assertLessEqual(base.load + promised, 10.0 + 1e-9)
+            if base.age_ms == 0:
+                self.assertLessEqual(base.load + promised, 1.0 + 1e-9)
+        self.assertEqual(book.reserved(7 * NS_PER_S), 0)
+
+    def test_moves_per_minute_are_bounded(self):
+        """Guards against a budget that saves up more than a minute's moves."""
+        budget = MoveBudget(per_minute=60)
+        for now_s, expected in ((0, 60), (1, 1), (10_000, 60)):
+            self.assertEqual(budget.available(now_s * NS_PER_S), expected)
+            budget.spend(expected)
--- /dev/null
+++ b/tests/test_sketch.py
@@ -0,0 +1,70 @@
+"""The heavy-hitter sketch and the shard loads."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from auburnsail._sketch import HeavyHitters, ShardLoads
+
+NS_PER_S = 1_000_000_000
+# Weights and factors are exact in binary, so the bounds are checked without a tolerance.
+STREAMS = st.lists(
+    st.one_of(
+        st.tuples(st.sampled_from("abcdefghijkl"), st.integers(0, 1000)),
+        st.sampled_from([0.5, 0.25]),
+    ),
+    max_size=120,
+).filter(lambda stream: sum(isinstance(item, float) for item in stream) < 8)
+
+
+class HeavyHittersTest(unittest.TestCase):
+    """Bounds of the space-saving sketch."""
+
+    @given(STREAMS, st.integers(1, 14))
+    def test_documented_bounds_hold(self, stream, capacity):
+        """Guards against a hot key that is missed, or whose weight is off by more than stated."""
+        sketch = HeavyHitters(capacity)
+        truth = Counter()
+        for item in stream:
+            if isinstance(item, float):
+                sketch.decay(item)
+                truth = Counter({key: weight * item for key, weight in truth.items()})
+            else:
+                sketch.add(*item)
+                truth[item[0]] += item[1]
+        held = {hitter.key: hitter for hitter in sketch.top(capacity)}
+        bound = sum(truth.values()) / capacity
+        self.assertLessEqual(len(sketch), capacity)
+        self.assertEqual(sketch.total, sum(truth.values()))
+        for key, hitter in held.items():
+            self.assertLessEqual(truth[key], hitter.weight)
+            self.assertLessEqual(hitter.weight - hitter.error, truth[key])
+            self.assertLessEqual(hitter.error, bound)
+        for key, weight in truth.items():
+            if weight > bound:
+                self.assertIn(key, held)
+
+
+class ShardLoadsTest(unittest.TestCase):
+    """Decayed busy slots per shard."""
+
+    def test_load_follows_the_busy_time_with_the_half_life(self):
+        """Guards against loads in the wrong unit, or a decay that depends on the tick length."""
+        for tick_ms in (50, 1000):
+            loads = ShardLoads(half_life_ms=10_000)
+            for now_ms in range(0, 20_001, tick_ms):
+                loads.tick(now_ms * 1_000_000)
+                loads.record(7, tick_ms * 2_000_000)
+            self.assertAlmostEqual(loads.loads[7], 2 * 0.75, places=9)
+
+    def test_shards_that_moved_away_are_forgotten(self):
+        """Guards against memory that grows with every shard ever owned."""
+        loads = ShardLoads()
+        loads.adopt(1, 0.5)
+        loads.record(2, 1)
+        loads.retain([2, 3])
+        loads.tick(0)
+        loads.tick(NS_PER_S)
+        self.assertEqual(set(loads.loads), {2, 3})
