Read the settings tree with inheritance and effective values

The tree held only services. It now has platform, service, region and failure domain levels, twelve sections of policies and limits with bounds, and `effective(tree, service, region, domain)`. The deepest level that states a value decides; at the region and domain levels a statement for one service wins over one for all services. Errors list every problem with file, line, path, allowed values and the nearest known name. Nodes read trees with pyjson5 only and skip names that they do not know, so that a newer tree does not stop them.

NaN needs no check of its own: msgspec refuses it for every bounded number.

--- a/src/auburnsail/_cli_operator.py
+++ b/src/auburnsail/_cli_operator.py
@@ -6,8 +6,8 @@
 import click
 
 from ._log import VersionedLog
-from ._settings import TreeSettings, parse_jsonc
 from ._store import HttpTableStore
+from ._tree import parse_tree
 
 __all__ = ["main"]
 
@@ -29,7 +29,7 @@
 def init(store: str, file: Path) -> None:
     """Writes the first version of the settings tree."""
     text = file.read_text(encoding="utf-8")
-    parse_jsonc(text, TreeSettings, str(file))
+    parse_tree(text, str(file))
     log = VersionedLog(HttpTableStore(store), "settings")
     version = log.append(0, secrets.token_hex(8), text.encode())
     click.echo(f"settings version {version} is in force")
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -23,9 +23,10 @@
     encode_entry,
 )
 from ._routing import Router
-from ._settings import NodeSettings, TreeSettings, parse_jsonc
+from ._settings import NodeSettings, TreeSettings
 from ._shards import NO_OWNER
 from ._store import HttpTableStore
+from ._tree import parse_tree
 from .exceptions import AuburnsailError, ConflictError, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
@@ -102,7 +103,7 @@
                 step="settings.load",
                 peer=self._settings.store_url,
             )
-        return parse_jsonc(record.data.decode(), TreeSettings, f"settings version {head}")
+        return parse_tree(record.data.decode(), f"settings version {head}", ignore_unknown=True)
 
     def _upstream_address(self) -> str | None:
         return self._announcement.address if self._announcement else None
--- a/src/auburnsail/_settings.py
+++ b/src/auburnsail/_settings.py
@@ -1,14 +1,42 @@
-"""Border models of a node's own settings file and of the services in the settings tree."""
+"""Models of a node's own settings file and of the settings tree that all nodes share."""
 
+import re
+from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Annotated
 
 import msgspec
 import pyjson5
 
+from ._problems import Problem, allowed_values, nearest, raise_problems
+from ._sections import (
+    Balance,
+    Drain,
+    Fleet,
+    Gossip,
+    Lease,
+    Level,
+    Logging,
+    Objective,
+    Placement,
+    Quarantine,
+    Queue,
+    Requests,
+    Upstream,
+)
 from .exceptions import SettingsError
 
-__all__ = ["NodeSettings", "ServiceSettings", "TreeSettings", "load_node_settings", "parse_jsonc"]
+__all__ = [
+    "EffectiveSettings",
+    "Name",
+    "NodeSettings",
+    "Scope",
+    "ServiceSettings",
+    "TreeSettings",
+    "decode_jsonc",
+    "load_node_settings",
+    "parse_jsonc",
+]
 
 Address = Annotated[str, msgspec.Meta(pattern=r"^[0-9a-fA-F:.]+:[0-9]{1,5}$")]
 Name = Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9][a-z0-9-]{0,62}$")]
@@ -41,21 +69,102 @@
 
 
 class ServiceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Settings of one service.
+    """What a service is; its policies are in the sections of the tree.
 
     Attributes:
         keyed: Whether upstreams own keys exclusively.
         shards: Number of shards of a keyed service; fixed once the fleet has started.
     """
 
-    keyed: bool = False
-    shards: Annotated[int, msgspec.Meta(ge=1, le=1 << 20)] = 4096
+    keyed: Annotated[bool, msgspec.Meta(description="Upstreams own keys exclusively.")] = False
+    shards: Annotated[
+        int, msgspec.Meta(ge=1, le=1 << 20, description="Parts of the key space.")
+    ] = 4096
 
 
-class TreeSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """The settings that all nodes share."""
+@dataclass(frozen=True, slots=True)
+class Scope:
+    """A place of the tree that may state values; an empty name means all.
+
+    Attributes:
+        service: A service, or all services.
+        region: A region, or all regions.
+        domain: A failure domain of the region, or all its domains.
+    """
+
+    service: str = ""
+    region: str = ""
+    domain: str = ""
+
+    @property
+    def level(self) -> Level:
+        """Level of the tree that the scope belongs to."""
+        if self.domain:
+            return Level.DOMAIN
+        if self.region:
+            return Level.REGION
+        return Level.SERVICE if self.service else Level.PLATFORM
+
+    @property
+    def path(self) -> tuple[str, ...]:
+        """Names of the objects that lead to the scope in the document."""
+        names = (("services", self.service), ("regions", self.region), ("domains", self.domain))
+        return tuple(part for kind, name in names if name for part in (kind, name))
 
-    services: dict[Name, ServiceSettings]
+
+@dataclass(frozen=True, slots=True)
+class TreeSettings:
+    """The settings that all nodes share, as stated.
+
+    Attributes:
+        services: Services by name.
+        regions: Failure domains of each region.
+        statements: Values by ``section.field``, for each scope that states any.
+        ignored: Names that this program does not know, if it was told to ignore them.
+    """
+
+    services: dict[str, ServiceSettings]
+    regions: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    statements: dict[Scope, dict[str, object]] = field(default_factory=dict)
+    ignored: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class EffectiveSettings:
+    """Values in force for one service in one failure domain."""
+
+    service: str
+    region: str
+    domain: str
+    keyed: bool
+    shards: int
+    lease: Lease
+    fleet: Fleet
+    gossip: Gossip
+    placement: Placement
+    upstream: Upstream
+    queue: Queue
+    requests: Requests
+    drain: Drain
+    quarantine: Quarantine
+    balance: Balance
+    objective: Objective
+    logging: Logging
+
+
+def decode_jsonc(text: str, source: str) -> object:
+    """Decodes JSON with comments.
+
+    Raises:
+        SettingsError: The text is not valid; the error names the line.
+    """
+    try:
+        return pyjson5.decode(text)
+    except pyjson5.Json5Exception as error:
+        message = str(error.args[0]).replace("b'", "'")
+        raise SettingsError(
+            f"{source}:{_line_of(message, text)}: {message}", step="settings.parse"
+        ) from error
 
 
 def parse_jsonc(text: str, model: type, source: str):
@@ -63,16 +172,33 @@
 
     Args:
         text: The document.
-        model: Type of the result.
+        model: A msgspec model with scalar fields.
         source: Named in errors.
 
     Raises:
-        SettingsError: The text is not valid or does not fit the model.
+        SettingsError: The text is not valid or does not fit the model; lists every problem.
     """
-    try:
-        return msgspec.convert(pyjson5.decode(text), model)
-    except (pyjson5.Json5Exception, msgspec.ValidationError) as error:
-        raise SettingsError(str(error), step="settings.parse", peer=source) from error
+    document = decode_jsonc(text, source)
+    if not isinstance(document, dict):
+        raise_problems([Problem((), "must be an object in braces")], text, source)
+    fields = {field.name: field for field in msgspec.structs.fields(model)}
+    problems = [
+        Problem((name,), f"unknown name{nearest(name, fields)}")
+        for name in document
+        if name not in fields
+    ]
+    for name, description in fields.items():
+        if name in document:
+            try:
+                msgspec.convert(document[name], description.type)
+            except msgspec.ValidationError as error:
+                allowed = allowed_values(description.type)
+                problems.append(Problem((name,), f"{error}; allowed: {allowed}"))
+        elif description.required:
+            allowed = allowed_values(description.type)
+            problems.append(Problem((name,), f"missing; allowed: {allowed}"))
+    raise_problems(problems, text, source, _locate)
+    return msgspec.convert(document, model)
 
 
 def load_node_settings(path: Path) -> NodeSettings:
@@ -83,6 +209,18 @@
     """
     try:
         text = path.read_text(encoding="utf-8")
-    except OSError as error:
+    except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(str(error), step="settings.read", peer=str(path)) from error
     return parse_jsonc(text, NodeSettings, str(path))
+
+
+def _line_of(message: str, text: str) -> int:
+    position = re.search(r"near (\d+)", message)
+    return text.count("\n", 0, int(position[1])) + 1 if position else 1
+
+
+def _locate(text: str, path: tuple[str, ...]) -> int | None:
+    # Imported for an error only: a running node must not hold json-five's memory.
+    from ._document import locate
+
+    return locate(text, path)
