Give the upstream stand-in faults, limits and a ledger

Cause: the first stand-in ran every request, knew no limits and kept its ledger in memory only, so neither double ownership nor a crash showed.

Change: it checks fenced grants (or not, by option), enforces slots and connections, starts cold, drains, sheds, stops cancelled and late work, reports lagging or wrong load and health, and freezes, crashes or goes silent on demand. Every execution is in a ledger that a file keeps past a crash; times are CLOCK_BOOTTIME like those of the leases.

--- /dev/null
+++ b/standins/announce.py
@@ -0,0 +1,38 @@
+"""Announcements of an upstream stand-in to the node beside it."""
+
+from collections.abc import Callable
+
+import click
+import gevent
+import msgspec
+from geventhttpclient import HTTPClient
+
+ANNOUNCE_EVERY_S = 1.0
+ANNOUNCE_TIMEOUT_S = 1.0
+
+
+def announce_forever(node: str, read: Callable[[], dict]) -> None:
+    """Announces an upstream to the node beside it until the process ends.
+
+    Args:
+        node: Control address of the node.
+        read: Returns the announcement of this moment.
+    """
+    host, _, port = node.rpartition(":")
+    client = HTTPClient(
+        host,
+        int(port),
+        connection_timeout=ANNOUNCE_TIMEOUT_S,
+        network_timeout=ANNOUNCE_TIMEOUT_S,
+    )
+    failures = 0
+    while True:
+        try:
+            body = msgspec.json.encode(read())
+            client.post("/v1/announce", body=body).read()
+            failures = 0
+        except Exception as error:
+            failures += 1
+            if failures == 1:
+                click.echo(f"announce to {node} failed: {error!r}", err=True)
+        gevent.sleep(ANNOUNCE_EVERY_S)
--- /dev/null
+++ b/tests/test_upstream_standin.py
@@ -0,0 +1,100 @@
+"""The upstream stand-in: its faults happen, its limits hold and its ledger tells of them."""
+
+import subprocess
+import sys
+import tempfile
+import unittest
+from pathlib import Path
+
+import gevent
+import msgspec
+
+from auburnsail._pool import HttpPeer
+from auburnsail.exceptions import OutcomeUnknownError
+from standins.ledger import now_ns, read_ledger
+from tests.fleet import ROOT, free_port, wait_until
+
+SECOND_NS = 1_000_000_000
+
+
+class UpstreamTest(unittest.TestCase):
+    """One upstream process per test."""
+
+    def start(self, *arguments: str) -> HttpPeer:
+        """Starts an upstream and returns a client of it."""
+        address = f"127.0.0.1:{free_port()}"
+        command = [sys.executable, "-m", "standins.upstream", "--name", "u", "--service", "s"]
+        process = subprocess.Popen([*command, "--listen", address, *arguments], cwd=ROOT)
+        self.addCleanup(process.wait)
+        self.addCleanup(process.kill)
+        peer = HttpPeer(address)
+        wait_until(lambda: peer.fetch("GET", "/health", timeout_s=1).status == 200, "start")
+        return peer
+
+    def call(self, peer: HttpPeer, request_id: str, timeout_s: float = 5, **headers):
+        """Sends a request with headers such as ``auburnsail_grant``."""
+        fields = [(name.replace("_", "-"), str(value)) for name, value in headers.items()]
+        fields.append(("x-request-id", request_id))
+        return peer.fetch("POST", "/s/k", timeout_s=timeout_s, headers=tuple(fields))
+
+    def read(self, peer: HttpPeer, path: str, body: bytes = b""):
+        """Returns the decoded answer of an administrative path."""
+        return msgspec.json.decode(peer.fetch("POST", path, body, timeout_s=5).body)
+
+    def test_refuses_superseded_and_expired_grants(self):
+        """Guards against a ledger without double ownership only because nothing was fenced."""
+        peer = self.start("--grants", "required")
+        later = now_ns() + 60 * SECOND_NS
+        for grant, status, reason in (
+            (f"s;1;5;{later}", 200, None),
+            (f"s;1;4;{later}", 503, "grant-superseded"),
+            (f"s;2;4;{later}", 200, None),
+            (f"s;1;6;{now_ns() - 1}", 503, "grant-expired"),
+            (f"s;1;5;{later}", 200, None),
+        ):
+            answer = self.call(peer, "r", auburnsail_grant=grant)
+            self.assertEqual(
+                (answer.status, msgspec.json.decode(answer.body).get("reason")), (status, reason)
+            )
+            self.assertEqual("auburnsail-not-run" in dict(answer.headers), status == 503)
+        self.assertEqual(self.call(peer, "r").status, 503)
+        self.assertEqual(len(self.read(peer, "/admin/ledger")), 3)
+
+    def test_records_cancellation_and_limits(self):
+        """Guards against work that goes on after its caller left and against unnoticed excess."""
+        peer = self.start("--slots", "2", "--service-ms", "300")
+        with self.assertRaises(OutcomeUnknownError):
+            self.call(peer, "left", timeout_s=0.1)
+        gevent.sleep(0.05)
+        self.assertEqual(self.read(peer, "/admin/ledger")[0]["outcome"], "cancelled")
+        calls = [gevent.spawn(self.call, peer, f"r{number}") for number in range(3)]
+        statuses = sorted(call.get().status for call in calls)
+        self.assertEqual(statuses, [200, 200, 503])
+        counted = self.read(peer, "/admin/counters")
+        self.assertEqual(counted["most_running"], 2)
+        self.assertEqual(counted["refused"], {"slots-full": 1})
+        answer = self.call(peer, "late", auburnsail_deadline_ms=20)
+        self.assertEqual((answer.status, answer.body), (504, b"deadline"))
+
+    def test_silent_connections_stay_silent_while_new_ones_work(self):
+        """Guards against a silent-connection fault that only slows connections down."""
+        peer = self.start()
+        other = HttpPeer(peer.address)
+        self.call(peer, "a")
+        self.assertEqual(self.read(other, "/admin/faults", b'{"silence":true}')["speed"], 1.0)
+        with self.assertRaises(OutcomeUnknownError):
+            self.call(peer, "b", timeout_s=0.3)
+        self.assertEqual(self.call(HttpPeer(peer.address), "c").status, 200)
+        ids = [run["request_id"] for run in self.read(HttpPeer(peer.address), "/admin/ledger")]
+        self.assertEqual(ids, ["a", "c"])
+
+    def test_ledger_survives_the_crash_of_a_marked_request(self):
+        """Guards against losing the record of what ran when an upstream crashed."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "ledger"
+            peer = self.start("--ledger", str(path))
+            self.call(peer, "good")
+            with self.assertRaises(OutcomeUnknownError):
+                self.call(peer, "bad", standin_crash=1)
+            runs = [(run.request_id, run.outcome) for run in read_ledger(path)]
+        self.assertEqual(runs, [("good", "completed"), ("bad", "crashed")])
