Add late writes, hangs and object faults to the platform stand-in

Cause: the stand-in had no write that takes effect after its connection ended, no outage that hangs and no object faults. Two faults of its own were found on the way: a lost answer was in fact a status 500, because pywsgi closes silently only on ECONNRESET, and every answer on a kept connection took 40 ms longer, because head and body left in two writes without TCP_NODELAY.

Change: faults hang, land_late, objects_down, objects_delay_ms and objects_cut, counters per operation, and TCP_NODELAY on both stand-ins.

Conclusion: any store time measured against the first stand-in on a kept connection contains those 40 ms and has to be measured again.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,10 +1,9 @@
 """Stand-in for the platform: a transactional table and an object store over HTTP.
 
-Faults are set with ``POST /admin/faults``: ``down`` answers 503, ``delay_ms`` delays each answer,
-``lose_answers`` is the share of commits that take effect while the connection is closed without
-an answer, and ``writes_per_s`` and ``reads_per_s`` limit the rate.
+Faults are set with ``POST /admin/faults``, which replaces all of them; docs/standins.md lists them.
 """
 
+import errno
 import random
 import time
 from bisect import bisect_right, insort
@@ -13,10 +12,12 @@
 import click
 import gevent
 import msgspec
-from gevent.pywsgi import WSGIServer
 
 from auburnsail._store import Row, Transaction
 
+from .server import NoDelayServer
+
+HANG_POLL_S = 0.02
 STATUS_LINES = {
     200: "200 OK",
     404: "404 Not Found",
@@ -26,23 +27,63 @@
 }
 
 
-class Faults(msgspec.Struct):
-    """Faults in force."""
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """Faults in force.
+
+    Attributes:
+        down: Answers every request with 503.
+        hang: Accepts requests and neither runs nor answers them until the fault ends.
+        delay_ms: Delays each request before it takes effect.
+        lose_answers: Share of commits that take effect while the connection is closed without an
+            answer.
+        land_late: Share of commits whose connection is closed first and that take effect later.
+        land_late_ms: How much later.
+        writes_per_s: Limit on commits and object writes; 0 for none.
+        reads_per_s: Limit on reads and scans; 0 for none.
+        objects_down: Answers requests for objects with 503.
+        objects_delay_ms: Delays requests for objects in addition.
+        objects_cut: Share of object reads whose connection ends in the middle of the body.
+    """
 
     down: bool = False
+    hang: bool = False
     delay_ms: float = 0.0
     lose_answers: float = 0.0
+    land_late: float = 0.0
+    land_late_ms: float = 500.0
     writes_per_s: float = 0.0
     reads_per_s: float = 0.0
+    objects_down: bool = False
+    objects_delay_ms: float = 0.0
+    objects_cut: float = 0.0
 
 
 class Counters(msgspec.Struct):
-    """Operations served since the start."""
+    """What happened since the start.
+
+    Attributes:
+        reads: Row reads, scans and object reads that were let through.
+        writes: Commits and object writes that were let through.
+        conflicts: Commits whose checks did not hold.
+        refused: Requests over a rate limit.
+        unavailable: Requests that met an outage.
+        lost_answers: Commits that took effect without an answer.
+        landed_late: Commits that took effect after their connection had ended.
+        operations: Requests let through, by method and path.
+        bytes_in: Request bodies.
+        bytes_out: Answer bodies.
+    """
 
     reads: int = 0
     writes: int = 0
     conflicts: int = 0
     refused: int = 0
+    unavailable: int = 0
+    lost_answers: int = 0
+    landed_late: int = 0
+    operations: dict[str, int] = {}
+    bytes_in: int = 0
+    bytes_out: int = 0
 
 
 class RateLimit:
@@ -87,13 +128,13 @@
             status, answer = self._admin(path, body)
         else:
             status, answer = self._serve(environ["REQUEST_METHOD"], path, query, body)
-            if status == 200 and path == "/table/commit" and self._lose_answer():
-                raise ConnectionResetError("answer lost on purpose")
         start_response(STATUS_LINES[status], [("Content-Length", str(len(answer)))])
+        if path == "/object" and status == 200 and self._happens(self.faults.objects_cut):
+            return self._cut(answer)
         return [answer]
 
-    def _lose_answer(self) -> bool:
-        return self._random.random() < self.faults.lose_answers
+    def _happens(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
 
     def _admin(self, path: str, body: bytes) -> tuple[int, bytes]:
         if path == "/admin/faults" and body:
@@ -101,26 +142,45 @@
         return 200, msgspec.json.encode({"faults": self.faults, "counters": self.counters})
 
     def _serve(self, method: str, path: str, query: dict, body: bytes) -> tuple[int, bytes]:
-        if self.faults.delay_ms:
-            gevent.sleep(self.faults.delay_ms / 1000)
-        if self.faults.down:
+        faults = self.faults
+        is_object = path.startswith("/object")
+        delay_ms = faults.delay_ms + (faults.objects_delay_ms if is_object else 0.0)
+        if delay_ms:
+            gevent.sleep(delay_ms / 1000)
+        if self.faults.hang:
+            self.counters.unavailable += 1
+            while self.faults.hang:
+                gevent.sleep(HANG_POLL_S)
+            raise _closed("outage")
+        if self.faults.down or (is_object and self.faults.objects_down):
+            self.counters.unavailable += 1
             return 503, b"store is down"
-        is_write = method in ("POST", "PUT")
-        limit, rate = (
-            (self._write_limit, self.faults.writes_per_s)
-            if is_write
-            else (self._read_limit, self.faults.reads_per_s)
-        )
-        if not limit.admit(rate):
+        if not self._admit(method in ("POST", "PUT")):
             self.counters.refused += 1
             return 429, b"rate limit"
+        operation = f"{method} {path}"
+        operations = self.counters.operations
+        operations[operation] = operations.get(operation, 0) + 1
+        self.counters.bytes_in += len(body)
+        status, answer = self._run(method, path, query, body)
+        self.counters.bytes_out += len(answer)
+        return status, answer
+
+    def _admit(self, is_write: bool) -> bool:
         if is_write:
+            if not self._write_limit.admit(self.faults.writes_per_s):
+                return False
             self.counters.writes += 1
         else:
+            if not self._read_limit.admit(self.faults.reads_per_s):
+                return False
             self.counters.reads += 1
+        return True
+
+    def _run(self, method: str, path: str, query: dict, body: bytes) -> tuple[int, bytes]:
         match method, path:
             case "POST", "/table/commit":
-                return self._commit(msgspec.json.decode(body, type=Transaction))
+                return self._commit_with_faults(msgspec.json.decode(body, type=Transaction))
             case "GET", "/table/row":
                 return self._row(query["key"])
             case "GET", "/table/rows":
@@ -137,6 +197,24 @@
                 return 200, msgspec.json.encode(keys)
         return 404, b"no such path"
 
+    def _cut(self, answer: bytes):
+        yield answer[: len(answer) // 2]
+        raise _closed("object cut off")
+
+    def _commit_with_faults(self, transaction: Transaction) -> tuple[int, bytes]:
+        if self._happens(self.faults.land_late):
+            gevent.spawn_later(self.faults.land_late_ms / 1000, self._land, transaction)
+            raise _closed("answer lost before the commit")
+        status, answer = self._commit(transaction)
+        if status == 200 and self._happens(self.faults.lose_answers):
+            self.counters.lost_answers += 1
+            raise _closed("answer lost after the commit")
+        return status, answer
+
+    def _land(self, transaction: Transaction) -> None:
+        status, _ = self._commit(transaction)
+        self.counters.landed_late += status == 200
+
     def _commit(self, transaction: Transaction) -> tuple[int, bytes]:
         for check in transaction.checks:
             row = self._rows.get(check.key)
@@ -168,12 +246,18 @@
         return 200, msgspec.json.encode(rows)
 
 
+def _closed(reason: str) -> ConnectionResetError:
+    # The server closes the connection without an answer on this error.
+    return ConnectionResetError(errno.ECONNRESET, reason)
+
+
 @click.command()
 @click.option("--listen", default="127.0.0.1:7000", show_default=True, help="ip:port to listen on.")
 def main(listen: str) -> None:
     """Runs the platform stand-in."""
     host, _, port = listen.rpartition(":")
-    WSGIServer((host, int(port)), Platform(), log=None, error_log=None).serve_forever()
+    server = NoDelayServer((host, int(port)), Platform(), log=None, error_log=None, backlog=1024)
+    server.serve_forever()
 
 
 if __name__ == "__main__":
--- a/standins/server.py
+++ b/standins/server.py
@@ -1,4 +1,4 @@
-"""HTTP server of the upstream stand-in, with access to the connection of each request."""
+"""HTTP servers of the stand-ins; the upstream's gives access to the connection of a request."""
 
 import errno
 import itertools
@@ -70,6 +70,15 @@
         return line
 
 
+class NoDelayServer(WSGIServer):
+    """Sets TCP_NODELAY: head and body leave in two writes, and the second one waits without it."""
+
+    def handle(self, sock: socket.socket, address: tuple) -> None:
+        """Handles one accepted connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
+
+
 class UpstreamServer(WSGIServer):
     """Counts connections and can make the accepted ones silent.
 
@@ -123,7 +132,6 @@
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Handles one accepted connection."""
-        # Head and body can leave in two writes; without the option the second one waits 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if self._connect_ms:
             gevent.sleep(self._connect_ms / 1000)
--- /dev/null
+++ b/tests/test_platform_standin.py
@@ -0,0 +1,74 @@
+"""The platform stand-in: its faults have the effect that they are named for."""
+
+import subprocess
+import sys
+import unittest
+
+import msgspec
+
+from auburnsail._pool import HttpPeer
+from auburnsail._store import Check, HttpObjectStore, HttpTableStore, Put, Transaction
+from auburnsail.exceptions import OutcomeUnknownError, StoreUnavailableError
+from tests.fleet import ROOT, free_port, wait_until
+
+
+class PlatformTest(unittest.TestCase):
+    """One platform process for all tests of the class."""
+
+    @classmethod
+    def setUpClass(cls):
+        """Starts the platform."""
+        address = f"127.0.0.1:{free_port()}"
+        command = [sys.executable, "-m", "standins.platform", "--listen", address]
+        process = subprocess.Popen(command, cwd=ROOT)
+        cls.addClassCleanup(process.wait)
+        cls.addClassCleanup(process.kill)
+        cls.admin = HttpPeer(address)
+        wait_until(lambda: cls.fault()["faults"] is not None, "platform start")
+        cls.table = HttpTableStore(f"http://{address}", timeout_s=0.5)
+        cls.objects = HttpObjectStore(f"http://{address}", timeout_s=0.5)
+
+    @classmethod
+    def fault(cls, **faults) -> dict:
+        """Replaces the faults and returns faults and counters."""
+        body = msgspec.json.encode(faults)
+        return msgspec.json.decode(cls.admin.fetch("POST", "/admin/faults", body, timeout_s=2).body)
+
+    def commit(self, key: str, version: int):
+        """Writes a row at an expected version."""
+        return self.table.commit(Transaction((Check(key, version),), (Put(key, b"v"),)))
+
+    def test_late_commit_takes_effect_after_the_connection_ended(self):
+        """Guards against a lost answer that is always settled by an immediate read."""
+        self.fault(land_late=1.0, land_late_ms=150)
+        with self.assertRaises(OutcomeUnknownError):
+            self.commit("late", 0)
+        self.assertIsNone(self.table.read("late"))
+        wait_until(lambda: self.table.read("late") is not None, "late commit", 2.0)
+        self.assertEqual(self.fault()["counters"]["landed_late"], 1)
+
+    def test_outages_and_limits_refuse_without_effect(self):
+        """Guards against an outage in which writes take effect all the same."""
+        for faults in ({"down": True}, {"writes_per_s": 0.001}):
+            self.fault(**faults)
+            with self.assertRaises(StoreUnavailableError):
+                self.commit("never", 0)
+        self.fault(hang=True)
+        with self.assertRaises(OutcomeUnknownError):
+            self.commit("never", 0)
+        counters = self.fault()["counters"]
+        self.assertIsNone(self.table.read("never"))
+        self.assertGreater(counters["unavailable"], 0)
+
+    def test_objects_fail_apart_from_the_table(self):
+        """Guards against object faults that also stop the table, and against whole cut bodies."""
+        self.objects.put("o", bytes(1000))
+        self.fault(objects_cut=1.0)
+        with self.assertRaises(StoreUnavailableError):
+            self.objects.get("o")
+        self.fault(objects_down=True)
+        with self.assertRaises(StoreUnavailableError):
+            self.objects.get("o")
+        self.commit("table", 0)
+        self.fault()
+        self.assertEqual(len(self.objects.get("o")), 1000)
