--- /dev/null
+++ b/tools/virtual_time.py
@@ -0,0 +1,110 @@
+"""A queue of events in virtual time, and an upstream with slots, for policy experiments."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from auburnsail._clock import NS_PER_MS
+from auburnsail._limits import AdmissionQueue, Decision, Limits, Waiter
+
+__all__ = ["EventQueue", "FakeUpstream", "Job"]
+
+
+class EventQueue:
+    """Runs callbacks in the order of their virtual time."""
+
+    def __init__(self) -> None:
+        self._heap: list[tuple[int, int, Callable[[], None]]] = []
+        self._order = itertools.count()
+        self.now_ns = 0
+
+    def after(self, delay_ns: float, callback: Callable[[], None]) -> None:
+        """Calls back after a delay."""
+        heapq.heappush(self._heap, (self.now_ns + int(delay_ns), next(self._order), callback))
+
+    def run(self, until_ns: int) -> None:
+        """Runs all events up to a time."""
+        while self._heap and self._heap[0][0] <= until_ns:
+            self.now_ns, _, callback = heapq.heappop(self._heap)
+            callback()
+        self.now_ns = until_ns
+
+
+@dataclass(slots=True)
+class Job:
+    """One attempt to run a request."""
+
+    deadline_ns: int
+    on_end: Callable[[str], None]
+
+
+@dataclass(slots=True)
+class FakeUpstream:
+    """An upstream with slots behind the admission of its node.
+
+    Attributes:
+        events: Virtual time.
+        rng: Source of service times.
+        limits: Limits of the upstream.
+        mean_ms: Mean service time in milliseconds.
+        slowness: Factor on the service time.
+    """
+
+    events: EventQueue
+    rng: random.Random
+    limits: Limits
+    mean_ms: float
+    slowness: float = 1.0
+    max_queued: int = 0
+    max_in_flight: int = 0
+    completed: int = 0
+    _waiting: dict[int, Job] = field(default_factory=dict)
+    queue: AdmissionQueue = None
+
+    def __post_init__(self) -> None:
+        self.queue = AdmissionQueue(self.limits)
+
+    @property
+    def used_percent(self) -> float:
+        """Slots in use, with the requests that wait."""
+        return 100 * (self.queue.in_flight + self.queue.queued) / self.limits.places
+
+    def offer(self, job: Job) -> None:
+        """Hands over an attempt; its `on_end` gets ``done``, ``late`` or a refusal's reason."""
+        outcome = self.queue.offer(job.deadline_ns, self.events.now_ns)
+        self.max_queued = max(self.max_queued, self.queue.queued)
+        match outcome:
+            case Waiter():
+                self._waiting[id(outcome)] = job
+                self.events.after(self.limits.queue_wait_ms * NS_PER_MS + 1, self._tick)
+            case Decision(admitted=True):
+                self._start(job)
+            case Decision(reason=reason):
+                job.on_end(reason)
+
+    def _start(self, job: Job) -> None:
+        self.max_in_flight = max(self.max_in_flight, self.queue.in_flight)
+        service_ns = self.rng.expovariate(1 / (self.mean_ms * NS_PER_MS)) * self.slowness
+        started_ns = self.events.now_ns
+
+        def end() -> None:
+            now_ns = self.events.now_ns
+            self.completed += 1
+            decided = self.queue.finish(now_ns - started_ns, now_ns)
+            job.on_end("done" if now_ns <= job.deadline_ns else "late")
+            self._settle(decided)
+
+        self.events.after(service_ns, end)
+
+    def _tick(self) -> None:
+        self._settle(self.queue.tick(self.events.now_ns))
+
+    def _settle(self, decided: list[Waiter]) -> None:
+        for waiter in decided:
+            job = self._waiting.pop(id(waiter))
+            if waiter.decision.admitted:
+                self._start(job)
+            else:
+                job.on_end(waiter.decision.reason)
