--- /dev/null
+++ b/src/auburnsail/_checkpoint.py
@@ -0,0 +1,64 @@
+"""Checkpoints: the state of the fleet at one version, as one object."""
+
+import msgspec
+
+from ._fleet import FleetState, SessionRow
+from ._model import Session, SessionId
+from ._shards import ShardTable
+
+__all__ = ["CHECKPOINT_PREFIX", "checkpoint_key", "dump_fleet", "restore_fleet"]
+
+CHECKPOINT_PREFIX = "fleet/checkpoint/"
+
+
+class _Row(msgspec.Struct, frozen=True, array_like=True):
+    session: Session
+    index: int
+    revision: int
+
+
+class _Table(msgspec.Struct, frozen=True, array_like=True):
+    owner: bytes
+    epoch: bytes
+
+
+class _Checkpoint(msgspec.Struct, frozen=True):
+    version: int
+    digest: bytes
+    rows: list[_Row]
+    tables: dict[str, _Table]
+    ended: list[SessionId]
+
+
+def checkpoint_key(version: int) -> str:
+    """Returns the object key of a checkpoint; keys sort by version."""
+    return f"{CHECKPOINT_PREFIX}{version:016d}"
+
+
+def dump_fleet(fleet: FleetState) -> bytes:
+    """Returns the state as bytes."""
+    rows = [_Row(row.session, row.index, row.revision) for row in fleet.sessions.values()]
+    tables = {service: _Table(*table.dump()) for service, table in fleet.tables.items()}
+    checkpoint = _Checkpoint(fleet.version, fleet.digest, rows, tables, list(fleet.ended))
+    return msgspec.msgpack.encode(checkpoint)
+
+
+def restore_fleet(fleet: FleetState, data: bytes) -> bool:
+    """Replaces the state if the checkpoint is newer; returns whether it was.
+
+    Raises:
+        msgspec.DecodeError: The bytes are not a checkpoint.
+    """
+    checkpoint = msgspec.msgpack.decode(data, type=_Checkpoint)
+    if checkpoint.version <= fleet.version:
+        return False
+    rows = [SessionRow(row.session, row.index, row.revision) for row in checkpoint.rows]
+    fleet.version = checkpoint.version
+    fleet.digest = checkpoint.digest
+    fleet.sessions = {row.session.id: row for row in rows}
+    fleet.by_index = {row.index: row for row in rows}
+    fleet.by_node = {row.session.id.node: row for row in rows}
+    fleet.ended = dict.fromkeys(checkpoint.ended)
+    for service, table in checkpoint.tables.items():
+        fleet.tables[service] = ShardTable.load(table.owner, table.epoch)
+    return True
--- /dev/null
+++ b/src/auburnsail/_control.py
@@ -0,0 +1,156 @@
+"""Control HTTP of a node: announcements, status, logs for peers, drain and explanations."""
+
+from collections.abc import Callable
+from typing import Protocol
+from urllib.parse import parse_qs
+
+import msgspec
+
+from ._io import LogRecords
+from ._messages import Codec
+
+__all__ = ["Announcement", "ControlApplication", "ControlledNode"]
+
+MAX_BODY_BYTES = 8 << 20
+
+STATUS_LINES = {
+    200: "200 OK",
+    400: "400 Bad Request",
+    404: "404 Not Found",
+    405: "405 Method Not Allowed",
+    410: "410 Gone",
+    413: "413 Content Too Large",
+    503: "503 Service Unavailable",
+}
+
+
+class Announcement(msgspec.Struct, frozen=True):
+    """What an upstream says of itself to the node beside it.
+
+    Attributes:
+        service: Service that the upstream belongs to.
+        address: ``ip:port`` of the upstream.
+        slots: Places for concurrent work.
+        connections: Connections that it accepts, 0 if it does not say.
+        state: ``ready`` or ``draining``.
+        checks_grants: Whether it refuses requests without a valid grant.
+        load: Busy slots as the upstream reports them; it may lag or mislead.
+    """
+
+    service: str
+    address: str
+    slots: int
+    connections: int = 0
+    state: str = "ready"
+    checks_grants: bool = True
+    load: float = 0.0
+
+
+class ControlledNode(Protocol):
+    """What the control application needs of a node."""
+
+    def announce(self, announcement: Announcement) -> None:
+        """Takes an upstream's announcement."""
+
+    def status(self) -> dict:
+        """Returns the node's state for people and programs."""
+
+    def violation(self) -> str:
+        """Returns the violated promise, empty if there is none."""
+
+    def log_after(self, log: str, version: int) -> list[tuple[int, bytes]] | None:
+        """Returns records of a log, or None if they are not kept."""
+
+    def checkpoint(self) -> bytes:
+        """Returns a checkpoint of the fleet's state."""
+
+    def on_message(self, data: bytes, address: str) -> None:
+        """Handles a message that was too large for a datagram."""
+
+    def drain(self, reason: str) -> None:
+        """Moves everything away and ends the session."""
+
+    def journal(self, after: int) -> list:
+        """Returns journal items after a position."""
+
+    def explain(self, service: str, key: str) -> dict:
+        """Returns where a key is served and why."""
+
+
+Answer = tuple[int, bytes]
+
+
+class ControlApplication:
+    """WSGI application of the control address.
+
+    Args:
+        node: The node.
+        codec: Seals what peers fetch.
+    """
+
+    def __init__(self, node: ControlledNode, codec: Codec) -> None:
+        self._node = node
+        self._codec = codec
+        self._routes: dict[tuple[str, str], Callable[[dict, bytes], Answer]] = {
+            ("POST", "/v1/announce"): self._announce,
+            ("POST", "/v1/message"): self._message,
+            ("POST", "/v1/drain"): self._drain,
+            ("GET", "/v1/status"): lambda query, body: _json(node.status()),
+            ("GET", "/v1/health"): self._health,
+            ("GET", "/v1/log/fleet"): lambda query, body: self._log("fleet", query),
+            ("GET", "/v1/log/settings"): lambda query, body: self._log("settings", query),
+            ("GET", "/v1/checkpoint"): lambda query, body: (200, codec.seal(node.checkpoint())),
+            ("GET", "/v1/journal"): self._journal,
+            ("GET", "/v1/explain"): self._explain,
+        }
+        self._paths = {path for _, path in self._routes}
+
+    def __call__(self, environ: dict, start_response) -> list[bytes]:
+        """Serves one request."""
+        method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
+        route = self._routes.get((method, path))
+        if int(environ.get("CONTENT_LENGTH") or 0) > MAX_BODY_BYTES:
+            status, body = 413, b"body too large"
+        elif route is None:
+            status, body = (405 if path in self._paths else 404), b"no such operation"
+        else:
+            query = {name: values[0] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
+            content = environ["wsgi.input"].read()
+            try:
+                status, body = route(query, content)
+            except (msgspec.DecodeError, KeyError, ValueError) as error:
+                status, body = 400, str(error).encode()
+        start_response(STATUS_LINES[status], [("content-length", str(len(body)))])
+        return [body]
+
+    def _announce(self, query: dict, body: bytes) -> Answer:
+        self._node.announce(msgspec.json.decode(body, type=Announcement))
+        return 200, b"{}"
+
+    def _message(self, query: dict, body: bytes) -> Answer:
+        self._node.on_message(body, "")
+        return 200, b"{}"
+
+    def _drain(self, query: dict, body: bytes) -> Answer:
+        self._node.drain(query.get("reason", "operator"))
+        return 200, b"{}"
+
+    def _health(self, query: dict, body: bytes) -> Answer:
+        violation = self._node.violation()
+        return (503 if violation else 200), msgspec.json.encode({"violation": violation})
+
+    def _log(self, log: str, query: dict) -> Answer:
+        records = self._node.log_after(log, int(query.get("after", 0)))
+        if records is None:
+            return 410, b"not kept"
+        return 200, self._codec.seal(msgspec.msgpack.encode(LogRecords(records)))
+
+    def _journal(self, query: dict, body: bytes) -> Answer:
+        return _json(self._node.journal(int(query.get("after", 0))))
+
+    def _explain(self, query: dict, body: bytes) -> Answer:
+        return _json(self._node.explain(query["service"], query["key"]))
+
+
+def _json(value: object) -> Answer:
+    return 200, msgspec.json.encode(value)
--- /dev/null
+++ b/src/auburnsail/_effects.py
@@ -0,0 +1,134 @@
+"""What the decision code asks of its surroundings, and the replies that it gets."""
+
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from ._fleet import Verdict
+from ._model import Entry
+
+__all__ = [
+    "Appended",
+    "Applied",
+    "Effect",
+    "FetchLog",
+    "LogName",
+    "NotWritten",
+    "Note",
+    "Post",
+    "SaveCheckpoint",
+    "Send",
+    "SettingsChanged",
+    "StoreReply",
+    "StoreRequest",
+    "Superseded",
+    "Unsettled",
+]
+
+
+class LogName:
+    """Names of the two logs."""
+
+    FLEET = "fleet"
+    SETTINGS = "settings"
+
+
+@dataclass(frozen=True, slots=True)
+class Send:
+    """Send a datagram."""
+
+    address: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Post:
+    """Send a message that does not fit into a datagram, over control HTTP."""
+
+    address: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class StoreRequest:
+    """Append to the fleet log under a condition, and report the reply with the ticket."""
+
+    ticket: int
+    expected: int
+    append_id: str
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class FetchLog:
+    """Fetch records after a version from a peer, or from the store if no address is given."""
+
+    log: str
+    after: int
+    address: str
+
+
+@dataclass(frozen=True, slots=True)
+class Applied:
+    """An entry took its place in the local state."""
+
+    entry: Entry
+    verdicts: list[Verdict]
+
+
+@dataclass(frozen=True, slots=True)
+class SettingsChanged:
+    """A newer settings version was received."""
+
+    version: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class SaveCheckpoint:
+    """Write the fleet's state at its present version to the object store."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Note:
+    """A decision with its reason, for the journal."""
+
+    kind: str
+    reason: str
+    facts: dict[str, object] = field(default_factory=dict)
+
+
+Effect = Send | Post | StoreRequest | FetchLog | Applied | SettingsChanged | SaveCheckpoint | Note
+
+
+@dataclass(frozen=True, slots=True)
+class Appended:
+    """The entry is in the log."""
+
+    definite: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """Another entry has the place; the records follow the expected version."""
+
+    records: tuple[bytes, ...]
+    definite: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class Unsettled:
+    """The answer was lost: the entry may or may not be in the log, now or later."""
+
+    definite: ClassVar[bool] = False
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """The store refused the append without applying it."""
+
+    definite: ClassVar[bool] = False
+
+
+StoreReply = Appended | Superseded | Unsettled | NotWritten
--- a/src/auburnsail/_fleet.py
+++ b/src/auburnsail/_fleet.py
@@ -3,6 +3,7 @@
 import hashlib
 from dataclasses import dataclass, field
 
+from . import _rules
 from ._model import (
     Assign,
     Close,
@@ -24,8 +25,9 @@
 
 __all__ = ["FleetState", "SessionRow", "Verdict"]
 
-SEALS_TO_CLOSE = 2
 GENESIS = b""
+# A late copy of a Join must not open an ended session again. About five days at target size.
+ENDED_KEPT = 8192
 
 
 @dataclass(slots=True)
@@ -55,14 +57,18 @@
         digest: Digest of the last entry applied.
         sessions: Open sessions by identity.
         by_index: Open sessions by owner index.
+        by_node: Open sessions by node name.
         tables: Shard tables by keyed service.
+        ended: The sessions that ended last, oldest first.
     """
 
     version: int = 0
     digest: bytes = GENESIS
     sessions: dict[SessionId, SessionRow] = field(default_factory=dict)
     by_index: dict[int, SessionRow] = field(default_factory=dict)
+    by_node: dict[str, SessionRow] = field(default_factory=dict)
     tables: dict[str, ShardTable] = field(default_factory=dict)
+    ended: dict[SessionId, None] = field(default_factory=dict)
 
     def add_service(self, service: str, shards: int) -> None:
         """Creates the shard table of a keyed service if it does not exist."""
@@ -72,6 +78,16 @@
         """Returns the owner of a shard, or None if it has none."""
         return self.by_index.get(self.tables[service].owner[shard])
 
+    def shards_of(self, row: SessionRow) -> list[int]:
+        """Returns the shards that a session owns in ascending order."""
+        table = self.tables.get(row.session.service)
+        return table.owned_by(row.index) if table else []
+
+    def shard_count(self, row: SessionRow) -> int:
+        """Returns how many shards a session owns."""
+        table = self.tables.get(row.session.service)
+        return table.count(row.index) if table else 0
+
     def epoch(self, service: str, shard: int) -> int:
         """Returns the epoch of a shard."""
         return self.tables[service].epoch[shard]
@@ -115,17 +131,20 @@
                 return self._succeed(old, address, grants)
             case Transfer():
                 return self._transfer(command)
-            case Assign(service=service, grants=grants):
-                return self._grant(service, grants, NO_OWNER)
+            case Assign():
+                return self._assign(command)
 
     def _join(self, session: Session, version: int) -> str:
         if session.id in self.sessions:
             return "session is open already"
-        if any(row.session.id.node == session.id.node for row in self.sessions.values()):
+        if session.id in self.ended:
+            return "session has ended"
+        if session.id.node in self.by_node:
             return "an older session of this node is still open"
         index = next(i for i in range(NO_OWNER) if i not in self.by_index)
         row = SessionRow(session, index, version)
         self.sessions[session.id] = row
+        self.by_node[session.id.node] = row
         self.by_index[index] = row
         return ""
 
@@ -145,8 +164,10 @@
         row = self.sessions.get(session_id)
         if row is None:
             return "session is not open"
-        sealers = {item.watcher for item in evidence} & set(row.session.watchers)
-        if len(sealers) < min(SEALS_TO_CLOSE, len(row.session.watchers)) or not sealers:
+        sealers = {
+            item.watcher for item in evidence if _rules.evidence_counts(item, row.session.watchers)
+        }
+        if not sealers or len(sealers) < _rules.votes_to_close(len(row.session.watchers)):
             return "too few of the session's watchers sealed it"
         return self._end(session_id, grants)
 
@@ -163,6 +184,10 @@
         if row is None:
             return "session is not open"
         del self.by_index[row.index]
+        del self.by_node[session_id.node]
+        self.ended[session_id] = None
+        while len(self.ended) > ENDED_KEPT:
+            del self.ended[next(iter(self.ended))]
         table = self.tables.get(row.session.service)
         if table is None:
             return ""
@@ -175,8 +200,31 @@
         source = self.sessions.get(command.source)
         if source is None:
             return "source session is not open"
-        grant = Grant(command.target, command.shards)
-        return self._grant(command.service, (grant,), source.index)
+        table = self.tables.get(command.service)
+        if table is None:
+            return "service is not keyed"
+        if command.target not in self.sessions:
+            return "target session is not open"
+        if len(command.epochs) != len(command.shards):
+            return "epochs do not match the shards"
+        kept = tuple(
+            shard
+            for shard, epoch in zip(command.shards, command.epochs, strict=True)
+            if shard < len(table) and _rules.transfer_allowed(table, shard, source.index, epoch)
+        )
+        reason = self._grant(command.service, (Grant(command.target, kept),), source.index)
+        skipped = len(command.shards) - len(kept)
+        return reason or (f"{skipped} shards had another owner or epoch" if skipped else "")
+
+    def _assign(self, command: Assign) -> str:
+        table = self.tables.get(command.service)
+        if command.shards < 1:
+            return "service is not keyed"
+        if table is None or (len(table) != command.shards and not any(table.epoch)):
+            self.tables[command.service] = ShardTable(command.shards)
+        elif len(table) != command.shards:
+            return "number of shards differs"
+        return self._grant(command.service, command.grants, NO_OWNER)
 
     def _grant(self, service: str, grants: tuple[Grant, ...], expected_owner: int) -> str:
         table = self.tables.get(service)
@@ -186,7 +234,11 @@
         for grant in grants:
             target = self.sessions.get(grant.to)
             for shard in grant.shards:
-                if target is None or table.owner[shard] != expected_owner:
+                if (
+                    target is None
+                    or not 0 <= shard < len(table)
+                    or table.owner[shard] != expected_owner
+                ):
                     skipped += 1
                     continue
                 table.assign(shard, target.index)
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable, Iterator
 
 from . import _headers
+from ._gate import RequestGate
 from ._outcome import Outcome, Refusal
 from ._pool import Exchange, HttpPeer
 from ._routing import Forward, Local, Refuse, Router, Target
@@ -20,18 +21,18 @@
     Args:
         router: Decides where a request goes.
         upstream_address: Returns the address of the upstream beside this node, or None.
-        may_serve: Whether this node's lease is valid now.
+        gate: Admits requests to that upstream.
     """
 
     def __init__(
         self,
         router: Router,
         upstream_address: Callable[[], str | None],
-        may_serve: Callable[[], bool],
+        gate: RequestGate,
     ) -> None:
         self._router = router
         self._upstream_address = upstream_address
-        self._may_serve = may_serve
+        self._gate = gate
         self._peers: dict[str, HttpPeer] = {}
 
     def __call__(self, environ: dict, start_response) -> Iterator[bytes]:
@@ -57,17 +58,32 @@
         if address is None:
             refusal = _not_run("no-upstream", "no upstream has announced itself", "route")
             return _refuse(refusal, start_response)
-        if not self._may_serve():
-            refusal = _not_run("no-lease", "this node holds no valid lease", "lease")
+        reason = self._gate.enter(target.service, target.shard)
+        if reason:
+            refusal = _not_run(reason, "this node does not serve the request now", "admission")
             return _refuse(refusal, start_response)
-        extra = []
-        if target.shard >= 0:
-            grant = f"{target.service};{target.shard};{target.epoch}"
-            extra.append((_headers.GRANT, grant))
-        return self._send(address, environ, extra, [], start_response)
+        return self._run_local(address, target, environ, start_response)
+
+    def _run_local(
+        self, address: str, target: Target, environ: dict, start_response
+    ) -> Iterator[bytes]:
+        try:
+            extra = []
+            if target.shard >= 0:
+                place = f"{target.service};{target.shard};{target.epoch}"
+                extra.append((_headers.GRANT, f"{place};{self._gate.expires_ns()}"))
+            yield from self._send(address, environ, extra, [], start_response, target)
+        finally:
+            self._gate.leave(target.service, target.shard)
 
     def _send(
-        self, address: str, environ: dict, extra: list, answer_extra: list, start_response
+        self,
+        address: str,
+        environ: dict,
+        extra: list,
+        answer_extra: list,
+        start_response,
+        local: Target | None = None,
     ) -> Iterator[bytes]:
         peer = self._peers.setdefault(address, HttpPeer(address))
         try:
@@ -75,6 +91,11 @@
         except NotRunError as error:
             refusal = _not_run("connect-failed", error.detail, error.step, error.peer)
             return _refuse(refusal, start_response)
+        reason = self._gate.confirm(local.service, local.shard, local.epoch) if local else ""
+        if reason:
+            exchange.abort()
+            refusal = _not_run(reason, "ownership ended before the request was sent", "send")
+            return _refuse(refusal, start_response)
         try:
             exchange.send(_request_head(address, environ, extra))
             for block in iter(lambda: environ["wsgi.input"].read(BLOCK_BYTES), b""):
--- /dev/null
+++ b/src/auburnsail/_io.py
@@ -0,0 +1,273 @@
+"""Carries out the effects of the decision code: UDP socket, store and control HTTP."""
+
+import socket
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+import msgspec
+
+from ._checkpoint import CHECKPOINT_PREFIX, checkpoint_key, dump_fleet, restore_fleet
+from ._effects import (
+    Appended,
+    FetchLog,
+    LogName,
+    NotWritten,
+    Post,
+    SaveCheckpoint,
+    Send,
+    StoreReply,
+    StoreRequest,
+    Superseded,
+    Unsettled,
+)
+from ._fleet import FleetState
+from ._log import VersionedLog
+from ._messages import Codec
+from ._pool import HttpPeer
+from ._store import ObjectStore, TableStore
+from .exceptions import (
+    AuburnsailError,
+    ConflictError,
+    OutcomeUnknownError,
+    StoreUnavailableError,
+)
+
+__all__ = ["LogRecords", "NodeIo", "UdpSocket"]
+
+MAX_DATAGRAM_BYTES = 65_536
+RECEIVE_BUFFER_BYTES = 1 << 20
+PEER_TIMEOUT_S = 1.0
+
+Records = list[tuple[int, bytes]]
+
+
+class LogRecords(msgspec.Struct, frozen=True, array_like=True):
+    """Body of a log fetch between nodes."""
+
+    records: list[tuple[int, bytes]]
+
+
+@dataclass(slots=True)
+class Traffic:
+    """Datagrams and bytes of one socket, IP and UDP headers not counted."""
+
+    sent: int = 0
+    sent_bytes: int = 0
+    received: int = 0
+    received_bytes: int = 0
+    send_errors: int = 0
+
+
+class UdpSocket:
+    """A datagram socket whose queue can be emptied at any moment.
+
+    Args:
+        address: ``ip:port`` to bind.
+        on_datagram: Called with data and sender address from the hub; it must not block.
+    """
+
+    def __init__(self, address: str, on_datagram: Callable[[bytes, str], None]) -> None:
+        host, _, port = address.rpartition(":")
+        family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._socket = socket.socket(family, socket.SOCK_DGRAM)
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        self._socket.setblocking(False)
+        self._socket.bind((host, int(port)))
+        self._on_datagram = on_datagram
+        self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), 1)
+        self.traffic = Traffic()
+
+    def start(self) -> None:
+        """Starts to receive."""
+        self._watcher.start(self.drain)
+
+    def drain(self) -> None:
+        """Handles every datagram that has arrived."""
+        while True:
+            try:
+                data, (host, port, *_) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+            except (BlockingIOError, InterruptedError, ConnectionRefusedError):
+                return
+            self.traffic.received += 1
+            self.traffic.received_bytes += len(data)
+            self._on_datagram(data, f"{host}:{port}")
+
+    def send(self, address: str, data: bytes) -> None:
+        """Sends a datagram; one that the system refuses is lost like any other."""
+        host, _, port = address.rpartition(":")
+        try:
+            self._socket.sendto(data, (host, int(port)))
+        except OSError:
+            self.traffic.send_errors += 1
+            return
+        self.traffic.sent += 1
+        self.traffic.sent_bytes += len(data)
+
+    def close(self) -> None:
+        """Stops receiving and closes the socket."""
+        self._watcher.stop()
+        self._watcher.close()
+        self._socket.close()
+
+
+@dataclass(slots=True)
+class Callbacks:
+    """Where results go; each is called from a greenlet of its own.
+
+    Attributes:
+        on_store_reply: Receives ticket and reply of an append.
+        on_records: Receives log name, records or None, and the address that was asked.
+        on_restored: Called after the fleet's state was replaced from a checkpoint.
+        on_failure: Receives errors that need no other reaction than a log line.
+    """
+
+    on_store_reply: Callable[[int, StoreReply], None]
+    on_records: Callable[[str, Records | None, str], None]
+    on_restored: Callable[[], None]
+    on_failure: Callable[[AuburnsailError], None]
+
+
+class NodeIo:
+    """Runs store and peer operations in greenlets.
+
+    Args:
+        table: The table service.
+        objects: The object store.
+        fleet: State of the fleet, for checkpoints.
+        codec: Checks what peers send.
+        udp: The datagram socket.
+        callbacks: Where results go.
+    """
+
+    def __init__(
+        self,
+        table: TableStore,
+        objects: ObjectStore,
+        fleet: FleetState,
+        codec: Codec,
+        udp: UdpSocket,
+        callbacks: Callbacks,
+    ) -> None:
+        self._logs = {name: VersionedLog(table, name) for name in (LogName.FLEET, LogName.SETTINGS)}
+        self._objects = objects
+        self._fleet = fleet
+        self._codec = codec
+        self._udp = udp
+        self._callbacks = callbacks
+        self._tried_checkpoint = False
+        self.http_bytes = 0
+
+    def run(self, effect: object) -> bool:
+        """Starts an effect; returns whether it is one of this class."""
+        match effect:
+            case Send(address=address, data=data):
+                self._udp.send(address, data)
+            case Post():
+                gevent.spawn(self._post, effect)
+            case StoreRequest():
+                gevent.spawn(self._append, effect)
+            case FetchLog():
+                gevent.spawn(self._fetch, effect)
+            case SaveCheckpoint():
+                gevent.spawn(self._save, dump_fleet(self._fleet), effect.version)
+            case _:
+                return False
+        return True
+
+    def _append(self, request: StoreRequest) -> None:
+        log = self._logs[LogName.FLEET]
+        try:
+            log.append(request.expected, request.append_id, request.data)
+            reply: StoreReply = Appended()
+        except ConflictError:
+            reply = self._superseded(log, request.expected)
+        except StoreUnavailableError:
+            # The append may be refused, or only the read that follows a conflict; the recorder
+            # repeats the append either way if an earlier attempt may have been written.
+            reply = NotWritten()
+        except OutcomeUnknownError:
+            reply = Unsettled()
+        except AuburnsailError as error:
+            self._callbacks.on_failure(error)
+            reply = Unsettled()
+        self._callbacks.on_store_reply(request.ticket, reply)
+
+    def _superseded(self, log: VersionedLog, expected: int) -> StoreReply:
+        try:
+            return Superseded(tuple(record.data for record in log.read_after(expected)))
+        except AuburnsailError:
+            return Superseded(())
+
+    def _fetch(self, fetch: FetchLog) -> None:
+        try:
+            records = self._from_peer(fetch) if fetch.address else self._from_store(fetch)
+        except AuburnsailError as error:
+            self._callbacks.on_failure(error)
+            records = None
+        self._callbacks.on_records(fetch.log, records, fetch.address)
+
+    def _from_store(self, fetch: FetchLog) -> Records:
+        log = self._logs[fetch.log]
+        if fetch.log == LogName.SETTINGS:
+            head = log.head()
+            record = log.read(head) if head > fetch.after else None
+            return [(record.version, record.data)] if record else []
+        if not self._fleet.version and not self._tried_checkpoint:
+            self._load_checkpoint()
+        after = self._fleet.version
+        records = log.read_after(after)
+        if records and records[0].version != after + 1:
+            self._load_checkpoint()
+            records = log.read_after(self._fleet.version)
+        return [(record.version, record.data) for record in records]
+
+    def _load_checkpoint(self) -> None:
+        keys = self._objects.keys(CHECKPOINT_PREFIX)
+        data = self._objects.get(keys[-1]) if keys else None
+        self._tried_checkpoint = True
+        if data is not None and restore_fleet(self._fleet, data):
+            self._callbacks.on_restored()
+
+    def _from_peer(self, fetch: FetchLog) -> Records:
+        target = f"/v1/log/{fetch.log}?after={fetch.after}"
+        status, body = self._get(fetch.address, target)
+        if status == 410:
+            status, body = self._get(fetch.address, "/v1/checkpoint")
+            if status == 200 and restore_fleet(self._fleet, body):
+                self._callbacks.on_restored()
+            target = f"/v1/log/{fetch.log}?after={self._fleet.version}"
+            status, body = self._get(fetch.address, target)
+        if status != 200:
+            raise AuburnsailError(f"status {status}", step="log.fetch", peer=fetch.address)
+        return msgspec.msgpack.decode(body, type=LogRecords).records
+
+    def _get(self, address: str, target: str) -> tuple[int, bytes]:
+        peer = HttpPeer(address)
+        try:
+            answer = peer.fetch("GET", target, timeout_s=PEER_TIMEOUT_S)
+        finally:
+            peer.drop_idle()
+        self.http_bytes += len(answer.body)
+        if answer.status != 200:
+            return answer.status, b""
+        body = self._codec.unseal(answer.body)
+        if body is None:
+            raise AuburnsailError("answer has a wrong tag", step="log.fetch", peer=address)
+        return answer.status, body
+
+    def _post(self, post: Post) -> None:
+        peer = HttpPeer(post.address)
+        try:
+            peer.fetch("POST", "/v1/message", post.data, timeout_s=PEER_TIMEOUT_S)
+        except AuburnsailError as error:
+            self._callbacks.on_failure(error)
+        finally:
+            peer.drop_idle()
+        self.http_bytes += len(post.data)
+
+    def _save(self, data: bytes, version: int) -> None:
+        try:
+            self._objects.put(checkpoint_key(version), data)
+        except AuburnsailError as error:
+            self._callbacks.on_failure(error)
--- /dev/null
+++ b/src/auburnsail/_journal.py
@@ -0,0 +1,56 @@
+"""A bounded journal of decisions with their reasons."""
+
+from collections import deque
+from dataclasses import dataclass, field
+
+from ._clock import Clock
+
+__all__ = ["Journal", "JournalItem"]
+
+KEPT = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class JournalItem:
+    """One decision.
+
+    Attributes:
+        number: Position in the journal since the start.
+        at_ns: Time on the node's own clock.
+        kind: What was decided about.
+        reason: Why.
+        facts: Further details.
+    """
+
+    number: int
+    at_ns: int
+    kind: str
+    reason: str
+    facts: dict[str, object] = field(default_factory=dict)
+
+
+class Journal:
+    """Keeps the newest decisions.
+
+    Args:
+        clock: Source of time.
+        kept: How many to keep.
+    """
+
+    def __init__(self, clock: Clock, kept: int = KEPT) -> None:
+        self._clock = clock
+        self._items: deque[JournalItem] = deque(maxlen=kept)
+        self._count = 0
+
+    def record(self, kind: str, reason: str, **facts: object) -> None:
+        """Adds a decision."""
+        self._count += 1
+        self._items.append(JournalItem(self._count, self._clock.now_ns(), kind, reason, facts))
+
+    def items(self, after: int = 0) -> list[JournalItem]:
+        """Returns the decisions after a position, oldest first."""
+        return [item for item in self._items if item.number > after]
+
+    def about(self, name: str, value: object) -> list[JournalItem]:
+        """Returns the decisions that have a fact with a value."""
+        return [item for item in self._items if item.facts.get(name) == value]
--- /dev/null
+++ b/src/auburnsail/_lease.py
@@ -0,0 +1,132 @@
+"""The holder's side of a lease that peers acknowledge. No I/O; time is passed in."""
+
+from . import _rules
+from ._clock import NS_PER_MS
+from ._model import SessionId
+
+__all__ = ["LeaseHolder"]
+
+RENEW_EVERY_MS = 200
+FOREVER_NS = 1 << 62
+
+
+class LeaseHolder:
+    """Decides how long a session may serve.
+
+    Args:
+        session: The session that holds the lease.
+        watchers: Its watchers as the log names them.
+        now_ns: The current time in nanoseconds.
+    """
+
+    def __init__(self, session: SessionId, watchers: tuple[SessionId, ...], now_ns: int) -> None:
+        self._session = session
+        self._watchers = watchers
+        self._proposed: tuple[SessionId, ...] | None = None
+        self._probed: tuple[SessionId, ...] = ()
+        self._starts: dict[SessionId, int] = {}
+        self._asked: dict[SessionId, int] = dict.fromkeys(watchers, now_ns)
+        self._sealed: set[SessionId] = set()
+        self._next_ns = 0
+
+    @property
+    def session(self) -> SessionId:
+        """The session that holds the lease."""
+        return self._session
+
+    @property
+    def watchers(self) -> tuple[SessionId, ...]:
+        """The watchers as the log names them."""
+        return self._watchers
+
+    @property
+    def proposed(self) -> tuple[SessionId, ...] | None:
+        """Watchers of a change whose outcome is not known."""
+        return self._proposed
+
+    @property
+    def sealed_by(self) -> set[SessionId]:
+        """Watchers that sealed this session."""
+        return self._sealed
+
+    @property
+    def expires_ns(self) -> int:
+        """End of the lease on the holder's own clock."""
+        sets = _rules.sets_to_satisfy(self._watchers, self._proposed)
+        return min(self._set_expires_ns(watchers) for watchers in sets)
+
+    def valid(self, now_ns: int) -> bool:
+        """Whether the lease holds at a time."""
+        return now_ns < self.expires_ns
+
+    def on_ack(self, watcher: SessionId, echo_ns: int, sealed: bool, now_ns: int) -> None:
+        """Handles an acknowledgement.
+
+        Args:
+            watcher: The session that sent it.
+            echo_ns: The send time of the renewal that it answers.
+            sealed: Whether the watcher has sealed this session.
+            now_ns: The current time in nanoseconds.
+        """
+        if sealed:
+            self._sealed.add(watcher)
+            return
+        if echo_ns > now_ns:
+            return
+        start_ns = _rules.lease_start_ns(echo_ns, now_ns)
+        if start_ns > self._starts.get(watcher, -1):
+            self._starts[watcher] = start_ns
+
+    def probe(self, watchers: tuple[SessionId, ...]) -> None:
+        """Sends renewals to possible watchers too, the first ones at once."""
+        self._probed = watchers
+        self._next_ns = 0
+
+    def acknowledged(self, watcher: SessionId, since_ns: int) -> bool:
+        """Whether a watcher has acknowledged a renewal that was sent since a time."""
+        return self._starts.get(watcher, -1) >= since_ns
+
+    def propose(self, watchers: tuple[SessionId, ...], now_ns: int) -> None:
+        """Notes a change of watchers whose outcome is open from now on."""
+        self._proposed = watchers
+        self._probed = ()
+        for watcher in watchers:
+            self._asked.setdefault(watcher, now_ns)
+
+    def settle(self, watchers: tuple[SessionId, ...], now_ns: int) -> None:
+        """Takes over the watchers that the log names."""
+        self._watchers = watchers
+        self._proposed = None
+        self._asked = {watcher: self._asked.get(watcher, now_ns) for watcher in watchers}
+        self._starts = {w: start for w, start in self._starts.items() if w in watchers}
+        self._sealed &= set(watchers)
+
+    def due(self, now_ns: int) -> tuple[SessionId, ...]:
+        """Returns the watchers that a renewal has to be sent to now."""
+        if now_ns < self._next_ns:
+            return ()
+        self._next_ns = now_ns + RENEW_EVERY_MS * NS_PER_MS
+        return tuple(dict.fromkeys((*self._watchers, *(self._proposed or ()), *self._probed)))
+
+    def silent(self, now_ns: int, after_ms: float) -> set[SessionId]:
+        """Returns watchers that acknowledged nothing for a time."""
+        limit_ns = now_ns - int(after_ms * NS_PER_MS)
+        return {
+            watcher
+            for watcher, asked_ns in self._asked.items()
+            if max(asked_ns, self._starts.get(watcher, 0)) < limit_ns
+        }
+
+    def forgive(self, now_ns: int) -> None:
+        """Restarts the patience with all watchers, after a pause of this process."""
+        self._asked = dict.fromkeys(self._asked, now_ns)
+
+    def _set_expires_ns(self, watchers: tuple[SessionId, ...]) -> int:
+        if not watchers:
+            return FOREVER_NS
+        starts = sorted(
+            (self._starts[watcher] for watcher in watchers if watcher in self._starts),
+            reverse=True,
+        )
+        needed = _rules.acks_to_hold(len(watchers))
+        return _rules.lease_end_ns(starts[needed - 1]) if len(starts) >= needed else 0
--- /dev/null
+++ b/src/auburnsail/_messages.py
@@ -0,0 +1,191 @@
+"""Datagrams between nodes: msgpack with a keyed tag and a replay window."""
+
+import hashlib
+import hmac
+from collections import Counter, OrderedDict
+from dataclasses import dataclass
+
+import msgspec
+
+from ._model import Command, SessionId
+
+__all__ = [
+    "Ack",
+    "Codec",
+    "Heard",
+    "Message",
+    "Propose",
+    "Push",
+    "Query",
+    "Renewal",
+    "SealNotice",
+    "Taken",
+    "Versions",
+]
+
+TAG_BYTES = 16
+WINDOW_BITS = 64
+MAX_SENDERS = 8192
+
+
+class Renewal(msgspec.Struct, frozen=True, array_like=True, tag=1):
+    """A holder asks a watcher to acknowledge its lease."""
+
+    holder: SessionId
+    watcher: SessionId
+    sent_ns: int
+    fleet: int
+    settings: int
+
+
+class Ack(msgspec.Struct, frozen=True, array_like=True, tag=2):
+    """A watcher's answer; echoes the holder's own send time."""
+
+    holder: SessionId
+    watcher: SessionId
+    echo_ns: int
+    sealed: bool
+    fleet: int
+    settings: int
+
+
+class Query(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """A watcher asks another one whether it hears a holder."""
+
+    holder: SessionId
+    asker: SessionId
+
+
+class Heard(msgspec.Struct, frozen=True, array_like=True, tag=4):
+    """How long the sender has not heard a holder; -1 if it does not watch it."""
+
+    holder: SessionId
+    watcher: SessionId
+    silent_ms: int
+
+
+class SealNotice(msgspec.Struct, frozen=True, array_like=True, tag=5):
+    """The sender sealed a session."""
+
+    holder: SessionId
+    watcher: SessionId
+    silent_ms: int
+
+
+class Propose(msgspec.Struct, frozen=True, array_like=True, tag=6):
+    """Commands for the recorder, to be appended together."""
+
+    id: str
+    reply_to: str
+    commands: tuple[Command, ...]
+
+
+class Taken(msgspec.Struct, frozen=True, array_like=True, tag=7):
+    """The recorder has the proposal in its queue."""
+
+    id: str
+
+
+class Push(msgspec.Struct, frozen=True, array_like=True, tag=8):
+    """A new entry of the fleet log."""
+
+    entry: bytes
+
+
+class Versions(msgspec.Struct, frozen=True, array_like=True, tag=9):
+    """The newest versions that the sender has."""
+
+    fleet: int
+    settings: int
+
+
+Message = Renewal | Ack | Query | Heard | SealNotice | Propose | Taken | Push | Versions
+
+
+class _Packet(msgspec.Struct, frozen=True, array_like=True):
+    sender: int
+    counter: int
+    message: Message
+
+
+@dataclass(slots=True)
+class _Window:
+    newest: int
+    seen: int
+
+    def admit(self, counter: int) -> bool:
+        ahead = counter - self.newest
+        if ahead > 0:
+            self.seen = ((self.seen << min(ahead, WINDOW_BITS)) | 1) & ((1 << WINDOW_BITS) - 1)
+            self.newest = counter
+            return True
+        bit = 1 << -ahead
+        if -ahead >= WINDOW_BITS or self.seen & bit:
+            return False
+        self.seen |= bit
+        return True
+
+
+class Codec:
+    """Encodes and checks datagrams.
+
+    Args:
+        secret: The fleet's secret.
+        sender: A number that no other start of any node uses.
+    """
+
+    def __init__(self, secret: str, sender: int) -> None:
+        self._key = hashlib.blake2s(secret.encode()).digest()
+        self._sender = sender
+        self._counter = 0
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(_Packet)
+        self._windows: OrderedDict[int, _Window] = OrderedDict()
+        self.rejected: Counter[str] = Counter()
+
+    def encode(self, message: Message) -> bytes:
+        """Returns the datagram of a message."""
+        self._counter += 1
+        body = self._encoder.encode(_Packet(self._sender, self._counter, message))
+        return self._tag(body) + body
+
+    def decode(self, data: bytes) -> Message | None:
+        """Returns the message, or None for a datagram that is rejected and counted."""
+        body = data[TAG_BYTES:]
+        if not body or not hmac.compare_digest(self._tag(body), data[:TAG_BYTES]):
+            self.rejected["tag"] += 1
+            return None
+        try:
+            packet = self._decoder.decode(body)
+        except msgspec.DecodeError:
+            self.rejected["format"] += 1
+            return None
+        if not self._admit(packet.sender, packet.counter):
+            self.rejected["replay"] += 1
+            return None
+        return packet.message
+
+    def seal(self, body: bytes) -> bytes:
+        """Returns a body of control HTTP with its tag."""
+        return self._tag(body) + body
+
+    def unseal(self, data: bytes) -> bytes | None:
+        """Returns the body of control HTTP, or None if its tag is wrong."""
+        body = data[TAG_BYTES:]
+        if not hmac.compare_digest(self._tag(body), data[:TAG_BYTES]):
+            self.rejected["tag"] += 1
+            return None
+        return body
+
+    def _tag(self, body: bytes) -> bytes:
+        return hashlib.blake2s(body, key=self._key, digest_size=TAG_BYTES).digest()
+
+    def _admit(self, sender: int, counter: int) -> bool:
+        window = self._windows.get(sender)
+        if window is None:
+            while len(self._windows) >= MAX_SENDERS:
+                self._windows.popitem(last=False)
+            self._windows[sender] = _Window(counter, 1)
+            return True
+        self._windows.move_to_end(sender)
+        return window.admit(counter)
--- a/src/auburnsail/_model.py
+++ b/src/auburnsail/_model.py
@@ -131,21 +131,31 @@
 
 
 class Transfer(msgspec.Struct, frozen=True, tag="transfer"):
-    """Moves shards that their owner has drained."""
+    """Moves shards that their owner has drained.
+
+    The epochs tie the command to one period of ownership: a copy that reaches the log late must
+    not move shards that have come back to the same owner, which serves them again.
+    """
 
     id: str
     service: str
     source: SessionId
     target: SessionId
     shards: tuple[int, ...]
+    epochs: tuple[int, ...]
 
 
 class Assign(msgspec.Struct, frozen=True, tag="assign"):
-    """Gives unowned shards an owner."""
+    """Gives unowned shards an owner.
+
+    The number of shards is part of the command, so that the fold depends on the log alone and not
+    on the settings version that a node happens to have.
+    """
 
     id: str
     service: str
     grants: tuple[Grant, ...]
+    shards: int
 
 
 Command = Join | SetWatchers | Close | Leave | Succeed | DeclareLost | Transfer | Assign
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -1,52 +1,45 @@
 """Composition root of a node."""
 
+import random
 import secrets
+import signal
+from collections.abc import Callable
 
 import gevent
-import msgspec
 import structlog
+from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from ._clock import BootClock, Timers
+from ._checkpoint import dump_fleet
+from ._clock import NS_PER_MS, BootClock, Timers
+from ._control import Announcement, ControlApplication
+from ._effects import Applied, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState
 from ._forward import ProxyApplication
-from ._log import VersionedLog
-from ._model import (
-    Assign,
-    Command,
-    Entry,
-    Grant,
-    Join,
-    Session,
-    SessionId,
-    decode_entry,
-    encode_entry,
-)
+from ._gate import RequestGate
+from ._io import Callbacks, NodeIo, Records, UdpSocket
+from ._journal import Journal
+from ._membership import Membership
+from ._messages import Codec
+from ._moves import Mover
 from ._routing import Router
+from ._rules import TICK_MS
+from ._session import NodeFacts
 from ._settings import NodeSettings, TreeSettings, parse_jsonc
-from ._shards import NO_OWNER
-from ._store import HttpTableStore
-from .exceptions import AuburnsailError, ConflictError, SettingsError
+from ._shards import shard_of
+from ._store import HttpObjectStore, HttpTableStore
+from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
 
-TICK_MS = 50
-POLL_MS = 500
-ASSIGN_DELAY_MS = 1000
-
-
-class Announcement(msgspec.Struct, frozen=True):
-    """What an upstream says of itself to the node beside it.
-
-    Attributes:
-        service: Service that the upstream belongs to.
-        address: ``ip:port`` of the upstream.
-        slots: Places for concurrent work.
-    """
-
-    service: str
-    address: str
-    slots: int
+# An upstream announces itself every second.
+UPSTREAM_LOST_AFTER_MS = 3000
+# A node joins without an upstream if none has announced itself for this long after the start.
+ROUTE_ONLY_AFTER_MS = 2000
+WAITING_LOG_MS = 5000
+STOP_LIMIT_MS = 60_000
+CLOSE_WAIT_MS = 100
+QUIET_KINDS = frozenset({"watchers", "move"})
 
 
 class Node:
@@ -58,123 +51,330 @@
 
     def __init__(self, settings: NodeSettings) -> None:
         self._settings = settings
-        self._store = HttpTableStore(settings.store_url)
-        self._fleet_log = VersionedLog(self._store, "fleet")
-        self._settings_log = VersionedLog(self._store, "settings")
         self._clock = BootClock()
         self._timers = Timers()
+        self._journal = Journal(self._clock)
+        self._log = structlog.get_logger(node=settings.node)
         self._fleet = FleetState()
+        self._codec = Codec(settings.fleet_secret, secrets.randbits(48))
+        self._membership = Membership(
+            _facts(settings), self._fleet, self._codec, random.Random(secrets.randbits(64))
+        )
+        self._mover = Mover(self._membership, self._fleet)
+        self._router = Router(self._fleet, TreeSettings({}))
+        self._gate = RequestGate(self._mover, self._membership, self._clock)
+        self._udp = UdpSocket(settings.control_address, self._on_datagram)
+        self._io = NodeIo(
+            HttpTableStore(settings.store_url),
+            HttpObjectStore(settings.objects_url),
+            self._fleet,
+            self._codec,
+            self._udp,
+            Callbacks(self._on_store_reply, self._on_records, self._on_restored, self._on_failure),
+        )
+        self._violation = ""
         self._announcement: Announcement | None = None
-        self._last_join_ns = 0
-        self._log = structlog.get_logger(node=settings.node)
-        self._tree = self._load_tree()
-        for name, service in self._tree.services.items():
-            if service.keyed:
-                self._fleet.add_service(name, service.shards)
-        self._router = Router(self._fleet, self._tree)
-        self._timers.subscribe("poll", POLL_MS, self._poll)
-        self._timers.subscribe("assign", POLL_MS, self._assign)
+        self._announced_ns = 0
+        self._fleet_loaded = False
+        self._started_ns = self._clock.now_ns()
+        self._servers: list[WSGIServer] = []
+        self._stopped = Event()
+        self._timers.subscribe("membership", TICK_MS, self._tick)
+        self._timers.subscribe("upstream", TICK_MS, self._follow_upstream)
+        self._timers.subscribe("waiting", WAITING_LOG_MS, self._report_waiting)
 
     def run(self) -> None:
-        """Serves until the process ends."""
-        data = ProxyApplication(self._router, self._upstream_address, lambda: True)
-        for address, application in (
-            (self._settings.data_address, data),
-            (self._settings.control_address, self._serve_control),
-        ):
-            host, _, port = address.rpartition(":")
-            WSGIServer((host, int(port)), application, log=None, error_log=None).start()
+        """Serves until the process is told to end."""
+        self._start_servers()
+        self._udp.start()
+        gevent.signal_handler(signal.SIGTERM, self.stop)
         self._log.info("node started", address=self._settings.data_address)
-        while True:
-            try:
-                self._timers.tick(self._clock.now_ns())
-            except* AuburnsailError as group:
-                for error in group.exceptions:
-                    self._log.warning("timer failed", error=str(error))
-            gevent.sleep(TICK_MS / 1000)
+        while not self._stopped.is_set():
+            self._guard(self._run_timers)
+            self._stopped.wait(TICK_MS / 1000)
+        self._close()
 
-    def _load_tree(self) -> TreeSettings:
-        head = self._settings_log.head()
-        record = self._settings_log.read(head) if head else None
-        if record is None:
-            raise SettingsError(
-                "the store holds no settings; run `auburnsail settings init`",
-                step="settings.load",
-                peer=self._settings.store_url,
-            )
-        return parse_jsonc(record.data.decode(), TreeSettings, f"settings version {head}")
+    def stop(self) -> None:
+        """Moves everything away, ends the session and then ends the process."""
+        if not self._mover.stopping:
+            self._log.info("stopping")
+            self._gate.close_connections = True
+            self._mover.drain("stop signal", stopping=True)
+            gevent.spawn(self._wait_stopped)
 
-    def _upstream_address(self) -> str | None:
-        return self._announcement.address if self._announcement else None
+    # What the control application needs, see `ControlledNode`.
 
-    def _serve_control(self, environ: dict, start_response) -> list[bytes]:
-        status, body = "404 Not Found", b"no such path"
-        if environ["PATH_INFO"] == "/v1/announce":
-            content = environ["wsgi.input"].read()
-            self._announcement = msgspec.json.decode(content, type=Announcement)
-            status, body = "200 OK", b"{}"
-        elif environ["PATH_INFO"] == "/v1/status":
-            status, body = "200 OK", msgspec.json.encode(self._status())
-        start_response(status, [("content-length", str(len(body)))])
-        return [body]
-
-    def _status(self) -> dict:
+    def announce(self, announcement: Announcement) -> None:
+        """See `ControlledNode.announce`."""
+        self._announcement = announcement
+        self._announced_ns = self._clock.now_ns()
+        if announcement.state == "draining":
+            self._mover.drain("upstream announced a drain", stopping=False)
+
+    def status(self) -> dict:
+        """See `ControlledNode.status`."""
+        now_ns = self._clock.now_ns()
+        membership, traffic = self._membership, self._udp.traffic
+        row = self._fleet.sessions.get(membership.own_id) if membership.own_id else None
+        lease = membership.session.lease
         return {
-            "session": str(self._router.own_id),
+            "session": str(membership.own_id),
+            "phase": membership.session.phase.value,
+            "service": row.session.service if row else "",
             "fleet_version": self._fleet.version,
+            "settings_version": membership.settings_version,
             "sessions": [str(session_id) for session_id in self._fleet.sessions],
+            "watchers": [str(watcher) for watcher in lease.watchers] if lease else [],
+            "lease_left_ms": (min(membership.expires_ns(), now_ns + 1_000_000_000) - now_ns)
+            / NS_PER_MS,
+            "may_serve": self._may_serve(),
+            "shards": self._fleet.shard_count(row) if row else 0,
+            "in_flight": self._mover.in_flight,
+            "moving": self._mover.moving,
+            "draining": self._mover.draining,
+            "open_proposals": membership.open_proposals,
+            "violation": self._violation,
+            "datagrams_sent": traffic.sent,
+            "datagrams_received": traffic.received,
+            "bytes_sent": traffic.sent_bytes,
+            "bytes_received": traffic.received_bytes,
+            "http_bytes": self._io.http_bytes,
+            "rejected": dict(self._codec.rejected),
         }
 
-    def _poll(self, now_ns: int) -> None:
-        for record in self._fleet_log.read_after(self._fleet.version):
-            entry = decode_entry(record.data)
-            self._fleet.apply(entry)
-            if any(isinstance(command, Join) for command in entry.commands):
-                self._last_join_ns = now_ns
-        if self._announcement is not None and self._router.own_id is None:
-            self._join()
-
-    def _join(self) -> None:
-        own_id = SessionId(self._settings.node, secrets.randbits(48))
-        session = Session(
-            id=own_id,
-            region=self._settings.region,
-            domain=self._settings.domain,
-            data_address=self._settings.data_address,
-            control_address=self._settings.control_address,
-            service=self._announcement.service,
-            slots=self._announcement.slots,
-        )
-        if self._append(Join(str(own_id), session)):
-            self._router.own_id = own_id
+    def violation(self) -> str:
+        """See `ControlledNode.violation`."""
+        return self._violation
+
+    def log_after(self, log: str, version: int) -> Records | None:
+        """See `ControlledNode.log_after`."""
+        if log == LogName.SETTINGS:
+            newest = self._membership.settings_version
+            return [(newest, self._membership.settings_data)] if newest > version else []
+        entries = self._membership.entries_after(version)
+        return None if entries is None else [(0, data) for data in entries]
+
+    def checkpoint(self) -> bytes:
+        """See `ControlledNode.checkpoint`."""
+        return dump_fleet(self._fleet)
+
+    def on_message(self, data: bytes, address: str) -> None:
+        """See `ControlledNode.on_message`."""
+        self._on_datagram(data, address)
 
-    def _assign(self, now_ns: int) -> None:
-        if self._router.own_id != min(self._fleet.sessions, default=None):
+    def drain(self, reason: str) -> None:
+        """See `ControlledNode.drain`."""
+        self._mover.drain(reason, stopping=False)
+
+    def journal(self, after: int) -> list:
+        """See `ControlledNode.journal`."""
+        return self._journal.items(after)
+
+    def explain(self, service: str, key: str) -> dict:
+        """See `ControlledNode.explain`."""
+        table = self._fleet.tables.get(service)
+        if table is None:
+            return {"service": service, "reason": "the service has no shards"}
+        shard = shard_of(key, len(table))
+        row = self._fleet.owner(service, shard)
+        owner = str(row.session.id) if row else ""
+        return {
+            "service": service,
+            "shard": shard,
+            "epoch": self._fleet.epoch(service, shard),
+            "owner": owner,
+            "owner_address": row.session.data_address if row else "",
+            "fleet_version": self._fleet.version,
+            "decisions": [*self._journal.about("session", owner), *self._journal.about(*_NOTES)],
+            "served_here": bool(row) and row.session.id == self._membership.own_id,
+            "may_serve": self._may_serve(),
+        }
+
+    # Timers.
+
+    def _run_timers(self) -> None:
+        self._udp.drain()
+        self._timers.tick(self._clock.now_ns())
+
+    def _tick(self, now_ns: int) -> None:
+        self._mover.tick(now_ns)
+        self._run_effects(self._membership.tick(now_ns))
+        self._take_notes()
+
+    def _follow_upstream(self, now_ns: int) -> None:
+        if not self._fleet_loaded or not self._membership.settings_version:
             return
-        if now_ns - self._last_join_ns < ASSIGN_DELAY_MS * 1_000_000:
+        announcement = self._announcement
+        silent_ns = now_ns - self._announced_ns
+        if announcement is not None and silent_ns > UPSTREAM_LOST_AFTER_MS * NS_PER_MS:
+            self._lose_upstream("upstream does not announce itself")
+            announcement = None
+        if announcement is not None and announcement.state != "draining":
+            self._membership.want(announcement.service, announcement.slots)
+        elif now_ns - self._started_ns > ROUTE_ONLY_AFTER_MS * NS_PER_MS:
+            self._membership.want("", 0)
+        if self._membership.session.differs(self._fleet):
+            self._mover.drain("the upstream's service changed", stopping=False)
+
+    def _lose_upstream(self, reason: str) -> None:
+        self._announcement = None
+        self._journal.record("upstream", reason)
+        self._log.warning(reason)
+
+    def _report_waiting(self, now_ns: int) -> None:
+        if self._fleet_loaded and self._membership.settings_version:
             return
-        for service, table in self._fleet.tables.items():
-            members = sorted(
-                row.session.id
-                for row in self._fleet.sessions.values()
-                if row.session.service == service
+        if now_ns - self._started_ns > WAITING_LOG_MS * NS_PER_MS:
+            missing = "settings" if self._fleet_loaded else "fleet log"
+            self._log.warning(
+                "waiting for the store or a known peer",
+                missing=missing,
+                store=self._settings.store_url,
+                peers=list(self._settings.peers),
             )
-            unowned = table.owned_by(NO_OWNER)
-            if members and unowned:
-                grants = tuple(
-                    Grant(member, tuple(unowned[position :: len(members)]))
-                    for position, member in enumerate(members)
-                )
-                self._append(Assign(secrets.token_hex(8), service, grants))
-
-    def _append(self, *commands: Command) -> bool:
-        version = self._fleet.version
-        entry = Entry(version + 1, self._fleet.digest, secrets.token_hex(8), commands)
+
+    # Events.
+
+    def _on_datagram(self, data: bytes, address: str) -> None:
+        now_ns = self._clock.now_ns()
+        self._guard(lambda: self._run_effects(self._membership.on_datagram(data, address, now_ns)))
+
+    def _on_store_reply(self, ticket: int, reply: StoreReply) -> None:
+        now_ns = self._clock.now_ns()
+        self._guard(
+            lambda: self._run_effects(self._membership.on_store_reply(ticket, reply, now_ns))
+        )
+
+    def _on_records(self, log: str, records: Records | None, address: str) -> None:
+        now_ns = self._clock.now_ns()
+        if records is not None and log == LogName.FLEET:
+            self._fleet_loaded = True
+        self._guard(
+            lambda: self._run_effects(self._membership.on_records(log, records, address, now_ns))
+        )
+
+    def _on_restored(self) -> None:
+        self._journal.record("fleet", "restored from a checkpoint", version=self._fleet.version)
+        self._membership.on_restored(self._clock.now_ns())
+
+    def _on_failure(self, error: AuburnsailError) -> None:
+        self._journal.record("failure", str(error))
+
+    def _run_effects(self, effects: list[Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case Applied():
+                    self._on_applied(effect)
+                case SettingsChanged():
+                    self._on_settings(effect)
+                case Note():
+                    self._on_note(effect)
+                case _:
+                    self._io.run(effect)
+
+    def _on_applied(self, applied: Applied) -> None:
+        self._router.own_id = self._membership.own_id
+        self._mover.on_applied(applied.verdicts)
+        for verdict in applied.verdicts:
+            kind = type(verdict.command).__name__
+            reason = verdict.reason or "applied"
+            facts = {"id": verdict.command.id, "version": applied.entry.version}
+            self._journal.record(kind, reason, **facts)
+
+    def _on_settings(self, changed: SettingsChanged) -> None:
+        source = f"settings version {changed.version}"
         try:
-            self._fleet_log.append(version, entry.id, encode_entry(entry))
-        except ConflictError:
-            return False
-        return True
+            tree = parse_jsonc(changed.data.decode(), TreeSettings, source)
+        except (SettingsError, UnicodeDecodeError) as error:
+            # An accepted version was checked before; one that this program cannot read keeps the
+            # last tree in force and is reported.
+            self._journal.record("settings", "not readable", error=str(error))
+            self._log.error("settings not readable", version=changed.version, error=str(error))
+            return
+        self._router.tree = tree
+        for name, service in tree.services.items():
+            if service.keyed:
+                self._fleet.add_service(name, service.shards)
+        self._journal.record("settings", "in force", version=changed.version)
+        self._log.info("settings in force", version=changed.version)
+
+    def _on_note(self, note: Note) -> None:
+        self._journal.record(note.kind, note.reason, **note.facts)
+        if note.kind not in QUIET_KINDS:
+            self._log.info(f"{note.kind}: {note.reason}", **note.facts)
+
+    def _take_notes(self) -> None:
+        notes, self._mover.notes = self._mover.notes, []
+        for note in notes:
+            self._on_note(note)
+
+    def _guard(self, step: Callable[[], None]) -> None:
+        """Runs a step; a violated promise stops this node's work, other errors are logged."""
+        try:
+            step()
+        except* InvariantViolation as group:
+            self._violate(str(group.exceptions[0]))
+        except* AuburnsailError as group:
+            for error in group.exceptions:
+                self._log.warning("step failed", error=str(error))
+
+    def _violate(self, detail: str) -> None:
+        if not self._violation:
+            self._violation = detail
+            self._journal.record("violation", detail)
+            self._log.error("violation", detail=detail)
+        self._gate.violation = detail
+
+    def _may_serve(self) -> bool:
+        return not self._violation and self._membership.may_serve(self._clock.now_ns())
+
+    def _upstream_address(self) -> str | None:
+        return self._announcement.address if self._announcement else None
+
+    # Start and stop.
+
+    def _start_servers(self) -> None:
+        data = ProxyApplication(self._router, self._upstream_address, self._gate)
+        control = ControlApplication(self, self._codec)
+        for address, application in (
+            (self._settings.data_address, self._gate.count(data)),
+            (self._settings.control_address, control),
+        ):
+            host, _, port = address.rpartition(":")
+            server = WSGIServer((host, int(port)), application, log=None, error_log=None)
+            server.start()
+            self._servers.append(server)
+
+    def _wait_stopped(self) -> None:
+        end_ns = self._clock.now_ns() + STOP_LIMIT_MS * NS_PER_MS
+        while self._clock.now_ns() < end_ns and not (self._mover.finished and not self._gate.total):
+            gevent.sleep(TICK_MS / 1000)
+        self._servers[0].stop_accepting()
+        gevent.sleep(CLOSE_WAIT_MS / 1000)
+        while self._gate.total and self._clock.now_ns() < end_ns:
+            gevent.sleep(TICK_MS / 1000)
+        self._stopped.set()
+
+    def _close(self) -> None:
+        self._log.info("stopped", in_flight=self._gate.total)
+        for server in self._servers:
+            server.close()
+        self._udp.close()
+
+
+_NOTES = ("session", "")
+
+
+def _facts(settings: NodeSettings) -> NodeFacts:
+    return NodeFacts(
+        node=settings.node,
+        region=settings.region,
+        domain=settings.domain,
+        data_address=settings.data_address,
+        control_address=settings.control_address,
+        store_region=settings.store_region,
+        peers=settings.peers,
+    )
 
 
 def build_node(settings: NodeSettings) -> Node:
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -59,7 +59,7 @@
 
     def __init__(self, fleet: FleetState, tree: TreeSettings) -> None:
         self._fleet = fleet
-        self._tree = tree
+        self.tree = tree
         self._rotation = 0
         self.own_id: SessionId | None = None
 
@@ -71,7 +71,7 @@
             key_header: Value of the key header, or None.
         """
         _, service, *rest = path.split("/", 2) if path.count("/") > 1 else (*path.split("/"), "")
-        settings = self._tree.services.get(service)
+        settings = self.tree.services.get(service)
         if settings is None:
             return _refused("404 Not Found", "unknown-service", f"no service {service!r}")
         if not settings.keyed:
@@ -84,7 +84,10 @@
         return self._owner(service, key)
 
     def _owner(self, service: str, key: str) -> Route:
-        shard = shard_of(key, len(self._fleet.tables[service]))
+        table = self._fleet.tables.get(service)
+        if table is None:
+            return _not_run("no-owner", f"{service} has no shards yet")
+        shard = shard_of(key, len(table))
         row = self._fleet.owner(service, shard)
         if row is None:
             return _not_run("no-owner", f"shard {shard} of {service} has no owner")
--- /dev/null
+++ b/src/auburnsail/_rules.py
@@ -0,0 +1,107 @@
+"""The rules that protect ownership, each one constant or one small function.
+
+Modules that apply a rule look it up here at the time of use, so that a randomised run can replace
+one rule and show that a violation follows.
+"""
+
+from ._clock import NS_PER_MS
+from ._model import Evidence, SessionId
+from ._shards import ShardTable
+
+__all__ = [
+    "LEASE_MS",
+    "TICK_MS",
+    "acks_to_hold",
+    "append_condition",
+    "counts_as_watcher",
+    "evidence_counts",
+    "full_silence_ns",
+    "gives_up_on_outcome",
+    "is_definite",
+    "lease_end_ns",
+    "lease_start_ns",
+    "may_ack_after_seal",
+    "sets_to_satisfy",
+    "transfer_allowed",
+    "votes_to_close",
+]
+
+LEASE_MS = 600
+TICK_MS = 50
+# Clocks of two nodes may run apart by 0.1 %.
+DRIFT = 1.001
+SEALS_TO_CLOSE = 2
+
+
+def full_silence_ns() -> int:
+    """Returns how long a watcher hears nothing before it may seal: a lease, drift and one tick."""
+    return int((LEASE_MS * DRIFT + TICK_MS) * NS_PER_MS)
+
+
+def lease_end_ns(start_ns: int) -> int:
+    """Returns the end of a lease that starts at an echoed send time."""
+    return start_ns + LEASE_MS * NS_PER_MS
+
+
+def lease_start_ns(echo_ns: int, arrival_ns: int) -> int:
+    """Returns when a lease starts: at the echoed send time, not when the answer arrived."""
+    return echo_ns
+
+
+def votes_to_close(watchers: int) -> int:
+    """Returns how many watchers must have sealed a session before it may be closed."""
+    return min(SEALS_TO_CLOSE, watchers)
+
+
+def acks_to_hold(watchers: int) -> int:
+    """Returns how many watchers must acknowledge a lease.
+
+    Any set of this size shares a watcher with any set that may close the session.
+    """
+    return watchers - min(SEALS_TO_CLOSE, watchers) + 1 if watchers else 0
+
+
+def evidence_counts(evidence: Evidence, watchers: tuple[SessionId, ...]) -> bool:
+    """Whether a seal counts: by a watcher of that incarnation, after the full silence."""
+    named = counts_as_watcher(evidence.watcher, watchers)
+    return named and evidence.silent_ms * NS_PER_MS >= full_silence_ns() - NS_PER_MS
+
+
+def counts_as_watcher(session: SessionId, watchers: tuple[SessionId, ...]) -> bool:
+    """Whether a session is one of the watchers; a restarted one is another incarnation."""
+    return session in watchers
+
+
+def may_ack_after_seal() -> bool:
+    """Whether a watcher may acknowledge a session that it sealed; a seal is final."""
+    return False
+
+
+def sets_to_satisfy(
+    current: tuple[SessionId, ...], proposed: tuple[SessionId, ...] | None
+) -> list[tuple[SessionId, ...]]:
+    """Returns the watcher sets that must all hold the lease.
+
+    Until it is known whether a change of watchers took effect, both sets must.
+    """
+    return [current] if proposed is None else [current, proposed]
+
+
+def is_definite(reply: object) -> bool:
+    """Whether a store reply settles an append; a lost answer settles nothing."""
+    return bool(getattr(reply, "definite", False))
+
+
+def gives_up_on_outcome(waited_ns: int) -> bool:
+    """Whether a proposer may take a command for not applied before the log settles it."""
+    return False
+
+
+def append_condition(version: int) -> int:
+    """Returns the head version that an append on top of a version requires."""
+    return version
+
+
+def transfer_allowed(table: ShardTable, shard: int, source: int, epoch: int) -> bool:
+    """Whether a shard still has the owner and the epoch that a transfer names."""
+    return table.owner[shard] == source and table.epoch[shard] == epoch
--- a/src/auburnsail/_settings.py
+++ b/src/auburnsail/_settings.py
@@ -27,6 +27,8 @@
         objects_url: Base URL of the object store.
         fleet_secret: Shared by the nodes of a fleet; signs messages between them.
         log_format: ``console`` or ``json``.
+        store_region: Region of the store; its nodes record proposals. Empty for any node.
+        peers: Control addresses of other nodes, asked for the logs while the store is down.
     """
 
     node: Name
@@ -38,6 +40,8 @@
     objects_url: str
     fleet_secret: Annotated[str, msgspec.Meta(min_length=16)]
     log_format: Annotated[str, msgspec.Meta(pattern="^(console|json)$")] = "console"
+    store_region: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]{0,63}$")] = ""
+    peers: tuple[Address, ...] = ()
 
 
 class ServiceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/src/auburnsail/_shards.py
+++ b/src/auburnsail/_shards.py
@@ -1,6 +1,7 @@
 """Shards: parts of a keyed service's key space, their owners and epochs."""
 
 from array import array
+from collections import Counter
 
 import xxhash
 
@@ -29,15 +30,37 @@
     def __init__(self, shards: int) -> None:
         self.owner = array("H", [NO_OWNER]) * shards
         self.epoch = array("I", [0]) * shards
+        self._counts = Counter({NO_OWNER: shards})
 
     def __len__(self) -> int:
         return len(self.owner)
 
     def assign(self, shard: int, owner: int) -> None:
         """Gives a shard to an owner at the next epoch."""
+        self._counts[self.owner[shard]] -= 1
+        self._counts[owner] += 1
         self.owner[shard] = owner
         self.epoch[shard] += 1
 
+    def count(self, owner: int) -> int:
+        """Returns how many shards an owner has."""
+        return self._counts[owner]
+
+    def dump(self) -> tuple[bytes, bytes]:
+        """Returns owners and epochs as little-endian bytes."""
+        return self.owner.tobytes(), self.epoch.tobytes()
+
+    @classmethod
+    def load(cls, owner: bytes, epoch: bytes) -> "ShardTable":
+        """Returns the table from what `dump` returned."""
+        table = cls(0)
+        table.owner.frombytes(owner)
+        table.epoch.frombytes(epoch)
+        table._counts = Counter(table.owner)
+        return table
+
     def owned_by(self, owner: int) -> list[int]:
         """Returns the shards of one owner in ascending order."""
+        if not self._counts[owner]:
+            return []
         return [shard for shard, index in enumerate(self.owner) if index == owner]
