Skip recorders that were sealed or did not answer

A proposal to close a session went to that session first if it ranked first as the recorder, and every proposal counted its ranks anew after each change of the ranking. Nodes now leave out sessions that were sealed, or that did not answer, for 5 s. A session with fewer watchers than the fleet can give looks for more at once; with none it could not be closed.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format
+.PHONY: test unit check format recovery control-cost
 
 .venv: .venv/.installed
 
@@ -24,3 +24,9 @@
 	$(PY) -m unittest discover -s tests -t .
 
 test: check unit
+
+recovery: .venv
+	$(PY) -m tools.recovery
+
+control-cost: .venv
+	$(PY) -m tools.control_cost
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -68,7 +68,11 @@
 CHECKPOINT_EVERY = 512
 POLL_STORE_MS = 30_000
 POLL_STORE_FIRST_MS = 1000
-RECORDERS_ASKED = 2
+# The store is polled for both logs by this many sessions, in case nobody was told of an append.
+POLLING_RECORDERS = 2
+RECORDERS_KEPT = 8
+# A session that was sealed or did not answer is not asked to record for this long.
+SUSPECT_MS = 5000
 
 
 class Membership:
@@ -107,6 +111,7 @@
         self._close_ns: dict[SessionId, int] = {}
         self._last_join_ns = 0
         self._unowned_since_ns: int | None = None
+        self._suspects: dict[SessionId, int] = {}
         self._lapsed = False
 
     @property
@@ -277,6 +282,7 @@
                     message: Message = Query(holder, self._watcher.session)
                 case Seal(holder=holder, silent_ms=silent_ms):
                     message = SealNotice(holder, self._watcher.session, silent_ms)
+                    self._suspect(holder, now_ns)
                     self._note("seal", "full silence", session=str(holder), silent_ms=silent_ms)
             for other in others:
                 self._send_to(other, message)
@@ -315,6 +321,7 @@
             case SealNotice(holder=holder, watcher=watcher, silent_ms=silent_ms):
                 if self._watcher is not None and holder in self._fleet.sessions:
                     self._watcher.on_seal(holder, Evidence(watcher, silent_ms))
+                    self._suspect(holder, now_ns)
                     self._close_sealed(holder, now_ns)
                     self._send_proposals(now_ns)
                     self._record(now_ns)
@@ -358,22 +365,33 @@
 
     # Proposals.
 
-    def _ranked(self) -> list[SessionId]:
+    def _ranked(self, now_ns: int) -> list[SessionId]:
         if self._recorders[0] != self._fleet.version:
-            ranked = rank_recorders(self._fleet, self._facts.store_region, RECORDERS_ASKED)
+            ranked = rank_recorders(self._fleet, self._facts.store_region, RECORDERS_KEPT)
             self._recorders = (self._fleet.version, ranked)
-        return self._recorders[1]
+        ranked = self._recorders[1]
+        return [s for s in ranked if self._suspects.get(s, 0) <= now_ns] or ranked
+
+    def _suspect(self, session: SessionId, now_ns: int) -> None:
+        self._suspects = {s: end for s, end in self._suspects.items() if end > now_ns}
+        self._suspects[session] = now_ns + SUSPECT_MS * NS_PER_MS
 
     def _send_proposals(self, now_ns: int) -> None:
         for proposal in self._proposer.due(now_ns):
-            ranked = self._ranked()
-            is_direct = proposal.attempt >= min(DIRECT_ATTEMPT, len(ranked))
-            if is_direct or ranked[proposal.attempt] == self.own_id:
+            if proposal.failed is not None:
+                self._suspect(proposal.failed, now_ns)
+            ranked = self._ranked(now_ns)
+            proposal.asked = ranked[0] if ranked else None
+            if (
+                proposal.attempt >= DIRECT_ATTEMPT
+                or proposal.asked is None
+                or proposal.asked == self.own_id
+            ):
                 self._recorder.propose(proposal.id, proposal.commands)
                 self._proposer.on_taken(proposal.id, now_ns)
                 continue
             message = Propose(proposal.id, self._facts.control_address, proposal.commands)
-            self._send_to(ranked[proposal.attempt], message)
+            self._send_to(proposal.asked, message)
 
     def _record(self, now_ns: int) -> None:
         request = self._recorder.tick(now_ns, self._fleet)
@@ -381,7 +399,7 @@
             self._out.append(request)
 
     def _assign(self, now_ns: int) -> None:
-        ranked = self._ranked()
+        ranked = self._ranked(now_ns)
         if not ranked or ranked[0] != self.own_id:
             return
         services = {row.session.service for row in self._fleet.sessions.values()}
@@ -508,7 +526,9 @@
     def _fetch(self, now_ns: int) -> None:
         fetchers = (self._follower.fetcher, self._settings.fetcher)
         if now_ns >= self._next_poll_ns:
-            is_first = self.own_id is None or self.own_id in self._ranked()
+            is_first = (
+                self.own_id is None or self.own_id in self._ranked(now_ns)[:POLLING_RECORDERS]
+            )
             every_ms = POLL_STORE_FIRST_MS if is_first else POLL_STORE_MS
             spread = self._rng.uniform(0.75, 1.0)
             self._next_poll_ns = now_ns + int(every_ms * spread * NS_PER_MS)
--- a/src/auburnsail/_proposer.py
+++ b/src/auburnsail/_proposer.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 from ._clock import NS_PER_MS
-from ._model import Command
+from ._model import Command, SessionId
 
 __all__ = ["DIRECT_ATTEMPT", "OpenProposal", "Proposer"]
 
@@ -22,14 +22,18 @@
     Attributes:
         id: Id of its first command.
         commands: To be appended together.
-        attempt: Rank of the recorder that was asked last; `DIRECT_ATTEMPT` for this node itself.
+        attempt: How many recorders in turn did not settle it; the node appends itself from
+            `DIRECT_ATTEMPT` on.
+        asked: The recorder that was asked last.
+        failed: The recorder that did not settle it in time, for the caller to avoid.
     """
 
     id: str
     commands: tuple[Command, ...]
     attempt: int = 0
     next_ns: int = 0
-    asked: bool = False
+    asked: SessionId | None = None
+    failed: SessionId | None = None
     taken: bool = False
     rounds: int = 0
 
@@ -63,14 +67,14 @@
             self._open.pop(command_id, None)
 
     def due(self, now_ns: int) -> list[OpenProposal]:
-        """Returns the proposals to send now to the recorder that `attempt` ranks."""
+        """Returns the proposals to send now; the caller notes in `asked` whom it asked."""
         due = []
         for proposal in self._open.values():
             if now_ns < proposal.next_ns:
                 continue
-            if proposal.asked:
+            proposal.failed = None
+            if proposal.asked is not None:
                 _advance(proposal)
-            proposal.asked = True
             proposal.taken = False
             wait_ms = ANSWER_WAIT_MS if proposal.attempt < DIRECT_ATTEMPT else TAKEN_WAIT_MS
             proposal.next_ns = now_ns + wait_ms * NS_PER_MS
@@ -85,3 +89,4 @@
     if not proposal.taken or proposal.rounds >= TAKEN_ROUNDS:
         proposal.attempt += 1
         proposal.rounds = 0
+        proposal.failed = proposal.asked
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -237,7 +237,8 @@
         lease = self._lease
         gone = {w for w in lease.watchers if w not in fleet.sessions}
         silent = lease.silent(now_ns, WATCHER_SILENT_MS) | lease.sealed_by
-        if not gone and not silent:
+        missing = len(lease.watchers) < min(WATCHERS, len(fleet.sessions) - 1)
+        if not gone and not silent and not missing:
             if now_ns < self._next_improve_ns:
                 return
             spread = self._rng.uniform(1.0, 2.0)
@@ -252,7 +253,7 @@
             chosen = (chosen + unheard)[:WATCHERS]
         if set(chosen) == set(lease.watchers):
             return
-        reason = "watchers gone or silent" if gone or silent else "better spread"
+        reason = "watchers gone or silent" if gone or silent else "more or better spread"
         facts = {"watchers": [str(w) for w in chosen]}
         self.notes.append(Note("watchers", reason, facts))
         self._probe = (chosen, now_ns)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,11 +1,13 @@
 """Starts a small fleet of real processes on loopback for tests."""
 
 import os
+import signal
 import subprocess
 import sys
 import tempfile
 import time
 from collections.abc import Callable
+from dataclasses import dataclass, field
 from pathlib import Path
 
 import msgspec
@@ -43,13 +45,51 @@
     raise TimeoutError(f"{what} did not happen within {timeout_s} s")
 
 
+@dataclass(slots=True)
+class Member:
+    """A node and the upstream beside it.
+
+    Attributes:
+        name: Name of the node.
+        data: Address that serves requests.
+        control: Control address.
+        upstream: Address of the upstream.
+        processes: Processes of node and upstream; the upstream is missing for routing nodes.
+    """
+
+    name: str
+    data: str
+    control: str
+    upstream: str
+    processes: list[subprocess.Popen] = field(default_factory=list)
+
+    @property
+    def node(self) -> subprocess.Popen:
+        """The node's process."""
+        return self.processes[0]
+
+    def signal(self, number: int) -> None:
+        """Sends a signal to the node and its upstream."""
+        for process in self.processes:
+            process.send_signal(number)
+
+    def get(self, target: str) -> dict | list:
+        """Returns the decoded answer of a control request to the node."""
+        answer = HttpPeer(self.control).fetch("GET", target, timeout_s=2.0)
+        return msgspec.json.decode(answer.body)
+
+
 class LocalFleet:
     """A platform stand-in, nodes and upstreams as processes of their own."""
 
-    def __init__(self, tree: dict) -> None:
+    def __init__(self, tree: dict, *, quiet: bool = False) -> None:
+        self._output = {"stdout": subprocess.DEVNULL, "stderr": subprocess.DEVNULL} if quiet else {}
+        self._services: dict[str, str] = {}
+        self.upstream_options: list[str] = []
         self._processes: list[subprocess.Popen] = []
         self._folder = tempfile.TemporaryDirectory(prefix="auburnsail-")
         self._environ = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        self.members: dict[str, Member] = {}
         self.data_addresses: list[str] = []
         self.control_addresses: list[str] = []
         self.upstream_addresses: list[str] = []
@@ -64,8 +104,18 @@
         command = [sys.executable, "-m", "auburnsail._cli_operator", *arguments]
         subprocess.run(command, env=self._environ, cwd=ROOT, check=True, capture_output=True)
 
-    def add_node(self, name: str, region: str, domain: str, service: str) -> None:
-        """Starts a node and the upstream beside it."""
+    def add_node(
+        self, name: str, region: str, domain: str, service: str, **settings: object
+    ) -> Member:
+        """Starts a node and the upstream beside it.
+
+        Args:
+            name: Name of the node.
+            region: Its region.
+            domain: Its failure domain.
+            service: Service of the upstream, empty for a node without one.
+            settings: Further settings of the node.
+        """
         data, control, upstream = (f"127.0.0.1:{free_port()}" for _ in range(3))
         path = Path(self._folder.name) / f"{name}.json"
         content = {
@@ -77,14 +127,52 @@
             "store_url": self.store_url,
             "objects_url": self.store_url,
             "fleet_secret": SECRET,
+            **settings,
         }
         path.write_bytes(msgspec.json.encode(content))
-        self._spawn("auburnsail._cli_node", str(path))
-        arguments = ["--name", name, "--service", service, "--listen", upstream, "--node", control]
-        self._spawn("standins.upstream", *arguments)
+        self.members[name] = Member(name, data, control, upstream)
+        self._services[name] = service
+        self.start(name)
         self.data_addresses.append(data)
         self.control_addresses.append(control)
         self.upstream_addresses.append(upstream)
+        return self.members[name]
+
+    def start(self, name: str) -> None:
+        """Starts the processes of a member, again if it was killed."""
+        member = self.members[name]
+        path = Path(self._folder.name) / f"{name}.json"
+        member.processes = [self._spawn("auburnsail._cli_node", str(path))]
+        if self._services[name]:
+            arguments = ["--name", name, "--service", self._services[name]]
+            arguments += ["--listen", member.upstream, "--node", member.control]
+            arguments += self.upstream_options
+            member.processes.append(self._spawn("standins.upstream", *arguments))
+
+    def kill(self, name: str) -> None:
+        """Kills a node and its upstream at once."""
+        member = self.members[name]
+        member.signal(signal.SIGKILL)
+        for process in member.processes:
+            process.wait()
+
+    def set_faults(self, **faults: object) -> None:
+        """Sets the faults of the platform stand-in; none restores it."""
+        body = msgspec.json.encode(faults)
+        self.platform.fetch("POST", "/admin/faults", body, timeout_s=2.0)
+
+    def wait_settled(self, owners: int) -> None:
+        """Waits until every member has a session and enough of them own shards."""
+
+        def settled() -> bool:
+            states = [member.get("/v1/status") for member in self.members.values()]
+            versions = {state["fleet_version"] for state in states}
+            holding = sum(state["shards"] > 0 for state in states)
+            watchers = min(3, len(states) - 1)
+            ready = all(s["may_serve"] and len(s["watchers"]) == watchers for s in states)
+            return len(versions) == 1 and ready and holding >= owners
+
+        wait_until(settled, "fleet start")
 
     def request(self, address: str, method: str, target: str, request_id: str) -> Answer:
         """Sends a request to a node."""
@@ -94,14 +182,17 @@
     def stop(self) -> None:
         """Ends all processes."""
         for process in self._processes:
+            process.send_signal(signal.SIGCONT)
             process.kill()
         for process in self._processes:
             process.wait()
         self._folder.cleanup()
 
-    def _spawn(self, module: str, *arguments: str) -> None:
+    def _spawn(self, module: str, *arguments: str) -> subprocess.Popen:
         command = [sys.executable, "-m", module, *arguments]
-        self._processes.append(subprocess.Popen(command, env=self._environ, cwd=ROOT))
+        process = subprocess.Popen(command, env=self._environ, cwd=ROOT, **self._output)
+        self._processes.append(process)
+        return process
 
     def _ok(self, peer: HttpPeer, target: str) -> bool:
         return peer.fetch("GET", target, timeout_s=1.0).status == 200
--- /dev/null
+++ b/tests/test_ownership.py
@@ -0,0 +1,121 @@
+"""Ownership with real processes: a killed node, a frozen node, a store that is down."""
+
+import signal
+import time
+import unittest
+
+import msgspec
+from gevent import socket
+
+from auburnsail._pool import HttpPeer
+from tests.fleet import LocalFleet, wait_until
+
+TREE = {"services": {"catalogue": {"keyed": True, "shards": 64}}}
+KEYS = [f"basket-{number}" for number in range(40)]
+PLACES = (("wien", "wien-1"), ("wien", "wien-2"), ("tirol", "tirol-1"), ("tirol", "tirol-2"))
+FREEZE_S = 2.0
+
+
+def _endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
+class OwnershipTest(unittest.TestCase):
+    """Four nodes in two regions; every test starts from a settled fleet."""
+
+    def setUp(self):
+        """Starts the fleet."""
+        self.fleet = LocalFleet(TREE, quiet=True)
+        self.addCleanup(self.fleet.stop)
+        for number, (region, domain) in enumerate(PLACES):
+            self.fleet.add_node(f"node-{number}", region, domain, "catalogue")
+        self.fleet.wait_settled(owners=len(PLACES))
+
+    def owner(self, key: str, asked: str) -> str:
+        """Returns the name of the node that owns a key, as another node knows it."""
+        place = self.fleet.members[asked].get(f"/v1/explain?service=catalogue&key={key}")
+        return place["owner"].split("#")[0]
+
+    def served_by(self, asked: str, key: str) -> str:
+        """Returns the upstream that served a key, empty if none did."""
+        address = self.fleet.members[asked].data
+        answer = self.fleet.request(address, "GET", f"/catalogue/{key}", f"{asked}-{key}")
+        return msgspec.json.decode(answer.body)["upstream"] if answer.status == 200 else ""
+
+    def ledger(self, name: str) -> list:
+        """Returns the executions of an upstream."""
+        peer = HttpPeer(self.fleet.members[name].upstream)
+        return msgspec.json.decode(peer.fetch("GET", "/admin/ledger", timeout_s=2.0).body)
+
+    def test_keys_of_a_killed_node_are_served_again_by_another(self):
+        """Guards against keys that stay with a lost node, and against a slow take-over."""
+        lost = [key for key in KEYS if self.owner(key, "node-0") == "node-3"]
+        start = time.monotonic()
+        self.fleet.kill("node-3")
+        for key in lost:
+            wait_until(lambda k=key: self.served_by("node-0", k) not in ("", "node-3"), key, 5)
+        self.assertTrue(lost)
+        self.assertLess(time.monotonic() - start, 2.0)
+        self.fleet.start("node-3")
+        status = self.fleet.members["node-3"].get
+        wait_until(lambda: status("/v1/status")["may_serve"], "return of the killed node")
+
+    def test_a_node_back_from_a_freeze_runs_nothing_under_its_old_epoch(self):
+        """Guards against a paused owner that goes on serving after its shards were given away."""
+        frozen = self.fleet.members["node-3"]
+        before = frozen.get("/v1/status")["session"]
+        lost = [key for key in KEYS if self.owner(key, "node-0") == "node-3"]
+        frozen.node.send_signal(signal.SIGSTOP)
+        with socket.create_connection(_endpoint(frozen.data), 1) as queued:
+            # The request waits in the frozen node's socket and is read when it wakes up.
+            request = f"GET /catalogue/{lost[0]} HTTP/1.1\r\nHost: x\r\nx-request-id: queued\r\n"
+            queued.sendall(request.encode() + b"\r\n")
+            time.sleep(FREEZE_S)
+            self.assertNotIn(self.served_by("node-0", lost[0]), ("", "node-3"))
+            frozen.node.send_signal(signal.SIGCONT)
+            queued.settimeout(5)
+            answer = queued.recv(65536)
+        self.assertNotIn(b'"upstream":"node-3"', answer)
+        self.assertEqual([e for e in self.ledger("node-3") if e["request_id"] == "queued"], [])
+        wait_until(lambda: frozen.get("/v1/status")["may_serve"], "return of the frozen node")
+        self.assertNotEqual(frozen.get("/v1/status")["session"], before)
+        self.assertEqual(frozen.get("/v1/health"), {"violation": ""})
+
+    def test_service_goes_on_while_the_store_is_down(self):
+        """Guards against leases or routing that need the store."""
+        owners = {key: self.owner(key, "node-0") for key in KEYS}
+        self.fleet.set_faults(down=True)
+        end = time.monotonic() + 3
+        while time.monotonic() < end:
+            for key in KEYS[:10]:
+                self.assertEqual(self.served_by("node-1", key), owners[key])
+        peer = self.fleet.members["node-0"].control
+        self.fleet.add_node("node-4", "wien", "wien-1", "catalogue", peers=[peer])
+        status = self.fleet.members["node-4"].get
+        wait_until(lambda: status("/v1/status")["fleet_version"] > 0, "logs from a peer")
+        self.assertEqual(self.served_by("node-4", KEYS[0]), owners[KEYS[0]])
+        self.fleet.kill("node-3")
+        time.sleep(1.5)
+        lost = next(key for key in KEYS if owners[key] == "node-3")
+        self.assertEqual(self.served_by("node-0", lost), "")
+        self.fleet.set_faults()
+        wait_until(lambda: self.served_by("node-0", lost) not in ("", "node-3"), "take-over", 5)
+
+    def test_a_stopped_node_moves_its_shards_and_cuts_off_nothing(self):
+        """Guards against requests lost or refused by a planned stop."""
+        stopped = self.fleet.members["node-3"]
+        before = {self.owner(key, "node-0") for key in KEYS}
+        stopped.node.send_signal(signal.SIGTERM)
+        refused = 0
+        end = time.monotonic() + 2
+        while time.monotonic() < end:
+            refused += sum(self.served_by("node-1", key) == "" for key in KEYS)
+        wait_until(lambda: stopped.node.poll() == 0, "end of the stopped node", 10)
+        self.assertIn("node-3", before)
+        self.assertNotIn("node-3", {self.owner(key, "node-0") for key in KEYS})
+        self.assertEqual(refused, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
