--- a/src/auburnsail/_moves.py
+++ b/src/auburnsail/_moves.py
@@ -190,7 +190,7 @@
                 settled = not self._owns(*key) or release.target not in self._fleet.sessions
             else:
                 waited_ns = now_ns - release.proposed_ns
-                settled = self._membership.is_settled(release.proposal)
+                settled = self._membership.recording.is_settled(release.proposal)
                 settled = settled or _rules.gives_up_on_outcome(waited_ns)
             if settled:
                 del self._releases[key]
@@ -212,8 +212,8 @@
             return
         epochs = tuple(self._fleet.epoch(service, shard) for shard in shards)
         command_id = f"transfer:{own_id}:{service}:{shards[0]}:{epochs[0]}"
-        self._membership.propose(
-            Transfer(command_id, service, own_id, target, tuple(shards), epochs)
+        self._membership.recording.propose(
+            (Transfer(command_id, service, own_id, target, tuple(shards), epochs),)
         )
         for shard in shards:
             release = self._releases[service, shard]
@@ -226,7 +226,7 @@
         if row is None:
             if self._stopping:
                 self._left = True
-                self._membership.leave(stopping=True)
+                self._membership.session.leave(stopping=True)
             elif self._left:
                 self._draining = ""
             return
@@ -239,7 +239,7 @@
         self._stuck = bool(owned) and not self._candidates(row.session.service)
         if (not owned or self._stuck) and not self._total and not self._releases:
             self._left = True
-            self._membership.leave(stopping=self._stopping)
+            self._membership.session.leave(stopping=self._stopping)
             self.notes.append(Note("drain", "leaving", {"shards_left": owned}))
 
     def _release_all(self, service: str, now_ns: int) -> None:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -122,7 +122,7 @@
             "phase": membership.session.phase.value,
             "service": row.session.service if row else "",
             "fleet_version": self._fleet.version,
-            "settings_version": membership.settings_version,
+            "settings_version": membership.replica.settings_version,
             "sessions": [str(session_id) for session_id in self._fleet.sessions],
             "watchers": [str(watcher) for watcher in lease.watchers] if lease else [],
             "lease_left_ms": (min(membership.expires_ns(), now_ns + 1_000_000_000) - now_ns)
@@ -132,7 +132,7 @@
             "in_flight": self._mover.in_flight,
             "moving": self._mover.moving,
             "draining": self._mover.draining,
-            "open_proposals": membership.open_proposals,
+            "open_proposals": membership.recording.pending,
             "violation": self._violation,
             "datagrams_sent": traffic.sent,
             "datagrams_received": traffic.received,
@@ -149,9 +149,9 @@
     def log_after(self, log: str, version: int) -> Records | None:
         """See `ControlledNode.log_after`."""
         if log == LogName.SETTINGS:
-            newest = self._membership.settings_version
-            return [(newest, self._membership.settings_data)] if newest > version else []
-        entries = self._membership.entries_after(version)
+            newest = self._membership.replica.settings_version
+            return [(newest, self._membership.replica.settings_data)] if newest > version else []
+        entries = self._membership.replica.entries_after(version)
         return None if entries is None else [(0, data) for data in entries]
 
     def checkpoint(self) -> bytes:
@@ -202,7 +202,7 @@
         self._take_notes()
 
     def _follow_upstream(self, now_ns: int) -> None:
-        if not self._fleet_loaded or not self._membership.settings_version:
+        if not self._fleet_loaded or not self._membership.replica.settings_version:
             return
         announcement = self._announcement
         silent_ns = now_ns - self._announced_ns
@@ -210,9 +210,9 @@
             self._lose_upstream("upstream does not announce itself")
             announcement = None
         if announcement is not None and announcement.state != "draining":
-            self._membership.want(announcement.service, announcement.slots)
+            self._membership.session.want(announcement.service, announcement.slots)
         elif now_ns - self._started_ns > ROUTE_ONLY_AFTER_MS * NS_PER_MS:
-            self._membership.want("", 0)
+            self._membership.session.want("", 0)
         if self._membership.session.differs(self._fleet):
             self._mover.drain("the upstream's service changed", stopping=False)
 
@@ -222,7 +222,7 @@
         self._log.warning(reason)
 
     def _report_waiting(self, now_ns: int) -> None:
-        if self._fleet_loaded and self._membership.settings_version:
+        if self._fleet_loaded and self._membership.replica.settings_version:
             return
         if now_ns - self._started_ns > WAITING_LOG_MS * NS_PER_MS:
             missing = "settings" if self._fleet_loaded else "fleet log"
--- /dev/null
+++ b/src/auburnsail/_outbox.py
@@ -0,0 +1,60 @@
+"""Collects the effects of one step of the decision code."""
+
+from collections.abc import Iterable
+
+from ._effects import Effect, Note, Post, Send
+from ._fleet import FleetState
+from ._messages import Codec, Message
+from ._model import SessionId
+
+__all__ = ["MAX_ENTRY_BYTES", "Outbox"]
+
+# An entry up to this size is pushed whole; tag, sender and counter come on top of it.
+MAX_ENTRY_BYTES = 1200
+MAX_DATAGRAM_BYTES = MAX_ENTRY_BYTES + 64
+
+
+class Outbox:
+    """Effects in the order in which they arose.
+
+    Args:
+        fleet: Knows the addresses of sessions.
+        codec: Encodes messages.
+    """
+
+    def __init__(self, fleet: FleetState, codec: Codec) -> None:
+        self._fleet = fleet
+        self._codec = codec
+        self._effects: list[Effect] = []
+
+    def add(self, *effects: Effect) -> None:
+        """Adds effects."""
+        self._effects.extend(effects)
+
+    def note(self, kind: str, reason: str, **facts: object) -> None:
+        """Adds a note for the journal."""
+        self._effects.append(Note(kind, reason, facts))
+
+    def send(self, address: str, message: Message) -> None:
+        """Sends a message to an address, over control HTTP if it is large."""
+        data = self._codec.encode(message)
+        is_small = len(data) <= MAX_DATAGRAM_BYTES
+        self._effects.append(Send(address, data) if is_small else Post(address, data))
+
+    def send_to(self, sessions: Iterable[SessionId], message: Message, but: str = "") -> None:
+        """Sends a message to open sessions.
+
+        Args:
+            sessions: The sessions.
+            message: The message.
+            but: An address to leave out.
+        """
+        for session_id in sessions:
+            row = self._fleet.sessions.get(session_id)
+            if row is not None and row.session.control_address != but:
+                self.send(row.session.control_address, message)
+
+    def drain(self) -> list[Effect]:
+        """Returns and clears the effects."""
+        effects, self._effects = self._effects, []
+        return effects
--- a/src/auburnsail/_watch.py
+++ b/src/auburnsail/_watch.py
@@ -78,7 +78,9 @@
     def name(self, holder: SessionId, other_watchers: int, now_ns: int) -> None:
         """Notes that the log names this session as a watcher of a holder."""
         row = self._rows.setdefault(holder, _Row(now_ns))
-        row.named = True
+        if not row.named:
+            row.heard_ns = now_ns
+            row.named = True
         self._others[holder] = other_watchers
 
     def forget(self, holder: SessionId) -> None:
