--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -8,7 +8,6 @@
 import gevent
 import structlog
 from gevent.event import Event
-from gevent.pywsgi import WSGIServer
 
 from ._checkpoint import dump_fleet
 from ._clock import NS_PER_MS, BootClock, Timers
@@ -17,6 +16,7 @@
 from ._fleet import FleetState
 from ._forward import ProxyApplication
 from ._gate import RequestGate
+from ._http_server import HttpServer
 from ._io import Callbacks, NodeIo, Records, UdpSocket
 from ._journal import Journal
 from ._membership import Membership
@@ -25,9 +25,10 @@
 from ._routing import Router
 from ._rules import TICK_MS
 from ._session import NodeFacts
-from ._settings import NodeSettings, TreeSettings, parse_jsonc
+from ._settings import NodeSettings, TreeSettings
 from ._shards import shard_of
 from ._store import HttpObjectStore, HttpTableStore
+from ._tree import parse_tree
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
@@ -77,7 +78,7 @@
         self._announced_ns = 0
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
-        self._servers: list[WSGIServer] = []
+        self._servers: list[HttpServer] = []
         self._stopped = Event()
         self._timers.subscribe("membership", TICK_MS, self._tick)
         self._timers.subscribe("upstream", TICK_MS, self._follow_upstream)
@@ -284,7 +285,7 @@
     def _on_settings(self, changed: SettingsChanged) -> None:
         source = f"settings version {changed.version}"
         try:
-            tree = parse_jsonc(changed.data.decode(), TreeSettings, source)
+            tree = parse_tree(changed.data.decode(), source, ignore_unknown=True)
         except (SettingsError, UnicodeDecodeError) as error:
             # An accepted version was checked before; one that this program cannot read keeps the
             # last tree in force and is reported.
@@ -341,7 +342,7 @@
             (self._settings.control_address, control),
         ):
             host, _, port = address.rpartition(":")
-            server = WSGIServer((host, int(port)), application, log=None, error_log=None)
+            server = HttpServer((host, int(port)), application, log=None, error_log=None)
             server.start()
             self._servers.append(server)
 
