Test the decision code under random faults and without single rules

A small fake of time, network and store drives the shipped decision code and checks after every event that no shard has two owners.

--- a/src/auburnsail/_lease.py
+++ b/src/auburnsail/_lease.py
@@ -28,6 +28,8 @@
         self._asked: dict[SessionId, int] = dict.fromkeys(watchers, now_ns)
         self._sealed: set[SessionId] = set()
         self._next_ns = 0
+        self._expires_ns = 0
+        self._refresh()
 
     @property
     def session(self) -> SessionId:
@@ -52,8 +54,7 @@
     @property
     def expires_ns(self) -> int:
         """End of the lease on the holder's own clock."""
-        sets = _rules.sets_to_satisfy(self._watchers, self._proposed)
-        return min(self._set_expires_ns(watchers) for watchers in sets)
+        return self._expires_ns
 
     def valid(self, now_ns: int) -> bool:
         """Whether the lease holds at a time."""
@@ -76,6 +77,7 @@
         start_ns = _rules.lease_start_ns(echo_ns, now_ns)
         if start_ns > self._starts.get(watcher, -1):
             self._starts[watcher] = start_ns
+            self._refresh()
 
     def probe(self, watchers: tuple[SessionId, ...]) -> None:
         """Sends renewals to possible watchers too, the first ones at once."""
@@ -92,6 +94,7 @@
         self._probed = ()
         for watcher in watchers:
             self._asked.setdefault(watcher, now_ns)
+        self._refresh()
 
     def settle(self, watchers: tuple[SessionId, ...], now_ns: int) -> None:
         """Takes over the watchers that the log names."""
@@ -100,6 +103,7 @@
         self._asked = {watcher: self._asked.get(watcher, now_ns) for watcher in watchers}
         self._starts = {w: start for w, start in self._starts.items() if w in watchers}
         self._sealed &= set(watchers)
+        self._refresh()
 
     def due(self, now_ns: int) -> tuple[SessionId, ...]:
         """Returns the watchers that a renewal has to be sent to now."""
@@ -121,6 +125,10 @@
         """Restarts the patience with all watchers, after a pause of this process."""
         self._asked = dict.fromkeys(self._asked, now_ns)
 
+    def _refresh(self) -> None:
+        sets = _rules.sets_to_satisfy(self._watchers, self._proposed)
+        self._expires_ns = min(self._set_expires_ns(watchers) for watchers in sets)
+
     def _set_expires_ns(self, watchers: tuple[SessionId, ...]) -> int:
         if not watchers:
             return FOREVER_NS
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -286,13 +286,13 @@
 
     def _on_renewal(self, message: Renewal, address: str, now_ns: int) -> None:
         watcher = self._watcher
-        if watcher is None or message.watcher != watcher.session:
+        if watcher is None or not _rules.is_same_watcher(message.watcher, watcher.session):
             return
         is_open = message.holder in self._fleet.sessions
         may_be_open = is_open or message.fleet > self._fleet.version
         may_be_open = may_be_open and message.holder not in self._fleet.ended
         acknowledged = may_be_open and watcher.on_renewal(message.holder, now_ns)
-        ids = (message.holder, watcher.session)
+        ids = (message.holder, message.watcher)
         versions = self._replica.versions
         self._outbox.send(address, Ack(*ids, message.sent_ns, not acknowledged, *versions))
 
--- a/src/auburnsail/_rules.py
+++ b/src/auburnsail/_rules.py
@@ -18,6 +18,7 @@
     "full_silence_ns",
     "gives_up_on_outcome",
     "is_definite",
+    "is_same_watcher",
     "lease_end_ns",
     "lease_start_ns",
     "may_ack_after_seal",
@@ -68,8 +69,16 @@
 
 
 def counts_as_watcher(session: SessionId, watchers: tuple[SessionId, ...]) -> bool:
-    """Whether a session is one of the watchers; a restarted one is another incarnation."""
-    return session in watchers
+    """Whether a session is one of the watchers."""
+    return any(is_same_watcher(named, session) for named in watchers)
+
+
+def is_same_watcher(named: SessionId, actual: SessionId) -> bool:
+    """Whether a session is the watcher that a holder named.
+
+    A restarted watcher is another incarnation: it does not remember what it has sealed.
+    """
+    return named == actual
 
 
 def may_ack_after_seal() -> bool:
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,142 @@
+"""The decision code of a fleet under random faults, and with single rules left out."""
+
+import unittest
+from unittest import mock
+
+from auburnsail import _rules
+from auburnsail._messages import Codec, Taken
+from auburnsail._model import Transfer
+from auburnsail._moves import Admission
+from auburnsail.exceptions import InvariantViolation
+from tests.sim import SECRET, SERVICE, SHARDS, DoubleOwnershipError, Sim
+
+FAULTS_MS = 15_000
+RULES = {
+    "a seal is final": ("may_ack_after_seal", lambda: True),
+    "full silence": ("full_silence_ns", lambda: 50_000_000),
+    "two seals": ("votes_to_close", lambda watchers: min(1, watchers)),
+    "echoed send time": ("lease_start_ns", lambda echo_ns, arrival_ns: arrival_ns),
+    "definite answer": ("gives_up_on_outcome", lambda waited_ns: waited_ns > 300_000_000),
+}
+
+
+def run_faults(seed: int) -> Sim:
+    """Runs a fleet through random faults, then lets it recover."""
+    sim = Sim(seed)
+    sim.lost_answers = 0.2
+    sim.run(4000)
+    end_ns = sim.now_ns + FAULTS_MS * 1_000_000
+    while sim.now_ns < end_ns:
+        sim.fault()
+        sim.run(sim.rng.uniform(50, 800))
+    sim.store_down = False
+    sim.run(8000)
+    return sim
+
+
+class RandomFaultsTest(unittest.TestCase):
+    """Six nodes in three regions."""
+
+    def test_no_shard_has_two_owners_and_all_are_served_in_the_end(self):
+        """Guards against two owners at one moment and against a fleet that stays stuck."""
+        for seed in range(1, 5):
+            with self.subTest(seed=seed):
+                self.assertEqual(run_faults(seed).served(), SHARDS)
+
+    def test_without_a_rule_two_owners_appear(self):
+        """Guards against a rule that protects nothing, or a check that cannot fail."""
+        for name, (attribute, replacement) in RULES.items():
+            with self.subTest(rule=name), mock.patch.object(_rules, attribute, replacement):
+                self.assertTrue(any(self.fails(seed) for seed in range(1, 40)))
+
+    def fails(self, seed: int) -> bool:
+        """Whether a run finds a violation."""
+        try:
+            run_faults(seed)
+        except (DoubleOwnershipError, InvariantViolation):
+            return True
+        return False
+
+
+class ScenarioTest(unittest.TestCase):
+    """Single events in a settled fleet."""
+
+    def setUp(self):
+        """Starts the fleet."""
+        self.sim = Sim(7, loss=0)
+        self.sim.run(5000)
+        self.assertEqual(self.sim.served(), SHARDS)
+
+    def test_lost_node_is_replaced_within_a_second(self):
+        """Guards against a slow close, also when the lost node ranks first as the recorder."""
+        for number in range(3):
+            self.sim.kill(number)
+            self.sim.run(1000)
+            self.assertEqual(self.sim.served(), SHARDS)
+            self.sim.start(number)
+            self.sim.run(4000)
+
+    def test_service_goes_on_without_the_store(self):
+        """Guards against leases that end with the store."""
+        self.sim.store_down = True
+        self.sim.run(10_000)
+        self.assertEqual(self.sim.served(), SHARDS)
+
+    def test_late_copy_of_a_transfer_moves_nothing(self):
+        """Guards against a repeated command that takes away shards which came back."""
+        one, other = self.sim.nodes[0], self.sim.nodes[1]
+        fleet, ids = one.fleet, (one.membership.own_id, other.membership.own_id)
+        shard = fleet.shards_of(fleet.sessions[ids[0]])[0]
+        copy = Transfer("copy", SERVICE, *ids, (shard,), (fleet.epoch(SERVICE, shard),))
+        for source, target in ((one, ids[1]), (other, ids[0])):
+            source.mover.move(SERVICE, [shard], target, source.now(self.sim.now_ns))
+            self.sim.run(400)
+            self.assertEqual(fleet.owner(SERVICE, shard).session.id, target)
+        other.membership.recording.propose((copy,))
+        self.sim.run(400)
+        self.assertTrue(other.membership.recording.is_settled("copy"))
+        self.assertEqual(fleet.owner(SERVICE, shard).session.id, ids[0])
+
+    def test_drain_waits_for_requests_in_flight(self):
+        """Guards against a shard that moves while its owner runs a request for it."""
+        node = self.sim.nodes[0]
+        own_id = node.membership.own_id
+        shard = node.fleet.shards_of(node.fleet.sessions[own_id])[0]
+        self.assertEqual(node.mover.admit(SERVICE, shard, node.now(self.sim.now_ns)), Admission.RUN)
+        node.mover.drain("test", stopping=True)
+        self.sim.run(2000)
+        self.assertEqual(node.fleet.owner(SERVICE, shard).session.id, own_id)
+        self.assertEqual(self.sim.served(), SHARDS - 1)
+        node.mover.leave(SERVICE, shard)
+        self.sim.run(1000)
+        self.assertTrue(node.mover.finished)
+        self.assertEqual(self.sim.served(), SHARDS)
+
+
+class CodecTest(unittest.TestCase):
+    """Datagrams from outside the fleet and repeated ones."""
+
+    def test_garbage_other_secrets_and_replays_are_rejected_and_counted(self):
+        """Guards against messages that no member of the fleet sent just now."""
+        codec = Codec(SECRET, 1)
+        sender = Codec(SECRET, 2)
+        data = sender.encode(Taken("a"))
+        self.assertEqual(codec.decode(data), Taken("a"))
+        self.assertIsNone(codec.decode(data))
+        self.assertIsNone(codec.decode(b""))
+        self.assertIsNone(codec.decode(data[:-1] + bytes([data[-1] ^ 1])))
+        self.assertIsNone(codec.decode(Codec("another secret of it", 2).encode(Taken("a"))))
+        self.assertIsNone(codec.decode(codec.seal(b"\xc1")))
+        self.assertEqual(codec.rejected, {"replay": 1, "tag": 3, "format": 1})
+
+    def test_reordered_messages_are_accepted_once(self):
+        """Guards against a replay window that drops what the network reordered."""
+        sender, codec = Codec(SECRET, 2), Codec(SECRET, 1)
+        sent = [sender.encode(Taken(str(number))) for number in range(70)]
+        order = [*range(69, 10, -1), 3, *range(69, 60, -1)]
+        accepted = [number for number in order if codec.decode(sent[number])]
+        self.assertEqual(accepted, list(range(69, 10, -1)))
+
+
+if __name__ == "__main__":
+    unittest.main()
