--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench
+.PHONY: test unit check format bench recovery control-cost
 
 .venv: .venv/.installed
 
@@ -25,5 +25,11 @@
 
 test: check unit
 
+recovery: .venv
+	$(PY) -m tools.recovery
+
+control-cost: .venv
+	$(PY) -m tools.control_cost
+
 bench: .venv
 	$(PY) -m tools.bench
