Propose, review and accept settings changes with settled outcomes

Cause: the settings log could only be initialised, and a lost answer left the operator without a verdict.

Change: proposals are rows that change conditionally, one event per write. An acceptance notes its intent in the row first and then appends conditionally, so any later command can settle it. Rebase, revert and the self-review rule work on value edits; comments and order are kept through json-five. Values that are fixed once the fleet has started are refused, and an acceptance of one is conditional on an empty fleet log. `VersionedLog.append` takes further checks for that. Records name the digest of their predecessor, and `tree_of` gives nodes the tree of a record.

--- /dev/null
+++ b/src/auburnsail/_document_edit.py
@@ -0,0 +1,196 @@
+"""Edits JSON with comments through json-five's round-trip model.
+
+Whitespace and comments belong to the token that follows them: a comment at the end of a member's
+line is stored before the next key, or after the last value.
+"""
+
+import msgspec
+from json5.model import Comment, JSONObject, LineComment, Node
+from msgspec import UNSET
+
+from ._document import dump, find, load
+from ._edits import Edit, Path, edits_between, flatten, path_text
+from ._settings import decode_jsonc
+from .exceptions import SettingsError
+
+__all__ = ["apply_edits"]
+
+INDENT = "  "
+
+Space = list[str | Comment]
+
+
+def apply_edits(text: str, edits: tuple[Edit, ...], comments_from: str = "") -> str:
+    """Returns a document with edits applied; everything else keeps its order and comments.
+
+    Args:
+        text: A valid document.
+        edits: Their old values are not compared.
+        comments_from: A document whose comments above added or changed members are taken over.
+
+    Raises:
+        SettingsError: The document could not be edited.
+    """
+    document = load(text)
+    source = load(comments_from).value if comments_from else None
+    removed = [edit for edit in edits if edit.new is UNSET]
+    for edit in sorted(removed, key=lambda edit: len(edit.path), reverse=True):
+        _remove(document.value, edit.path)
+    for edit in sorted((edit for edit in edits if edit.new is not UNSET), key=lambda e: e.path):
+        _set(document.value, edit, _comments_above(source, edit.path) if source else [])
+    edited = dump(document)
+    _verify(text, edits, edited)
+    return edited
+
+
+def _verify(text: str, edits: tuple[Edit, ...], edited: str) -> None:
+    expected = flatten(decode_jsonc(text, "document"))
+    for edit in edits:
+        if edit.new is UNSET:
+            expected.pop(edit.path, None)
+        else:
+            expected[edit.path] = edit.new
+    result = flatten(decode_jsonc(edited, "edited document"))
+    if result != expected:
+        paths = ", ".join(path_text(edit.path) for edit in edits)
+        raise SettingsError(f"the document could not be edited at {paths}", step="settings.edit")
+
+
+def _set(root: Node, edit: Edit, comments: list[Comment]) -> None:
+    node, indent = root, ""
+    for name in edit.path[:-1]:
+        position = find(node, name)
+        if position is None:
+            _insert(node, indent, name, _value({}), [])
+            position = find(node, name)
+        indent = _member_indent(node, indent)
+        node = node.values[position]
+    position = find(node, edit.path[-1])
+    if position is None:
+        _insert(node, indent, edit.path[-1], _value(edit.new), comments)
+    elif edit.new != {}:
+        value, old = _value(edit.new), node.values[position]
+        value.wsc_before, value.wsc_after = old.wsc_before, old.wsc_after
+        node.values[position] = value
+
+
+def _insert(
+    node: JSONObject, outer_indent: str, name: str, value: Node, comments: list[Comment]
+) -> None:
+    key = _value(name)
+    value.wsc_before = [" "]
+    indent = _member_indent(node, outer_indent)
+    is_multi_line = not node.keys or _is_multi_line(node)
+    lead: Space = [f"\n{indent}"] if is_multi_line else [" "]
+    if is_multi_line:
+        lead += [part for comment in comments for part in (comment, f"\n{indent}")]
+    if not node.keys:
+        kept = _without_last_space(node.leading_wsc)
+        node.leading_wsc = kept + lead
+        value.wsc_after = [f"\n{outer_indent}"]
+    else:
+        holder = node.trailing_comma or node.values[-1]
+        same_line, rest = _split(holder.wsc_after)
+        if any(isinstance(part, LineComment) for part in same_line) and not is_multi_line:
+            lead = [f"\n{indent}"]
+        holder.wsc_after = []
+        key.wsc_before = same_line + lead
+        if node.trailing_comma:
+            node.trailing_comma.wsc_after = rest
+        else:
+            value.wsc_after = rest
+    node.keys.append(key)
+    node.values.append(value)
+
+
+def _remove(root: Node, path: Path) -> None:
+    node = root
+    for name in path[:-1]:
+        position = find(node, name) if isinstance(node, JSONObject) else None
+        if position is None:
+            return
+        node = node.values[position]
+    position = find(node, path[-1])
+    if position is None:
+        return
+    is_first, is_last = position == 0, position == len(node.keys) - 1
+    before = node.leading_wsc if is_first else node.keys[position].wsc_before
+    kept = _kept_before(before)
+    if not is_last:
+        following = node.keys[position + 1].wsc_before
+    else:
+        following = (node.trailing_comma or node.values[position]).wsc_after
+    _, rest = _split(following)
+    del node.keys[position], node.values[position]
+    if not is_last:
+        if is_first:
+            node.keys[0].wsc_before = []
+            node.leading_wsc = kept + rest if _has_newline(rest) else before
+        else:
+            node.keys[position].wsc_before = kept + rest
+    elif is_first:
+        node.trailing_comma = None
+        space = kept + rest
+        node.leading_wsc = space if any(isinstance(part, Comment) for part in space) else []
+    elif node.trailing_comma:
+        node.trailing_comma.wsc_after = kept + rest
+    else:
+        node.values[-1].wsc_after = node.values[-1].wsc_after + kept + rest
+
+
+def _comments_above(node: Node, path: Path) -> list[Comment]:
+    position = None
+    for depth, name in enumerate(path):
+        position = find(node, name) if isinstance(node, JSONObject) else None
+        if position is None:
+            return []
+        if depth < len(path) - 1:
+            node = node.values[position]
+    before = node.leading_wsc if position == 0 else node.keys[position].wsc_before
+    own = _split(before)[1]
+    kept = len(_kept_before(before)) - len(_split(before)[0])
+    return [part for part in own[kept:] if isinstance(part, Comment)]
+
+
+def _kept_before(space: Space) -> Space:
+    """Returns what stays when the member after it goes: all up to the last blank line."""
+    same_line, own = _split(space)
+    blank = [at for at, part in enumerate(own) if isinstance(part, str) and part.count("\n") > 1]
+    has_comment_above = bool(blank) and any(isinstance(part, Comment) for part in own[: blank[-1]])
+    return same_line + own[: blank[-1]] if has_comment_above else same_line
+
+
+def _split(space: Space) -> tuple[Space, Space]:
+    """Divides space into the rest of the line before it, and what follows from the line's end."""
+    for position, part in enumerate(space):
+        if isinstance(part, str) and "\n" in part:
+            return space[:position], space[position:]
+    return [], space
+
+
+def _has_newline(space: Space) -> bool:
+    return any(isinstance(part, str) and "\n" in part for part in space)
+
+
+def _without_last_space(space: Space) -> Space:
+    return space[:-1] if space and isinstance(space[-1], str) else space
+
+
+def _is_multi_line(node: JSONObject) -> bool:
+    return _has_newline(node.leading_wsc) or any(_has_newline(key.wsc_before) for key in node.keys)
+
+
+def _member_indent(node: JSONObject, outer_indent: str) -> str:
+    for space in (node.leading_wsc, *(key.wsc_before for key in node.keys)):
+        if space and isinstance(space[-1], str) and "\n" in space[-1]:
+            return space[-1].rpartition("\n")[2]
+    return outer_indent + INDENT
+
+
+def _value(content: object) -> Node:
+    return load(msgspec.json.encode(content).decode()).value
+
+
+def edits_of(old_text: str, new_text: str) -> tuple[Edit, ...]:
+    """Returns the edits between two valid documents."""
+    return edits_between(decode_jsonc(old_text, "old"), decode_jsonc(new_text, "new"))
--- a/src/auburnsail/_log.py
+++ b/src/auburnsail/_log.py
@@ -51,19 +51,22 @@
         row = self._store.read(self._record_key(version))
         return msgspec.msgpack.decode(row.value, type=LogRecord) if row else None
 
-    def append(self, expected: int, append_id: str, data: bytes) -> int:
+    def append(
+        self, expected: int, append_id: str, data: bytes, checks: tuple[Check, ...] = ()
+    ) -> int:
         """Appends a record if the log's version is still the expected one.
 
         Args:
             expected: Version that the record builds on.
             append_id: The same for every attempt to append this record.
             data: The record's content.
+            checks: Further conditions; they must be such that they never hold again once broken.
 
         Returns:
             The version of the record.
 
         Raises:
-            ConflictError: Another record took the place.
+            ConflictError: Another record took the place, or a further condition does not hold.
             StoreUnavailableError: The record was not written by this call.
             OutcomeUnknownError: The record may have been written; append again with the same
                 arguments until the outcome is definite.
@@ -71,7 +74,7 @@
         version = expected + 1
         record = msgspec.msgpack.encode(LogRecord(version, append_id, data))
         transaction = Transaction(
-            (Check(f"{self._name}/head", expected),),
+            (Check(f"{self._name}/head", expected), *checks),
             (
                 Put(f"{self._name}/head", append_id.encode()),
                 Put(self._record_key(version), record),
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -24,9 +24,9 @@
 )
 from ._routing import Router
 from ._settings import NodeSettings, TreeSettings
+from ._settings_log import tree_of
 from ._shards import NO_OWNER
 from ._store import HttpTableStore
-from ._tree import parse_tree
 from .exceptions import AuburnsailError, ConflictError, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
@@ -103,7 +103,7 @@
                 step="settings.load",
                 peer=self._settings.store_url,
             )
-        return parse_tree(record.data.decode(), f"settings version {head}", ignore_unknown=True)
+        return tree_of(record)
 
     def _upstream_address(self) -> str | None:
         return self._announcement.address if self._announcement else None
--- /dev/null
+++ b/src/auburnsail/_settings_log.py
@@ -0,0 +1,133 @@
+"""Records of the settings log."""
+
+import hashlib
+
+import msgspec
+
+from ._edits import Edit
+from ._log import LogRecord, VersionedLog
+from ._settings import TreeSettings
+from ._settle import Patience, until_definite
+from ._store import TableStore
+from ._tree import parse_tree
+from .exceptions import RefusedError, SettingsError
+
+__all__ = [
+    "SETTINGS_LOG",
+    "SettingsHistory",
+    "SettingsRecord",
+    "decode_settings",
+    "digest_of",
+    "tree_of",
+]
+
+SETTINGS_LOG = "settings"
+DIGEST_BYTES = 16
+
+
+class SettingsRecord(msgspec.Struct, frozen=True):
+    """One accepted change and the whole tree after it.
+
+    Attributes:
+        parent: Digest of the record before, empty for the first.
+        proposal: Id of the proposal, empty for the first version.
+        title: What the change is for.
+        authors: Who wrote the proposal.
+        reviewers: Who approved it.
+        accepted_by: Who accepted it.
+        accepted_at: Time of the acceptance in UTC, ISO 8601.
+        edits: Values that the change touched.
+        origins: Version that last touched each stated value, by path.
+        text: The tree, JSON with comments.
+    """
+
+    parent: bytes
+    proposal: str
+    title: str
+    authors: tuple[str, ...]
+    reviewers: tuple[str, ...]
+    accepted_by: str
+    accepted_at: str
+    edits: tuple[Edit, ...]
+    origins: dict[str, int]
+    text: str
+
+
+def digest_of(data: bytes) -> bytes:
+    """Returns the digest by which a record names the encoded record before it."""
+    return hashlib.blake2s(data, digest_size=DIGEST_BYTES).digest()
+
+
+def decode_settings(record: LogRecord) -> SettingsRecord:
+    """Returns the content of a record of the settings log.
+
+    Raises:
+        SettingsError: The record is not valid.
+    """
+    try:
+        return msgspec.msgpack.decode(record.data, type=SettingsRecord)
+    except msgspec.DecodeError as error:
+        raise SettingsError(
+            f"version {record.version} is not a settings record: {error}", step="settings.decode"
+        ) from error
+
+
+def tree_of(record: LogRecord) -> TreeSettings:
+    """Returns the tree that a record puts into force, as a node reads it.
+
+    Raises:
+        SettingsError: The record or its tree is not valid.
+    """
+    source = f"settings version {record.version}"
+    return parse_tree(decode_settings(record).text, source, ignore_unknown=True)
+
+
+class SettingsHistory:
+    """Reads the accepted versions.
+
+    Args:
+        store: The table.
+        patience: Bounds repeated attempts.
+    """
+
+    def __init__(self, store: TableStore, patience: Patience) -> None:
+        self._log = VersionedLog(store, SETTINGS_LOG)
+        self._patience = patience
+
+    def head(self) -> int:
+        """Returns the version in force, 0 before the first."""
+        return until_definite(self._log.head, self._patience)
+
+    def log_record(self, version: int) -> LogRecord:
+        """Returns a stored record.
+
+        Raises:
+            RefusedError: There is no such version.
+        """
+        record = until_definite(lambda: self._log.read(version), self._patience)
+        if record is None:
+            detail = f"there is no version {version}"
+            if version == 0:
+                detail = "there are no settings; run `auburnsail settings init`"
+            raise RefusedError(detail, step="settings.read")
+        return record
+
+    def record(self, version: int) -> SettingsRecord:
+        """Returns an accepted version.
+
+        Raises:
+            RefusedError: There is no such version.
+        """
+        return decode_settings(self.log_record(version))
+
+    def records_after(self, version: int) -> list[tuple[int, SettingsRecord]]:
+        """Returns all versions that follow one."""
+        found: list[tuple[int, SettingsRecord]] = []
+        while True:
+            after = found[-1][0] if found else version
+            records = until_definite(
+                lambda after=after: self._log.read_after(after), self._patience
+            )
+            if not records:
+                return found
+            found += [(record.version, decode_settings(record)) for record in records]
--- /dev/null
+++ b/src/auburnsail/_settle.py
@@ -0,0 +1,84 @@
+"""Repeats conditional writes until their outcome is definite.
+
+A write may take effect while its answer is lost, or some time later. Reading the row back proves
+nothing while the write is absent; sending the same conditional write again does: it either takes
+effect, or fails because its condition no longer holds, and then no earlier attempt can succeed.
+"""
+
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import TypeVar
+
+from ._store import Committed, Conflict, TableStore, Transaction
+from .exceptions import OutcomeUnknownError, StoreUnavailableError
+
+__all__ = ["Patience", "commit_until_definite", "until_definite"]
+
+T = TypeVar("T")
+
+FIRST_PAUSE_S = 0.05
+LONGEST_PAUSE_S = 1.0
+
+
+@dataclass(slots=True)
+class Patience:
+    """How long a command repeats its reads and writes.
+
+    Attributes:
+        budget_s: Time for the whole command in seconds.
+        now_s: Monotonic clock in seconds.
+        sleep_s: Waits for a number of seconds.
+    """
+
+    budget_s: float
+    now_s: Callable[[], float] = time.monotonic
+    sleep_s: Callable[[float], None] = time.sleep
+    _end_s: float | None = None
+    _pause_s: float = FIRST_PAUSE_S
+
+    def wait(self) -> bool:
+        """Pauses before a further attempt; returns False once the budget is used up."""
+        now_s = self.now_s()
+        if self._end_s is None:
+            self._end_s = now_s + self.budget_s
+        if now_s + self._pause_s > self._end_s:
+            return False
+        self.sleep_s(self._pause_s)
+        self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
+        return True
+
+
+def until_definite(attempt: Callable[[], T], patience: Patience) -> T:
+    """Repeats an operation until it succeeds or fails definitely.
+
+    Args:
+        attempt: A read, or a conditional write that is the same each time.
+        patience: Bounds the repetition.
+
+    Raises:
+        ConflictError: The write lost; it has not taken effect and never will.
+        StoreUnavailableError: Nothing was written, and the patience is used up.
+        OutcomeUnknownError: The write may have taken effect or may still do so.
+    """
+    is_unknown = False
+    while True:
+        try:
+            return attempt()
+        except StoreUnavailableError as error:
+            failure = error
+        except OutcomeUnknownError as error:
+            failure, is_unknown = error, True
+        if not patience.wait():
+            if is_unknown:
+                raise OutcomeUnknownError(
+                    f"outcome not settled: {failure.detail}", step=failure.step, peer=failure.peer
+                ) from failure
+            raise failure
+
+
+def commit_until_definite(
+    store: TableStore, transaction: Transaction, patience: Patience
+) -> Committed | Conflict:
+    """Commits a transaction; see `until_definite` for what it raises."""
+    return until_definite(lambda: store.commit(transaction), patience)
