Add the settings commands with one set of exit codes

Change: `settings init | propose | diff | review | accept | reject | rebase | revert | show | explain | history | log`, each with `--json`, over `SettingsChanges`. Exit codes are 0 done, 1 refused, 2 input, 3 unavailable or not settled. `show` names the version in its first line and `propose FILE` builds on it, so that a file edited for a while cannot undo newer changes.

Conclusion: the whole life of a change runs from the command line.

--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -345,7 +345,7 @@
     def _intent(self, proposal: Proposal) -> Intent:
         head = self._history.log_record(proposal.base)
         version = proposal.base + 1
-        origins = dict(decode_settings(head).origins)
+        origins = dict(decode_settings(head.version, head.data).origins)
         for edit in proposal.edits:
             origins.pop(path_text(edit.path), None)
             if edit.new is not msgspec.UNSET:
--- /dev/null
+++ b/src/auburnsail/_cli_common.py
@@ -0,0 +1,187 @@
+"""Options, output and exit codes that the operators' commands share."""
+
+import os
+import sys
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass
+from functools import wraps
+from pathlib import Path
+
+import click
+import msgspec
+
+from ._changes import SettingsChanges
+from ._conflicts import SettingsConflictError
+from ._edits import Edit
+from ._settle import Patience
+from ._store import HttpTableStore
+from .exceptions import (
+    AuburnsailError,
+    NotRunError,
+    OutcomeUnknownError,
+    SettingsError,
+    StoreUnavailableError,
+)
+
+__all__ = [
+    "EXIT_CODES",
+    "Output",
+    "changes_of",
+    "common_options",
+    "print_table",
+    "read_file",
+    "store_options",
+]
+
+EXIT_REFUSED = 1
+EXIT_INPUT = 2
+EXIT_UNSETTLED = 3
+EXIT_CODES = (
+    "Exit codes: 0 done; 1 refused, or lost against another change; 2 bad input or usage;"
+    " 3 store or node unavailable, or outcome not settled (run the same command again)."
+)
+DEFAULT_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class Output:
+    """Prints text for people or JSON for programs."""
+
+    as_json: bool
+
+    def show(self, content: object, lines: Iterable[str]) -> None:
+        """Prints content as JSON, or the lines that say the same."""
+        if self.as_json:
+            click.echo(msgspec.json.format(msgspec.json.encode(content), indent=2))
+        else:
+            for line in lines:
+                click.echo(line)
+
+
+def common_options(command: Callable) -> Callable:
+    """Adds ``--json`` and ends the program with the documented exit code on errors."""
+
+    @click.option("--json", "as_json", is_flag=True, help="Print JSON.")
+    @wraps(command)
+    def run(*arguments, as_json: bool, **options):
+        try:
+            return command(*arguments, output=Output(as_json), **options)
+        except AuburnsailError as error:
+            _fail(error, as_json)
+
+    run.__doc__ = f"{command.__doc__}\n\n{EXIT_CODES}"
+    return run
+
+
+def store_options(command: Callable) -> Callable:
+    """Adds the options of commands that use the store."""
+    for option in (
+        click.option(
+            "--timeout-s",
+            type=click.FloatRange(0.0, 3600.0),
+            default=DEFAULT_TIMEOUT_S,
+            show_default=True,
+            help="How long to try until the outcome is definite.",
+        ),
+        click.option(
+            "--as",
+            "operator",
+            envvar="AUBURNSAIL_OPERATOR",
+            default="",
+            help="Who you are; or AUBURNSAIL_OPERATOR.",
+        ),
+        click.option(
+            "--store",
+            envvar="AUBURNSAIL_STORE",
+            required=True,
+            help="Base URL of the table service; or AUBURNSAIL_STORE.",
+        ),
+    ):
+        command = option(command)
+    return command
+
+
+def changes_of(store: str, operator: str, timeout_s: float, *, acts: bool) -> SettingsChanges:
+    """Returns the operations on the settings.
+
+    Args:
+        store: Base URL of the table service.
+        operator: Who acts.
+        timeout_s: Budget for repeated attempts in seconds.
+        acts: Whether the command changes something, so that the operator must be named.
+
+    Raises:
+        click.UsageError: Nobody is named, or the URL is not one.
+    """
+    if acts and not operator.strip():
+        raise click.UsageError("name yourself with --as NAME or AUBURNSAIL_OPERATOR")
+    try:
+        table = HttpTableStore(store)
+    except ValueError:
+        raise click.UsageError(f"--store {store!r} is not of the form http://IP:PORT") from None
+    return SettingsChanges(table, operator.strip(), Patience(timeout_s))
+
+
+def read_file(path: Path) -> str:
+    """Returns the text of a file; ``-`` means standard input.
+
+    Raises:
+        SettingsError: It cannot be read.
+    """
+    if str(path) == "-":
+        return sys.stdin.read()
+    try:
+        return path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(str(error), step="settings.read", peer=str(path)) from error
+
+
+def print_table(header: Sequence[str], rows: Iterable[Sequence[object]]) -> list[str]:
+    """Returns the lines of a table with aligned columns."""
+    cells = [list(header), *([_cell(value) for value in row] for row in rows)]
+    widths = [max(len(row[column]) for row in cells) for column in range(len(header))]
+    return [
+        "  ".join(text.ljust(width) for text, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
+    ]
+
+
+def _cell(value: object) -> str:
+    if value is None or value == "":
+        return "-"
+    return ", ".join(map(str, value)) if isinstance(value, tuple | list) else str(value)
+
+
+def _edit_lines(title: str, edits: tuple[Edit, ...]) -> list[str]:
+    return [title, *(f"  {edit}" for edit in edits)] if edits else []
+
+
+def _fail(error: AuburnsailError, as_json: bool) -> None:
+    match error:
+        case SettingsError():
+            code = EXIT_INPUT
+        case StoreUnavailableError() | OutcomeUnknownError() | NotRunError():
+            code = EXIT_UNSETTLED
+        case _:
+            code = EXIT_REFUSED
+    newer, overlapping = (), ()
+    if isinstance(error, SettingsConflictError):
+        newer, overlapping = error.newer, error.overlapping
+    if as_json:
+        content = {
+            "error": type(error).__name__,
+            "detail": error.detail,
+            "step": error.step,
+            "peer": error.peer,
+            "newer": newer,
+            "overlapping": overlapping,
+            "exit_code": code,
+        }
+        click.echo(msgspec.json.format(msgspec.json.encode(content), indent=2))
+    lines = [
+        f"auburnsail: {error}",
+        *_edit_lines("accepted since then:", newer),
+        *_edit_lines("of which this change touches too:", overlapping),
+    ]
+    click.echo(os.linesep.join(lines), err=True)
+    sys.exit(code)
--- a/src/auburnsail/_cli_operator.py
+++ b/src/auburnsail/_cli_operator.py
@@ -1,38 +1,26 @@
 """The auburnsail program for operators."""
 
-import secrets
-from pathlib import Path
-
 import click
 
-from ._log import VersionedLog
-from ._store import HttpTableStore
-from ._tree import parse_tree
+from . import _cli_settings, _cli_settings_read
+from ._cli_common import EXIT_CODES
 
 __all__ = ["main"]
 
 
-@click.group()
+@click.group(epilog=EXIT_CODES)
 @click.version_option(package_name="auburnsail")
 def main() -> None:
     """Operates a fleet."""
 
 
-@main.group()
+@main.group(epilog=EXIT_CODES)
 def settings() -> None:
-    """Proposes, reviews and accepts changes of the settings tree."""
-
-
-@settings.command()
-@click.option("--store", required=True, help="Base URL of the table service.")
-@click.argument("file", type=click.Path(path_type=Path, exists=True))
-def init(store: str, file: Path) -> None:
-    """Writes the first version of the settings tree."""
-    text = file.read_text(encoding="utf-8")
-    parse_tree(text, str(file))
-    log = VersionedLog(HttpTableStore(store), "settings")
-    version = log.append(0, secrets.token_hex(8), text.encode())
-    click.echo(f"settings version {version} is in force")
+    """Proposes, reviews, accepts and explains changes of the settings tree."""
+
+
+for _command in (*_cli_settings.COMMANDS, *_cli_settings_read.COMMANDS):
+    settings.add_command(_command)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/auburnsail/_cli_settings.py
@@ -0,0 +1,236 @@
+"""Commands that change the settings tree."""
+
+import re
+from pathlib import Path
+
+import click
+
+from ._changes import SettingsChanges
+from ._cli_common import changes_of, common_options, print_table, read_file, store_options
+from ._edits import Edit, edits_between, set_edits, unset_edits
+from ._proposals import Proposal, review_problem, text_diff
+from ._settings import decode_jsonc
+from .exceptions import SettingsError
+
+__all__ = ["COMMANDS", "VERSION_LINE", "proposal_facts"]
+
+VERSION_LINE = "// settings version {version}\n"
+_VERSION_PATTERN = re.compile(r"// settings version (\d+)\r?\n")
+
+FILE = click.Path(path_type=Path, dir_okay=False)
+
+
+@click.command()
+@click.argument("file", type=FILE)
+@store_options
+@common_options
+def init(file, store, operator, timeout_s, output) -> None:
+    """Puts FILE into force as the first version of the settings tree."""
+    changes = changes_of(store, operator or "setup", timeout_s, acts=True)
+    version = changes.initialise(read_file(file), str(file))
+    output.show({"version": version}, [f"settings version {version} is in force"])
+
+
+@click.command()
+@click.argument("file", type=FILE, required=False)
+@click.option("--set", "sets", multiple=True, metavar="PATH=VALUE", help="State a value.")
+@click.option("--unset", "unsets", multiple=True, metavar="PATH", help="Inherit a value again.")
+@click.option("--title", default="", help="What the change is for.")
+@click.option("--base", type=int, help="Version that FILE was edited from.")
+@click.option("--amend", metavar="ID", help="Replace the content of this open proposal.")
+@click.option("--id", "proposal_id", default="", help="Id to use, to repeat a lost command.")
+@store_options
+@common_options
+def propose(
+    file, sets, unsets, title, base, amend, proposal_id, store, operator, timeout_s, output
+) -> None:
+    """Proposes a change: a whole edited FILE, or single values with --set and --unset.
+
+    FILE comes from `auburnsail settings show`, whose first line names the version.
+    """
+    if bool(file) == bool(sets or unsets):
+        raise click.UsageError("give either FILE, or --set and --unset")
+    if not (title or amend):
+        raise click.UsageError("say what the change is for with --title")
+    changes = changes_of(store, operator, timeout_s, acts=True)
+    if file:
+        text, marked = _without_version(read_file(file))
+        base, source = marked if base is None else base, str(file)
+        if base is None:
+            raise click.UsageError("name the version that FILE was edited from with --base")
+    else:
+        base, text = _edited(changes, sets, unsets, amend)
+        source = "edited tree"
+    if amend:
+        proposal = changes.amend(amend, text, source, base)
+    else:
+        proposal = changes.propose(title, text, source, base, proposal_id)
+    output.show(proposal_facts(proposal), _proposal_lines(proposal))
+
+
+@click.command()
+@click.argument("proposal", metavar="ID", required=False)
+@click.option("--from", "old", type=int, help="Compare this version instead of a proposal ...")
+@click.option("--to", "new", type=int, help="... with this one.")
+@store_options
+@common_options
+def diff(proposal, old, new, store, operator, timeout_s, output) -> None:
+    """Shows what a proposal changes, or the difference of two versions."""
+    changes = changes_of(store, operator, timeout_s, acts=False)
+    if proposal:
+        found = changes.proposals.read(proposal)
+        lines = text_diff(found.base_text, found.text, f"version {found.base}", proposal)
+        content = {**proposal_facts(found), "diff": lines}
+        output.show(content, [*_proposal_lines(found), "", *lines])
+        return
+    if old is None or new is None:
+        raise click.UsageError("give a proposal's ID, or --from and --to")
+    texts = [changes.history.record(version).text for version in (old, new)]
+    edits = _edits_between_texts(*texts)
+    lines = text_diff(*texts, f"version {old}", f"version {new}")
+    output.show({"edits": edits, "diff": lines}, [*map(str, edits), "", *lines])
+
+
+@click.command()
+@click.argument("proposal", metavar="ID")
+@click.option("--approve", "verdict", flag_value="approve", help="Approve the content.")
+@click.option("--object", "verdict", flag_value="object", help="Block the acceptance.")
+@click.option("--note", default="", help="Comment for the authors.")
+@click.option("--content", default="", help="Digest that `diff` printed, to review just that.")
+@store_options
+@common_options
+def review(proposal, verdict, note, content, store, operator, timeout_s, output) -> None:
+    """Approves a proposal or objects to it; the newest verdict of a person counts."""
+    if verdict is None:
+        raise click.UsageError("give --approve or --object")
+    changes = changes_of(store, operator, timeout_s, acts=True)
+    found = changes.review(proposal, verdict, note, content)
+    output.show(proposal_facts(found), _proposal_lines(found))
+
+
+@click.command()
+@click.argument("proposal", metavar="ID")
+@click.option("--base", type=int, help="Version that you expect the change to build on.")
+@store_options
+@common_options
+def accept(proposal, base, store, operator, timeout_s, output) -> None:
+    """Puts an approved proposal into force as the version after the one it builds on.
+
+    If the outcome is not settled, the same command settles it later.
+    """
+    changes = changes_of(store, operator, timeout_s, acts=True)
+    found = changes.accept(proposal, base)
+    output.show(proposal_facts(found), [f"settings version {found.version} is in force"])
+
+
+@click.command()
+@click.argument("proposal", metavar="ID")
+@click.option("--note", default="", help="Why.")
+@store_options
+@common_options
+def reject(proposal, note, store, operator, timeout_s, output) -> None:
+    """Closes a proposal without accepting it."""
+    changes = changes_of(store, operator, timeout_s, acts=True)
+    found = changes.reject(proposal, note)
+    output.show(proposal_facts(found), _proposal_lines(found))
+
+
+@click.command()
+@click.argument("proposal", metavar="ID")
+@store_options
+@common_options
+def rebase(proposal, store, operator, timeout_s, output) -> None:
+    """Moves a proposal onto the version in force, if the two touch different values.
+
+    Approvals stay if the change is the same as before.
+    """
+    changes = changes_of(store, operator, timeout_s, acts=True)
+    found = changes.rebase(proposal)
+    output.show(proposal_facts(found), _proposal_lines(found))
+
+
+@click.command()
+@click.argument("version", type=int)
+@click.option("--whole", is_flag=True, help="Return to VERSION, undoing all that came after it.")
+@click.option("--title", default="", help="Why.")
+@store_options
+@common_options
+def revert(version, whole, title, store, operator, timeout_s, output) -> None:
+    """Proposes to undo the change that made VERSION; it is reviewed like any other."""
+    changes = changes_of(store, operator, timeout_s, acts=True)
+    found = changes.revert(version, title, whole=whole)
+    output.show(proposal_facts(found), _proposal_lines(found))
+
+
+COMMANDS = (init, propose, diff, review, accept, reject, rebase, revert)
+
+
+def proposal_facts(proposal: Proposal) -> dict:
+    """Returns what `--json` prints of a proposal."""
+    return {
+        "id": proposal.id,
+        "title": proposal.title,
+        "state": proposal.state,
+        "base": proposal.base,
+        "version": proposal.version or None,
+        "authors": proposal.authors,
+        "approved_by": proposal.approvers,
+        "lacks": review_problem(proposal) if proposal.state == "open" else "",
+        "content": proposal.content,
+        "edits": proposal.edits,
+        "events": proposal.events,
+    }
+
+
+def _proposal_lines(proposal: Proposal) -> list[str]:
+    facts = proposal_facts(proposal)
+    names = ("state", "base", "version", "authors", "approved_by", "lacks", "content")
+    rows = [(name.replace("_", " "), facts[name]) for name in names if facts[name]]
+    header = ("proposal", f"{proposal.id}  {proposal.title}")
+    edits = [f"  {edit}" for edit in proposal.edits] or ["  no value; comments or layout only"]
+    return [*print_table(header, rows), "changes:", *edits]
+
+
+def _without_version(text: str) -> tuple[str, int | None]:
+    match = _VERSION_PATTERN.match(text)
+    return (text[match.end() :], int(match[1])) if match else (text, None)
+
+
+def _edited(changes: SettingsChanges, sets, unsets, amend: str | None) -> tuple[int, str]:
+    from ._document_edit import apply_edits
+
+    if amend:
+        proposal = changes.proposals.read(amend)
+        base, text = proposal.base, proposal.text
+    else:
+        base = changes.history.head()
+        text = changes.history.record(base).text
+    edits = tuple(edit for assignment in sets for edit in _set(assignment))
+    for path in unsets:
+        removed = unset_edits(decode_jsonc(text, "tree"), _path(path))
+        if not removed:
+            raise SettingsError(f"{path} is not stated", step="settings.propose")
+        edits += removed
+    return base, apply_edits(text, edits)
+
+
+def _set(assignment: str) -> tuple[Edit, ...]:
+    path, sign, value = assignment.partition("=")
+    if not sign:
+        raise click.UsageError(f"--set {assignment!r} is not of the form PATH=VALUE")
+    try:
+        decoded = decode_jsonc(value, "value")
+    except SettingsError:
+        decoded = value  # A bare word, as in logging.level=debug.
+    return set_edits(_path(path), decoded)
+
+
+def _path(text: str) -> tuple[str, ...]:
+    names = tuple(text.strip().split("."))
+    if not all(names):
+        raise click.UsageError(f"{text!r} is not a path of names joined by dots")
+    return names
+
+
+def _edits_between_texts(old: str, new: str) -> tuple[Edit, ...]:
+    return edits_between(decode_jsonc(old, "old"), decode_jsonc(new, "new"))
--- /dev/null
+++ b/src/auburnsail/_cli_settings_read.py
@@ -0,0 +1,177 @@
+"""Commands that show the settings tree, where its values come from, and its history."""
+
+from pathlib import Path
+
+import click
+import msgspec
+
+from ._changes import SettingsChanges
+from ._cli_common import changes_of, common_options, print_table, store_options
+from ._cli_settings import VERSION_LINE, proposal_facts
+from ._edits import format_value, path_text
+from ._explain import Explained, explain
+from ._settings_log import SettingsRecord
+from ._tree import parse_tree
+from .exceptions import SettingsError
+
+__all__ = ["COMMANDS"]
+
+
+@click.command()
+@click.option("--version", "version", type=int, help="Version to show; default is the newest.")
+@click.option("--output", "file", type=click.Path(path_type=Path), help="Write it to this file.")
+@store_options
+@common_options
+def show(version, file, store, operator, timeout_s, output) -> None:
+    """Prints the tree in force; the first line names its version for `propose`."""
+    changes = changes_of(store, operator, timeout_s, acts=False)
+    version = changes.history.head() if version is None else version
+    text = changes.history.record(version).text
+    if file:
+        try:
+            file.write_text(VERSION_LINE.format(version=version) + text, encoding="utf-8")
+        except OSError as error:
+            raise SettingsError(str(error), step="settings.show", peer=str(file)) from error
+        output.show({"version": version, "file": str(file)}, [f"wrote version {version} to {file}"])
+        return
+    lines = (VERSION_LINE.format(version=version) + text).splitlines()
+    output.show({"version": version, "text": text}, lines)
+
+
+@click.command(name="explain")
+@click.argument("names", metavar="[NAME]", default="")
+@click.option("--service", default="", help="Service; default is what holds for any.")
+@click.option("--region", default="", help="Region; default is what holds in any.")
+@click.option("--domain", default="", help="Failure domain of the region.")
+@click.option("--stated", is_flag=True, help="Leave out values that are built-in defaults.")
+@store_options
+@common_options
+def explain_command(
+    names, service, region, domain, stated, store, operator, timeout_s, output
+) -> None:
+    """Shows each value in force, its level, and the change and people it came from.
+
+    NAME is a section or section.field. For a single field all levels that state it are listed,
+    the one in force first.
+    """
+    if domain and not region:
+        raise click.UsageError("--domain needs --region")
+    changes = changes_of(store, operator, timeout_s, acts=False)
+    head = changes.history.head()
+    record = changes.history.record(head)
+    tree = parse_tree(record.text, f"settings version {head}", ignore_unknown=True)
+    found = explain(tree, service, region, domain, names)
+    if stated:
+        found = [row for row in found if row.in_force.path]
+    rows = _Origins(changes, record).rows(found, all_levels=len(found) == 1 and bool(names))
+    columns = ("name", "value", "level", "version", "authors", "reviewers", "accepted_by", "title")
+    table = print_table(columns, ([row[name] for name in columns] for row in rows))
+    output.show({"version": head, "values": rows}, [f"settings version {head}", *table])
+
+
+@click.command()
+@click.argument("path", default="")
+@store_options
+@common_options
+def history(path, store, operator, timeout_s, output) -> None:
+    """Shows how the values at or below PATH of the document changed, newest first."""
+    changes = changes_of(store, operator, timeout_s, acts=False)
+    prefix = tuple(path.split(".")) if path else ()
+    rows = [
+        (version, record.accepted_at, path_text(edit.path), edit, record)
+        for version, record in reversed(changes.history.records_after(0))
+        for edit in record.edits
+        if edit.path[: len(prefix)] == prefix
+    ]
+    if not rows:
+        raise SettingsError(f"{path or 'the tree'} was never stated", step="settings.history")
+    header = ("version", "accepted at", "path", "old", "new", "authors", "reviewers", "title")
+    table = (
+        (version, at, name, format_value(edit.old), format_value(edit.new), *_reviewed(record))
+        for version, at, name, edit, record in rows
+    )
+    content = [
+        {"version": version, "at": at, "edit": edit, **_people(record)}
+        for version, at, _, edit, record in rows
+    ]
+    output.show(content, print_table(header, table))
+
+
+@click.command()
+@click.option("--proposals", is_flag=True, help="List proposals instead of accepted versions.")
+@click.option("--open", "only_open", is_flag=True, help="List open proposals only.")
+@click.option("--after", type=int, default=0, help="Leave out versions up to this one.")
+@store_options
+@common_options
+def log(proposals, only_open, after, store, operator, timeout_s, output) -> None:
+    """Lists accepted versions, or proposals with what they lack."""
+    changes = changes_of(store, operator, timeout_s, acts=False)
+    if proposals or only_open:
+        facts = [proposal_facts(proposal) for proposal in changes.proposals.all()]
+        facts = [row for row in facts if not only_open or row["state"] in ("open", "accepting")]
+        columns = ("id", "state", "base", "version", "authors", "approved_by", "lacks", "title")
+        rows = [[row[name] for name in columns] for row in facts]
+        output.show(facts, print_table([name.replace("_", " ") for name in columns], rows))
+        return
+    records = changes.history.records_after(after)
+    header = ("version", "accepted at", "proposal", "values", "authors", "reviewers", "title")
+    rows = [
+        (version, record.accepted_at, record.proposal, len(record.edits), *_reviewed(record))
+        for version, record in records
+    ]
+    content = [
+        {"version": version, "at": record.accepted_at, "edits": record.edits, **_people(record)}
+        for version, record in records
+    ]
+    output.show(content, print_table(header, rows))
+
+
+COMMANDS = (show, explain_command, history, log)
+
+
+class _Origins:
+    """Looks up the changes that explained values came from."""
+
+    def __init__(self, changes: SettingsChanges, newest: SettingsRecord) -> None:
+        self._changes = changes
+        self._origins = newest.origins
+        self._records: dict[int, SettingsRecord] = {}
+
+    def rows(self, found: list[Explained], *, all_levels: bool) -> list[dict]:
+        """Returns a row for each value in force, or for each statement of a single one."""
+        return [
+            self._row(value.name, statement.origin_key, statement)
+            for value in found
+            for statement in (value.statements if all_levels else (value.in_force,))
+        ]
+
+    def _row(self, name: str, key: str, statement) -> dict:
+        version = self._origins.get(key)
+        people = dict.fromkeys(("authors", "reviewers", "accepted_by", "proposal", "title"))
+        if version is not None:
+            if version not in self._records:
+                self._records[version] = self._changes.history.record(version)
+            people = _people(self._records[version])
+        value = msgspec.to_builtins(statement.value)
+        return {
+            "name": name,
+            "value": msgspec.json.encode(value).decode() if value != "" else '""',
+            "level": statement.level,
+            "path": key,
+            "version": version,
+            **people,
+        }
+
+
+def _reviewed(record: SettingsRecord) -> tuple:
+    return record.authors, record.reviewers, record.title
+
+
+def _people(record: SettingsRecord) -> dict:
+    return {
+        "proposal": record.proposal,
+        "title": record.title,
+        "authors": record.authors,
+        "reviewers": record.reviewers,
+        "accepted_by": record.accepted_by,
+    }
--- a/src/auburnsail/_document_edit.py
+++ b/src/auburnsail/_document_edit.py
@@ -9,7 +9,7 @@
 from msgspec import UNSET
 
 from ._document import dump, find, load
-from ._edits import Edit, Path, edits_between, flatten, path_text
+from ._edits import Edit, Path, flatten, path_text
 from ._settings import decode_jsonc
 from .exceptions import SettingsError
 
@@ -59,12 +59,21 @@
 def _set(root: Node, edit: Edit, comments: list[Comment]) -> None:
     node, indent = root, ""
     for name in edit.path[:-1]:
-        position = find(node, name)
-        if position is None:
+        position = find(node, name) if isinstance(node, JSONObject) else None
+        if position is None and isinstance(node, JSONObject):
             _insert(node, indent, name, _value({}), [])
             position = find(node, name)
+        if position is None:
+            raise SettingsError(
+                f"{path_text(edit.path)} leads through a value that is not an object in braces",
+                step="settings.edit",
+            )
         indent = _member_indent(node, indent)
         node = node.values[position]
+    if not isinstance(node, JSONObject):
+        raise SettingsError(
+            f"{path_text(edit.path[:-1])} is not an object in braces", step="settings.edit"
+        )
     position = find(node, edit.path[-1])
     if position is None:
         _insert(node, indent, edit.path[-1], _value(edit.new), comments)
@@ -189,8 +198,3 @@
 
 def _value(content: object) -> Node:
     return load(msgspec.json.encode(content).decode()).value
-
-
-def edits_of(old_text: str, new_text: str) -> tuple[Edit, ...]:
-    """Returns the edits between two valid documents."""
-    return edits_between(decode_jsonc(old_text, "old"), decode_jsonc(new_text, "new"))
--- a/src/auburnsail/_edits.py
+++ b/src/auburnsail/_edits.py
@@ -5,7 +5,17 @@
 import msgspec
 from msgspec import UNSET, UnsetType
 
-__all__ = ["Edit", "Path", "edits_between", "flatten", "format_value", "overlaps", "path_text"]
+__all__ = [
+    "Edit",
+    "Path",
+    "edits_between",
+    "flatten",
+    "format_value",
+    "overlaps",
+    "path_text",
+    "set_edits",
+    "unset_edits",
+]
 
 Path = tuple[str, ...]
 
@@ -59,6 +69,23 @@
     )
 
 
+def set_edits(path: Path, value: object) -> tuple[Edit, ...]:
+    """Returns the edits that state a value and declare the names that lead to it."""
+    document = value
+    for name in reversed(path):
+        document = {name: document}
+    return tuple(Edit(stated, new=leaf) for stated, leaf in flatten(document).items())
+
+
+def unset_edits(document: dict, path: Path) -> tuple[Edit, ...]:
+    """Returns the edits that remove a path and all that is stated below it."""
+    return tuple(
+        Edit(stated, old=leaf)
+        for stated, leaf in flatten(document).items()
+        if stated[: len(path)] == path
+    )
+
+
 def overlaps(mine: tuple[Edit, ...], theirs: tuple[Edit, ...]) -> tuple[Edit, ...]:
     """Returns those of my edits that touch a value that the other edits touch too.
 
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -24,7 +24,7 @@
 )
 from ._routing import Router
 from ._settings import NodeSettings, TreeSettings
-from ._settings_log import tree_of
+from ._settings_log import SETTINGS_LOG, tree_of
 from ._shards import NO_OWNER
 from ._store import HttpTableStore
 from .exceptions import AuburnsailError, ConflictError, SettingsError
@@ -61,7 +61,7 @@
         self._settings = settings
         self._store = HttpTableStore(settings.store_url)
         self._fleet_log = VersionedLog(self._store, "fleet")
-        self._settings_log = VersionedLog(self._store, "settings")
+        self._settings_log = VersionedLog(self._store, SETTINGS_LOG)
         self._clock = BootClock()
         self._timers = Timers()
         self._fleet = FleetState()
@@ -103,7 +103,7 @@
                 step="settings.load",
                 peer=self._settings.store_url,
             )
-        return tree_of(record)
+        return tree_of(head, record.data)
 
     def _upstream_address(self) -> str | None:
         return self._announcement.address if self._announcement else None
--- a/src/auburnsail/_settings_log.py
+++ b/src/auburnsail/_settings_log.py
@@ -58,28 +58,36 @@
     return hashlib.blake2s(data, digest_size=DIGEST_BYTES).digest()
 
 
-def decode_settings(record: LogRecord) -> SettingsRecord:
+def decode_settings(version: int, data: bytes) -> SettingsRecord:
     """Returns the content of a record of the settings log.
 
+    Args:
+        version: Version of the record, named in errors.
+        data: The record's data as stored.
+
     Raises:
         SettingsError: The record is not valid.
     """
     try:
-        return msgspec.msgpack.decode(record.data, type=SettingsRecord)
+        return msgspec.msgpack.decode(data, type=SettingsRecord)
     except msgspec.DecodeError as error:
         raise SettingsError(
-            f"version {record.version} is not a settings record: {error}", step="settings.decode"
+            f"version {version} is not a settings record: {error}", step="settings.decode"
         ) from error
 
 
-def tree_of(record: LogRecord) -> TreeSettings:
+def tree_of(version: int, data: bytes) -> TreeSettings:
     """Returns the tree that a record puts into force, as a node reads it.
 
+    Args:
+        version: Version of the record, named in errors.
+        data: The record's data as stored.
+
     Raises:
         SettingsError: The record or its tree is not valid.
     """
-    source = f"settings version {record.version}"
-    return parse_tree(decode_settings(record).text, source, ignore_unknown=True)
+    text = decode_settings(version, data).text
+    return parse_tree(text, f"settings version {version}", ignore_unknown=True)
 
 
 class SettingsHistory:
@@ -118,7 +126,7 @@
         Raises:
             RefusedError: There is no such version.
         """
-        return decode_settings(self.log_record(version))
+        return decode_settings(version, self.log_record(version).data)
 
     def records_after(self, version: int) -> list[tuple[int, SettingsRecord]]:
         """Returns all versions that follow one."""
@@ -130,4 +138,6 @@
             )
             if not records:
                 return found
-            found += [(record.version, decode_settings(record)) for record in records]
+            found += [
+                (record.version, decode_settings(record.version, record.data)) for record in records
+            ]
