Show who owns what, and keep approvals over a rebase

Cause: approvals were bound to the changed lines, so a rebase voided them whenever another change touched the same line of the document, and the randomised test hardly ever accepted a rebased change.

Change: approvals are bound to the value edits and the comments that a change adds or removes. A scripted test covers the stale verdict; it fails with the intent check removed. One-line objects stay on one line when edited.

Conclusion: random interleavings alone are not enough for the rarer order of two acceptances of one proposal.

--- a/src/auburnsail/_cli_common.py
+++ b/src/auburnsail/_cli_common.py
@@ -147,7 +147,7 @@
 
 
 def _cell(value: object) -> str:
-    if value is None or value == "":
+    if value is None or value in ("", (), []):
         return "-"
     return ", ".join(map(str, value)) if isinstance(value, tuple | list) else str(value)
 
--- a/src/auburnsail/_cli_operator.py
+++ b/src/auburnsail/_cli_operator.py
@@ -2,7 +2,7 @@
 
 import click
 
-from . import _cli_settings, _cli_settings_read
+from . import _cli_settings, _cli_settings_read, _cli_status
 from ._cli_common import EXIT_CODES
 
 __all__ = ["main"]
@@ -22,6 +22,9 @@
 for _command in (*_cli_settings.COMMANDS, *_cli_settings_read.COMMANDS):
     settings.add_command(_command)
 
+for _command in _cli_status.COMMANDS:
+    main.add_command(_command)
+
 
 if __name__ == "__main__":
     main()
--- a/src/auburnsail/_cli_settings.py
+++ b/src/auburnsail/_cli_settings.py
@@ -120,7 +120,7 @@
     """
     changes = changes_of(store, operator, timeout_s, acts=True)
     found = changes.accept(proposal, base)
-    output.show(proposal_facts(found), [f"settings version {found.version} is in force"])
+    output.show(proposal_facts(found), [f"{found.id} is settings version {found.version}"])
 
 
 @click.command()
--- /dev/null
+++ b/src/auburnsail/_cli_status.py
@@ -0,0 +1,250 @@
+"""Commands that show who owns what, and the declaration of a lost node."""
+
+import click
+import msgspec
+
+from ._changes import SettingsChanges
+from ._cli_common import changes_of, common_options, print_table, store_options
+from ._fleet import FleetState
+from ._fleet_view import FLEET_LOG, ask_node, ask_nodes, read_fleet, target
+from ._log import VersionedLog
+from ._model import DeclareLost, Entry, Session, decode_entry, encode_entry
+from ._proposals import new_id
+from ._settings import TreeSettings
+from ._settings_log import tree_of
+from ._settle import Patience, until_definite
+from ._shards import shard_of
+from ._store import HttpTableStore
+from .exceptions import AuburnsailError, ConflictError, RefusedError, SettingsError
+
+__all__ = ["COMMANDS"]
+
+NODE_OPTION = click.option(
+    "--node",
+    envvar="AUBURNSAIL_NODE",
+    help="ip:port of a node's control server; or AUBURNSAIL_NODE.",
+)
+VERSIONS = ("settings_version", "fleet_version")
+
+
+@click.command()
+@NODE_OPTION
+@store_options
+@common_options
+def status(node, store, operator, timeout_s, output) -> None:
+    """Shows all sessions, their shards, and the versions that each node has.
+
+    With --node, shows that node's own view of itself, without the store.
+    """
+    if node:
+        content = ask_node(node, "/v1/status")
+        output.show(content, _content_lines(content))
+        return
+    changes, tree, fleet = _fleet_of(store, timeout_s)
+    sessions = [row.session for row in fleet.sessions.values()]
+    answers = ask_nodes([session.control_address for session in sessions], "/v1/status")
+    rows = [
+        _session_facts(fleet, session) | _node_facts(answer.content, answer.error)
+        for session, answer in zip(sessions, answers, strict=True)
+    ]
+    content = {
+        "settings_version": changes.history.head(),
+        "fleet_version": fleet.version,
+        "sessions": rows,
+        "unowned_shards": _unowned(tree, fleet),
+    }
+    lines = [f"{name}: {value}" for name, value in content.items() if name != "sessions"]
+    header = ("session", "region", "domain", "service", "shards", *VERSIONS, "state")
+    output.show(
+        content, [*lines, "", *print_table(header, ([r[name] for name in header] for r in rows))]
+    )
+
+
+@click.command(name="explain-key")
+@click.argument("key")
+@click.option("--service", required=True, help="Keyed service that the key belongs to.")
+@NODE_OPTION
+@store_options
+@common_options
+def explain_key(key, service, node, store, operator, timeout_s, output) -> None:
+    """Shows the shard and owner of KEY and the decisions that led there.
+
+    With --node, that node explains; else the store's log does, and the owner is asked too.
+    """
+    if node:
+        content = ask_node(node, target("/v1/explain", service=service, key=key))
+        output.show(content, _content_lines(content))
+        return
+    _, tree, fleet = _fleet_of(store, timeout_s)
+    settings = tree.services.get(service)
+    if settings is None or not settings.keyed:
+        known = ", ".join(name for name, value in tree.services.items() if value.keyed)
+        raise SettingsError(
+            f"{service!r} is not a keyed service; known: {known or 'none'}", step="key.explain"
+        )
+    shard = shard_of(key, settings.shards)
+    row = fleet.owner(service, shard)
+    content = {
+        "service": service,
+        "key": key,
+        "shard": shard,
+        "epoch": fleet.epoch(service, shard),
+        "fleet_version": fleet.version,
+        "owner": str(row.session.id) if row else "",
+        "address": row.session.data_address if row else "",
+    }
+    if row:
+        request_target = target("/v1/explain", service=service, key=key)
+        try:
+            content["owner_says"] = ask_node(row.session.control_address, request_target)
+        except AuburnsailError as error:
+            content["owner_says"] = {"error": str(error)}
+    output.show(content, _content_lines(content))
+
+
+@click.command()
+@click.option("--after", type=int, default=0, help="Leave out entries up to this number.")
+@click.option(
+    "--node",
+    envvar="AUBURNSAIL_NODE",
+    required=True,
+    help="ip:port of a node's control server; or AUBURNSAIL_NODE.",
+)
+@common_options
+def journal(after, node, output) -> None:
+    """Shows a node's newest decisions: why it refused, moved or changed something."""
+    content = ask_node(node, target("/v1/journal", after=str(after)))
+    output.show(content, _content_lines(content))
+
+
+@click.command(name="declare-lost")
+@click.argument("node")
+@click.option("--force", is_flag=True, help="Declare it even though it still answers.")
+@store_options
+@common_options
+def declare_lost(node, force, store, operator, timeout_s, output) -> None:
+    """Ends the session of NODE, which lost two watchers too and so cannot be sealed.
+
+    Only declare a node whose VM is certainly gone: nothing else keeps it from serving until its
+    lease ends.
+    """
+    changes_of(store, operator, timeout_s, acts=True)
+    *_, fleet = _fleet_of(store, timeout_s)
+    session = _open_session(fleet, node)
+    if not force:
+        _require_silent(session)
+    command = DeclareLost(new_id(), session.id, operator)
+    version = _append(HttpTableStore(store), fleet, command, Patience(timeout_s))
+    output.show(
+        {"session": str(session.id), "fleet_version": version},
+        [f"{session.id} is declared lost in fleet version {version}"],
+    )
+
+
+COMMANDS = (status, explain_key, journal, declare_lost)
+
+
+def _append(
+    store: HttpTableStore, fleet: FleetState, command: DeclareLost, patience: Patience
+) -> int:
+    log = VersionedLog(store, FLEET_LOG)
+    while True:
+        _open_session(fleet, command.session.node)
+        entry = Entry(fleet.version + 1, fleet.digest, new_id(), (command,))
+        data = encode_entry(entry)
+        try:
+            return until_definite(
+                lambda entry=entry, data=data: log.append(entry.version - 1, entry.id, data),
+                patience,
+            )
+        except ConflictError:
+            # Another entry took the place; the session may have ended in it.
+            for record in until_definite(lambda: log.read_after(fleet.version), patience):
+                fleet.apply(decode_entry(record.data))
+
+
+def _open_session(fleet: FleetState, node: str) -> Session:
+    for session_id, row in fleet.sessions.items():
+        if node in (session_id.node, str(session_id)):
+            return row.session
+    raise RefusedError(f"node {node!r} has no open session", step="fleet.declare-lost")
+
+
+def _require_silent(session: Session) -> None:
+    try:
+        ask_node(session.control_address, "/v1/status")
+    except AuburnsailError:
+        return
+    raise RefusedError(
+        "the node still answers; drain it, or use --force",
+        step="fleet.declare-lost",
+        peer=session.control_address,
+    )
+
+
+def _fleet_of(store: str, timeout_s: float) -> tuple[SettingsChanges, TreeSettings, FleetState]:
+    changes = changes_of(store, "", timeout_s, acts=False)
+    head = changes.history.head()
+    tree = tree_of(head, changes.history.log_record(head).data)
+    return changes, tree, read_fleet(HttpTableStore(store), tree, Patience(timeout_s))
+
+
+def _session_facts(fleet: FleetState, session: Session) -> dict:
+    table = fleet.tables.get(session.service)
+    index = fleet.sessions[session.id].index
+    return {
+        "session": str(session.id),
+        "region": session.region,
+        "domain": session.domain,
+        "service": session.service,
+        "shards": len(table.owned_by(index)) if table else None,
+        "control_address": session.control_address,
+    }
+
+
+def _node_facts(content: dict, error: str) -> dict:
+    facts = {name: content.get(name) for name in VERSIONS}
+    state = error or content.get("violation") or content.get("phase") or "answers"
+    return {**facts, "state": "draining" if content.get("draining") else state}
+
+
+def _unowned(tree: TreeSettings, fleet: FleetState) -> dict[str, int]:
+    return {
+        name: sum(fleet.owner(name, shard) is None for shard in range(service.shards))
+        for name, service in tree.services.items()
+        if service.keyed
+    }
+
+
+def _content_lines(content: object) -> list[str]:
+    """Returns a node's JSON as lines: plain values first, then a table for each list of objects."""
+    if isinstance(content, list):
+        return _rows_lines(content)
+    if not isinstance(content, dict):
+        return [str(content)]
+    tables = {name: value for name, value in content.items() if _is_table(value)}
+    plain = {name: value for name, value in content.items() if name not in tables}
+    width = max(map(len, plain), default=0)
+    lines = [f"{name.ljust(width)}  {_text(value)}" for name, value in plain.items()]
+    for name, value in tables.items():
+        lines += ["", f"{name}:", *_rows_lines(value)]
+    return lines
+
+
+def _rows_lines(rows: list) -> list[str]:
+    if not _is_table(rows):
+        return [_text(row) for row in rows]
+    columns = list(dict.fromkeys(name for row in rows for name in row))
+    return print_table(columns, ([_text(row.get(name, "")) for name in columns] for row in rows))
+
+
+def _is_table(value: object) -> bool:
+    return isinstance(value, list) and bool(value) and all(isinstance(row, dict) for row in value)
+
+
+def _text(value: object) -> str:
+    if isinstance(value, dict):
+        return " ".join(f"{name}={_text(inner)}" for name, inner in value.items())
+    if isinstance(value, str):
+        return value
+    return msgspec.json.encode(value).decode()
--- a/src/auburnsail/_document_edit.py
+++ b/src/auburnsail/_document_edit.py
@@ -4,7 +4,8 @@
 line is stored before the next key, or after the last value.
 """
 
-import msgspec
+import json
+
 from json5.model import Comment, JSONObject, LineComment, Node
 from msgspec import UNSET
 
@@ -57,11 +58,11 @@
 
 
 def _set(root: Node, edit: Edit, comments: list[Comment]) -> None:
-    node, indent = root, ""
+    node, indent, is_multi_line = root, "", True
     for name in edit.path[:-1]:
         position = find(node, name) if isinstance(node, JSONObject) else None
         if position is None and isinstance(node, JSONObject):
-            _insert(node, indent, name, _value({}), [])
+            _insert(node, indent, name, _value({}), [], is_multi_line)
             position = find(node, name)
         if position is None:
             raise SettingsError(
@@ -69,6 +70,7 @@
                 step="settings.edit",
             )
         indent = _member_indent(node, indent)
+        is_multi_line = _is_multi_line(node, is_multi_line)
         node = node.values[position]
     if not isinstance(node, JSONObject):
         raise SettingsError(
@@ -76,7 +78,7 @@
         )
     position = find(node, edit.path[-1])
     if position is None:
-        _insert(node, indent, edit.path[-1], _value(edit.new), comments)
+        _insert(node, indent, edit.path[-1], _value(edit.new), comments, is_multi_line)
     elif edit.new != {}:
         value, old = _value(edit.new), node.values[position]
         value.wsc_before, value.wsc_after = old.wsc_before, old.wsc_after
@@ -84,19 +86,25 @@
 
 
 def _insert(
-    node: JSONObject, outer_indent: str, name: str, value: Node, comments: list[Comment]
+    node: JSONObject,
+    outer_indent: str,
+    name: str,
+    value: Node,
+    comments: list[Comment],
+    outer_is_multi_line: bool,
 ) -> None:
     key = _value(name)
     value.wsc_before = [" "]
     indent = _member_indent(node, outer_indent)
-    is_multi_line = not node.keys or _is_multi_line(node)
+    is_multi_line = _is_multi_line(node, outer_is_multi_line)
     lead: Space = [f"\n{indent}"] if is_multi_line else [" "]
     if is_multi_line:
         lead += [part for comment in comments for part in (comment, f"\n{indent}")]
     if not node.keys:
         kept = _without_last_space(node.leading_wsc)
-        node.leading_wsc = kept + lead
-        value.wsc_after = [f"\n{outer_indent}"]
+        if is_multi_line or kept:
+            node.leading_wsc = [*kept, f"\n{indent}", *lead[1:]]
+            value.wsc_after = [f"\n{outer_indent}"]
     else:
         holder = node.trailing_comma or node.values[-1]
         same_line, rest = _split(holder.wsc_after)
@@ -185,7 +193,10 @@
     return space[:-1] if space and isinstance(space[-1], str) else space
 
 
-def _is_multi_line(node: JSONObject) -> bool:
+def _is_multi_line(node: JSONObject, outer: bool) -> bool:
+    """Returns whether members have lines of their own; an empty object follows its parent."""
+    if not node.keys:
+        return outer
     return _has_newline(node.leading_wsc) or any(_has_newline(key.wsc_before) for key in node.keys)
 
 
@@ -197,4 +208,5 @@
 
 
 def _value(content: object) -> Node:
-    return load(msgspec.json.encode(content).decode()).value
+    # The standard library writes a space after commas and colons, as people do.
+    return load(json.dumps(content, ensure_ascii=False)).value
--- a/src/auburnsail/_proposals.py
+++ b/src/auburnsail/_proposals.py
@@ -1,7 +1,9 @@
 """Proposals of settings changes: rows ``settings/proposal/<id>`` and their reviews."""
 
 import hashlib
+import re
 import secrets
+from collections import Counter
 from collections.abc import Callable, Iterator
 from difflib import unified_diff
 from typing import Literal
@@ -29,6 +31,12 @@
 PREFIX = "settings/proposal/"
 SCAN_LIMIT = 500
 ID_BYTES = 5
+DIGEST_BYTES = 6
+
+# Strings come first, because they may contain what looks like a comment.
+_STRING_OR_COMMENT = re.compile(
+    r""""(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*'|(//[^\n]*|/\*.*?\*/)""", re.DOTALL
+)
 
 Verdict = Literal["approve", "object"]
 
@@ -140,13 +148,19 @@
 
 
 def content_digest(edits: tuple[Edit, ...], old: str, new: str) -> str:
-    """Returns the digest of a change: its values, and the lines that it adds and removes.
+    """Returns the digest of a change: its values, and the comments that it adds and removes.
 
-    Positions are left out, so that approvals survive a rebase that leaves the change as it was.
+    The rest of the tree is left out, so that approvals survive a rebase that leaves the change as
+    it was.
     """
-    changed = sorted(line for line in text_diff(old, new)[2:] if line[:1] in "+-")
+    before, after = _comments(old), _comments(new)
+    changed = sorted((after - before).elements()), sorted((before - after).elements())
     content = msgspec.json.encode((edits, changed))
-    return hashlib.blake2s(content, digest_size=6).hexdigest()
+    return hashlib.blake2s(content, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def _comments(text: str) -> Counter[str]:
+    return Counter(match[1].strip() for match in _STRING_OR_COMMENT.finditer(text) if match[1])
 
 
 def review_problem(proposal: Proposal) -> str:
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -164,6 +164,53 @@
                 self.operators.proposed("ann", path, 32 if path == shards else False)
 
 
+class ScriptedTable(FakeTable):
+    """A table that fails appends to the settings log, or lets others act before a row changes."""
+
+    fails_appends = False
+    before_row = None
+
+    def commit(self, transaction):
+        """See `FakeTable`."""
+        keys = [put.key for put in transaction.puts]
+        if self.fails_appends and "settings/head" in keys:
+            raise OutcomeUnknownError("answer lost", step="store.commit")
+        if self.before_row and keys[0].startswith("settings/proposal/"):
+            act, self.before_row = self.before_row, None
+            act()
+        return super().commit(transaction)
+
+
+class UnsettledTest(unittest.TestCase):
+    """Acceptances whose outcome stays open for a while."""
+
+    def test_lost_acceptance_does_not_reopen_a_newer_one(self):
+        """Guards against a late verdict on one acceptance closing the next one of the proposal."""
+        table = ScriptedTable()
+        operators = Operators(table, attempts=1)
+        operators["ann"].initialise(TREE, "test")
+        change, other = (operators.proposed("ann", *edit) for edit in ((WAIT, 11), (REQUESTS, 21)))
+        for proposal in (change, other):
+            operators["bob"].review(proposal, "approve", "")
+
+        def accept_without_answer() -> None:
+            table.fails_appends = True
+            with self.assertRaises(OutcomeUnknownError):
+                operators["cid"].accept(change)
+            table.fails_appends = False
+
+        def accept_again_on_the_next_version() -> None:
+            operators["dan"].rebase(change)
+            accept_without_answer()
+
+        accept_without_answer()
+        operators["bob"].accept(other)
+        table.before_row = accept_again_on_the_next_version
+        operators["eve"].settle(change)
+        self.assertEqual(operators["eve"].proposals.read(change).state, "accepting")
+        self.assertEqual(operators["eve"].accept(change).version, 3)
+
+
 class InterleavingTest(unittest.TestCase):
     """Several operators at once, against a store that loses answers and writes late."""
 
