--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench
+.PHONY: test unit check format reference bench
 
 .venv: .venv/.installed
 
@@ -19,6 +19,10 @@
 check: .venv
 	$(PY) -m black --check --quiet src standins tools tests
 	$(PY) -m ruff check --quiet src standins tools tests
+	$(PY) -m tools.reference --check
+
+reference: .venv
+	$(PY) -m tools.reference
 
 unit: .venv
 	$(PY) -m unittest discover -s tests -t .
--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -126,8 +126,7 @@
 
     def amend(self, proposal_id: str, text: str, source: str, base: int | None) -> Proposal:
         """Replaces the content of an open proposal; approvals of other content lapse."""
-        self.settle(proposal_id)
-        current = self._rows.read(proposal_id)
+        current = self.settle(proposal_id)
         base = current.base if base is None else base
         base_text = self._history.record(base).text
         edits = self._checked_edits(base_text, text, source)
@@ -153,8 +152,7 @@
         Raises:
             RefusedError: The reviewer is an author, or the content is another one.
         """
-        self.settle(proposal_id)
-        seen = self._rows.read(proposal_id).content
+        seen = self.settle(proposal_id).content
         if not seen.startswith(content):
             raise refusal(f"the content is now {seen}; see `settings diff {proposal_id}`", "review")
 
@@ -191,17 +189,16 @@
             SettingsConflictError: Another change was accepted after the version it builds on.
             OutcomeUnknownError: Not settled; the same command settles it later.
         """
-        settled = self.settle(proposal_id)
-        if settled is not None and settled.state == "accepted":
-            return settled
-        proposal = self._rows.read(proposal_id)
+        proposal = self.settle(proposal_id)
+        if proposal.state == "accepted":
+            return proposal
         _require_open(proposal, "accept")
         if base is not None and base != proposal.base:
             raise refusal(f"{proposal_id} builds on version {proposal.base}, not {base}", "accept")
         if problem := review_problem(proposal):
             raise refusal(problem, "accept")
         if self._history.head() != proposal.base:
-            return self._accepted_or_conflict(proposal)
+            return self._accepted_or_conflict(proposal_id)
         intent = self._intent(proposal)
 
         def change(current: Proposal) -> Proposal:
@@ -215,20 +212,14 @@
         event = self._event("accept", content=proposal.content)
         self._rows.update(proposal_id, event, change)
         settled = self.settle(proposal_id)
-        if settled.state != "accepted":
-            raise self._conflict(settled)
-        return settled
+        return settled if settled.state == "accepted" else self._accepted_or_conflict(proposal_id)
 
-    def settle(self, proposal_id: str) -> Proposal | None:
-        """Brings an acceptance that has begun to a definite outcome.
-
-        Returns:
-            The proposal afterwards, or None if no acceptance ever began.
-        """
+    def settle(self, proposal_id: str) -> Proposal:
+        """Brings an acceptance that has begun to a definite outcome; returns the proposal then."""
         proposal = self._rows.read(proposal_id)
         intent = proposal.intent
-        if intent is None or proposal.state != "accepting":
-            return proposal if intent else None
+        if proposal.state != "accepting":
+            return proposal
         data = msgspec.msgpack.encode(_record_of(proposal, intent))
         checks = (Check(FLEET_HEAD, 0),) if intent.fixed else ()
         try:
@@ -260,16 +251,12 @@
         # json-five is needed for edits only.
         from ._document_edit import apply_edits
 
-        settled = self.settle(proposal_id)
-        if settled is not None and settled.state == "accepted":
-            raise refusal(f"{proposal_id} is version {settled.version}", "rebase")
-        proposal = self._rows.read(proposal_id)
+        head, head_text, proposal = self._newest(proposal_id)
         _require_open(proposal, "rebase")
-        head = self._history.head()
-        head_text = self._history.record(head).text
+        if proposal.base == head:
+            return proposal
         if overlaps(proposal.edits, edits_since(proposal, head_text)):
-            accepted = self._accepted_or_conflict(proposal)
-            raise refusal(f"{proposal_id} is version {accepted.version}", "rebase")
+            raise conflict_with(proposal, head, head_text)
         text = apply_edits(head_text, proposal.edits, proposal.text)
         edits = self._checked_edits(head_text, text, f"{proposal_id} on version {head}")
 
@@ -316,16 +303,22 @@
         text = apply_edits(current.text, undone, self._history.record(version - 1).text)
         return self.propose(title, text, source, head)
 
-    def _accepted_or_conflict(self, proposal: Proposal) -> Proposal:
-        # The newer version may be this proposal, accepted by somebody else since it was read.
-        settled = self.settle(proposal.id)
-        if settled is not None and settled.state == "accepted":
-            return settled
-        raise self._conflict(proposal)
-
-    def _conflict(self, proposal: Proposal) -> SettingsConflictError:
+    def _accepted_or_conflict(self, proposal_id: str) -> Proposal:
+        head, head_text, proposal = self._newest(proposal_id)
+        if proposal.state == "accepted":
+            return proposal
+        _require_open(proposal, "accept")
+        if proposal.base != head:
+            raise conflict_with(proposal, head, head_text)
+        self._allows_fixed(proposal.base_text, proposal.text)
+        raise refusal("the proposal changed meanwhile; run the command again", "accept")
+
+    def _newest(self, proposal_id: str) -> tuple[int, str, Proposal]:
+        # The version is read first: a proposal that is still open afterwards is not part of it.
+        # The other way round, a proposal that was accepted in between conflicts with itself.
         head = self._history.head()
-        return conflict_with(proposal, head, self._history.record(head).text)
+        head_text = self._history.record(head).text
+        return head, head_text, self.settle(proposal_id)
 
     def _checked_edits(self, base_text: str, text: str, source: str) -> tuple[Edit, ...]:
         checked_tree(text, source)
--- a/src/auburnsail/_conflicts.py
+++ b/src/auburnsail/_conflicts.py
@@ -33,8 +33,6 @@
 
 def conflict_with(proposal: Proposal, head: int, head_text: str) -> SettingsConflictError:
     """Returns the error for a proposal that lost against the version in force."""
-    if head == proposal.base:
-        return SettingsConflictError("the fleet started meanwhile, so fixed values stay")
     newer = edits_since(proposal, head_text)
     overlapping = overlaps(proposal.edits, newer)
     advice = f"run `auburnsail settings rebase {proposal.id}`"
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -169,6 +169,14 @@
 
     fails_appends = False
     before_row = None
+    before_heads = ()
+
+    def read(self, key):
+        """See `FakeTable`."""
+        if key == "settings/head" and self.before_heads:
+            act, *self.before_heads = self.before_heads
+            act()
+        return super().read(key)
 
     def commit(self, transaction):
         """See `FakeTable`."""
@@ -210,6 +218,24 @@
         self.assertEqual(operators["eve"].proposals.read(change).state, "accepting")
         self.assertEqual(operators["eve"].accept(change).version, 3)
 
+    def test_proposal_does_not_conflict_with_itself(self):
+        """Guards against telling an operator that a change lost while another one accepts it."""
+        table = ScriptedTable()
+        operators = Operators(table)
+        operators["ann"].initialise(TREE, "test")
+        change, other = (operators.proposed("ann", *edit) for edit in ((WAIT, 11), (REQUESTS, 21)))
+        for proposal in (change, other):
+            operators["bob"].review(proposal, "approve", "")
+        operators["bob"].accept(other)
+
+        def accept_elsewhere() -> None:
+            table.before_heads = ()
+            operators["dan"].rebase(change)
+            operators["dan"].accept(change)
+
+        table.before_heads = (lambda: None, accept_elsewhere)
+        self.assertEqual(operators["cid"].accept(change).version, 3)
+
 
 class InterleavingTest(unittest.TestCase):
     """Several operators at once, against a store that loses answers and writes late."""
@@ -273,7 +299,7 @@
             versions = {number for number, r in history.records_after(0) if r.proposal == change}
             self.assertLessEqual(told.get(change, set()), versions)
             self.assertLessEqual(len(versions), 1)
-            if settled is not None and settled.state == "accepted":
+            if settled.state == "accepted":
                 self.assertEqual(versions, {settled.version})
             elif versions:
                 self.fail("a change is in force that its proposal does not know of")
