--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -26,9 +26,9 @@
 from ._rules import TICK_MS
 from ._session import NodeFacts
 from ._settings import NodeSettings, TreeSettings
+from ._settings_log import tree_of
 from ._shards import shard_of
 from ._store import HttpObjectStore, HttpTableStore
-from ._tree import parse_tree
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
@@ -283,10 +283,9 @@
             self._journal.record(kind, reason, **facts)
 
     def _on_settings(self, changed: SettingsChanged) -> None:
-        source = f"settings version {changed.version}"
         try:
-            tree = parse_tree(changed.data.decode(), source, ignore_unknown=True)
-        except (SettingsError, UnicodeDecodeError) as error:
+            tree = tree_of(changed.version, changed.data)
+        except SettingsError as error:
             # An accepted version was checked before; one that this program cannot read keeps the
             # last tree in force and is reported.
             self._journal.record("settings", "not readable", error=str(error))
