--- /dev/null
+++ b/src/auburnsail/_admission.py
@@ -0,0 +1,120 @@
+"""Hooks of the request path: admission of requests to the upstream and choice among upstreams.
+
+The defaults here limit nothing and rotate; limits and load balancing plug in behind the protocols.
+"""
+
+from collections.abc import Sequence
+from enum import Enum
+from typing import Protocol
+
+from ._model import Session
+from ._routing import Target
+
+__all__ = [
+    "Admission",
+    "Chooser",
+    "CountingAdmission",
+    "Result",
+    "RotatingChooser",
+    "Ticket",
+]
+
+
+class Result(Enum):
+    """How an attempt at a peer ended."""
+
+    ANSWERED = "answered"
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    CANCELLED = "cancelled"
+
+
+class Ticket(Protocol):
+    """An admitted attempt."""
+
+    def leave(self, result: Result) -> None:
+        """Ends the attempt; called exactly once."""
+
+
+class Admission(Protocol):
+    """Decides when and whether an attempt goes to the upstream beside this node."""
+
+    def enter(self, target: Target, deadline_ns: int) -> Ticket:
+        """Admits an attempt; may wait, no longer than until the deadline.
+
+        Args:
+            target: Service and shard of the request.
+            deadline_ns: Time on the node's clock after which the answer is of no use.
+
+        Raises:
+            NotRunError: The attempt is not admitted.
+        """
+
+
+class Chooser(Protocol):
+    """Chooses the node that serves a request of an unkeyed service."""
+
+    def choose(self, candidates: Sequence[Session], now_ns: int) -> Session:
+        """Returns one of the candidates, of which there is at least one."""
+
+    def observe(self, session: Session, result: Result, duration_ns: int) -> None:
+        """Notes how an attempt at a session ended and how long it took."""
+
+
+class CountingAdmission:
+    """Admits everything and counts, in total and per shard."""
+
+    def __init__(self) -> None:
+        self.in_flight = 0
+        self.by_shard: dict[tuple[str, int], int] = {}
+        self.results = dict.fromkeys(Result, 0)
+
+    def enter(self, target: Target, deadline_ns: int) -> "_CountedTicket":
+        """See `Admission.enter`."""
+        ticket = _CountedTicket(self, (target.service, target.shard))
+        self.in_flight += 1
+        self.by_shard[ticket.place] = self.by_shard.get(ticket.place, 0) + 1
+        return ticket
+
+
+class _CountedTicket:
+    __slots__ = ("_admission", "place")
+
+    def __init__(self, admission: CountingAdmission, place: tuple[str, int]) -> None:
+        self._admission = admission
+        self.place = place
+
+    def leave(self, result: Result) -> None:
+        """See `Ticket.leave`."""
+        admission = self._admission
+        admission.in_flight -= 1
+        admission.results[result] += 1
+        left = admission.by_shard[self.place] - 1
+        if left:
+            admission.by_shard[self.place] = left
+        else:
+            del admission.by_shard[self.place]
+
+
+class RotatingChooser:
+    """Takes the candidates of the nearest tier in turn: own domain, own region, elsewhere.
+
+    Args:
+        region: Region of this node.
+        domain: Failure domain of this node.
+    """
+
+    def __init__(self, region: str = "", domain: str = "") -> None:
+        self._region = region
+        self._domain = domain
+        self._turn = 0
+
+    def choose(self, candidates: Sequence[Session], now_ns: int) -> Session:
+        """See `Chooser.choose`."""
+        nearest = [s for s in candidates if s.domain == self._domain and s.region == self._region]
+        nearest = nearest or [s for s in candidates if s.region == self._region] or candidates
+        self._turn += 1
+        return nearest[self._turn % len(nearest)]
+
+    def observe(self, session: Session, result: Result, duration_ns: int) -> None:
+        """Does nothing: the rotation ignores how attempts end."""
--- /dev/null
+++ b/src/auburnsail/_answer_parser.py
@@ -0,0 +1,143 @@
+"""Parsing of answers: geventhttpclient's response parser with as little work per answer as possible.
+
+The library's own response classes read the socket themselves and keep every header in a
+case-insensitive dictionary; a router only passes headers on, so this one keeps a flat list.
+"""
+
+from geventhttpclient.response import HTTPParseError, HTTPResponseParser
+
+__all__ = ["AnswerParser", "HTTPParseError"]
+
+MAX_HEAD_BYTES = 64 * 1024
+NO_CONTENT_STATUSES = frozenset({204, 304})
+
+
+class AnswerParser(HTTPResponseParser):
+    """Parses one final answer and the interim answers before it.
+
+    Attributes:
+        status: Status code, 0 until the head is complete.
+        phrase: Reason phrase.
+        fields: Header names and values as sent.
+        length: Declared length of the body, or None if it is chunked or ends with the connection.
+        is_chunked: Whether the body is chunked.
+        head_done: Whether the head of the final answer is complete.
+        done: Whether the final answer is complete.
+        has_excess: Whether bytes followed the final answer.
+        keep_alive: Whether the connection can be used again.
+    """
+
+    def __init__(self, method: str) -> None:
+        super().__init__()
+        self._is_head = method == "HEAD"
+        self._name = ""
+        self._value: str | None = None
+        self._head_bytes = 0
+        self._body: list[bytes] = []
+        self.status = 0
+        self.phrase = ""
+        self.fields: list[tuple[str, str]] = []
+        self.length: int | None = None
+        self.is_chunked = False
+        self.head_done = False
+        self.done = False
+        self.has_excess = False
+        self.keep_alive = True
+
+    def feed(self, data: bytes) -> None:
+        """Parses received bytes.
+
+        Raises:
+            HTTPParseError: They are not a valid answer.
+        """
+        if not self.head_done:
+            self._head_bytes += len(data)
+            if self._head_bytes > MAX_HEAD_BYTES + len(data):
+                raise HTTPParseError("the head of the answer is too large")
+        try:
+            super().feed(data)
+        except HTTPParseError:
+            # Bytes after a complete answer make the connection useless, but not the answer.
+            if not self.done:
+                raise
+            self.has_excess = True
+
+    def take_body(self) -> bytes:
+        """Returns and clears the body bytes parsed so far."""
+        if not self._body:
+            return b""
+        data = self._body[0] if len(self._body) == 1 else b"".join(self._body)
+        self._body.clear()
+        return bytes(data)
+
+    def _on_message_begin(self) -> None:
+        if self.done:
+            self.has_excess = True
+        else:
+            self.fields.clear()
+
+    def _on_status(self, text: str) -> None:
+        if not self.done:
+            self.phrase = text
+
+    def _on_header_field(self, text: str) -> None:
+        if self.done:
+            return
+        if self._value is None:
+            self._name += text
+        else:
+            self.fields.append((self._name, self._value))
+            self._name, self._value = text, None
+
+    def _on_header_value(self, text: str) -> None:
+        self._value = text if self._value is None else self._value + text
+
+    def _on_headers_complete(self) -> bool:
+        if self.done:
+            return False
+        if self._name:
+            self.fields.append((self._name, self._value or ""))
+            self._name, self._value = "", None
+        code = self.get_code()
+        if code == 101 or code < 100:
+            raise HTTPParseError(f"unexpected status {code}")
+        if code < 200:
+            return False
+        self.status = code
+        self.head_done = True
+        self._read_framing()
+        return self._is_head
+
+    def _read_framing(self) -> None:
+        length = None
+        keep_alive = self.get_http_version() == "HTTP/1.1"
+        for name, value in self.fields:
+            match name.lower():
+                case "content-length":
+                    if length is not None and length != value.strip():
+                        raise HTTPParseError("the answer has differing lengths")
+                    length = value.strip()
+                case "transfer-encoding":
+                    if value.strip().lower() != "chunked" or self.is_chunked:
+                        raise HTTPParseError("the answer has an unknown transfer-encoding")
+                    self.is_chunked = True
+                case "connection":
+                    if "close" in value.lower():
+                        keep_alive = False
+        if length is not None and self.is_chunked:
+            raise HTTPParseError("the answer has two lengths")
+        if self._is_head or self.status in NO_CONTENT_STATUSES:
+            self.length = 0
+        elif length is not None:
+            if not (length.isascii() and length.isdecimal()):
+                raise HTTPParseError("the answer has a malformed length")
+            self.length = int(length)
+        self.keep_alive = keep_alive and (self.length is not None or self.is_chunked)
+
+    def _on_body(self, data: bytes) -> None:
+        if not self.done:
+            self._body.append(data)
+
+    def _on_message_complete(self) -> None:
+        if self.head_done:
+            self.done = True
--- /dev/null
+++ b/src/auburnsail/_attempt.py
@@ -0,0 +1,373 @@
+"""One attempt at a request: at the upstream beside this node or at another node."""
+
+import os
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from . import _headers
+from ._admission import Admission, Chooser, Result
+from ._answer_parser import AnswerParser
+from ._clock import NS_PER_MS, Clock
+from ._flights import CALLER_GONE, DEADLINE, SILENT, Flight
+from ._hop import Hop, HopSigner
+from ._model import Session
+from ._outcome import Outcome, RequestFailedError, not_run, parse_refusal, unknown
+from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange, HttpPeer
+from ._relay import BUFFERED_BYTES, failure_of, pass_on, read_small, request_head, send_request
+from ._retry import RetryBudget
+from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
+from .exceptions import CallerGoneError, NotRunError, OutcomeUnknownError
+
+__all__ = ["SHED", "AttemptRunner", "Counters", "Ownership"]
+
+# The other node gives up a little earlier, so that its more exact outcome still arrives.
+HOP_MARGIN_MS = 10
+# A request that cannot be sent again only uses a connection that worked this recently.
+FRESH_IDLE_NS = 1_000 * NS_PER_MS
+MIN_SILENCE_NS = 500 * NS_PER_MS
+SILENCE_FACTOR = 8
+# Share of the time left that one silent attempt may use. The owner's node decides first, so that
+# the first node learns which connection was silent.
+SILENCE_DIVISOR_LOCAL = 4
+SILENCE_DIVISOR_NODE = 2
+SHED_STATUSES = frozenset({429, 503})
+SHED = "upstream-shed"
+
+
+@dataclass(slots=True)
+class Counters:
+    """Counts of the request path since the start of the node."""
+
+    requests: int = 0
+    forwarded: int = 0
+    retries: int = 0
+    silent: int = 0
+    cancelled: int = 0
+    cut_short: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    refused: int = 0
+
+
+_RESULTS = {
+    Outcome.NOT_RUN: Result.NOT_RUN,
+    Outcome.REFUSED: Result.NOT_RUN,
+    Outcome.UNKNOWN: Result.UNKNOWN,
+}
+
+
+@dataclass(slots=True)
+class Ownership:
+    """What this node may serve now.
+
+    Attributes:
+        upstream_address: Returns the address of the upstream beside this node, or None.
+        may_serve: Whether this node's lease is valid now; asked again right before bytes go to
+            the upstream.
+        own_address: Address at which this node serves, named as the owner of its keys.
+        lease_end_ns: Returns the end of the lease for fenced grants; None leaves it out.
+    """
+
+    upstream_address: Callable[[], str | None]
+    may_serve: Callable[[], bool]
+    own_address: str = ""
+    lease_end_ns: Callable[[], int] | None = None
+
+
+class AttemptRunner:
+    """Runs single attempts.
+
+    Args:
+        router: Decides where a request goes.
+        ownership: What this node may serve.
+        signer: Signs requests to other nodes.
+        admission: Admits requests to the upstream beside this node.
+        chooser: Chooses among the upstreams of an unkeyed service.
+        budget: Retries that are allowed now.
+        clock: Source of time.
+        counters: Counts of the request path.
+    """
+
+    def __init__(
+        self,
+        router: Router,
+        ownership: Ownership,
+        signer: HopSigner,
+        admission: Admission,
+        chooser: Chooser,
+        budget: RetryBudget,
+        clock: Clock,
+        counters: Counters,
+    ) -> None:
+        self._router = router
+        self._ownership = ownership
+        self._signer = signer
+        self._admission = admission
+        self._chooser = chooser
+        self._budget = budget
+        self._clock = clock
+        self._counters = counters
+        self._peers: dict[str, HttpPeer] = {}
+        self._id_prefix = os.urandom(6).hex()
+
+    def run(self, flight: Flight) -> None:
+        """Runs one attempt and passes the answer on.
+
+        Args:
+            flight: The request.
+
+        Raises:
+            RequestFailedError: The attempt failed and the caller was told nothing yet.
+            OutcomeUnknownError: The answer was cut short after a part of it was passed on.
+            CallerGoneError: The caller does not wait any longer.
+            InvariantViolation: A guarantee would be broken.
+        """
+        head = flight.request.head
+        hop = flight.hop
+        route = self._router.route(
+            head.path,
+            head.special.get(_headers.KEY),
+            is_forwarded=hop is not None,
+            sender_version=hop.map_version if hop is not None else 0,
+        )
+        match route:
+            case Refuse(refusal=refusal):
+                raise RequestFailedError(refusal)
+            case Local(target=target):
+                self._run_local(flight, target)
+            case Forward(target=target, session=session):
+                self._run_remote(flight, flight.owner_hint or session.data_address, target)
+            case AnyOf(target=target, sessions=sessions):
+                self._run_any(flight, target, sessions)
+
+    def peer(self, address: str) -> HttpPeer:
+        """Returns the connections to an address."""
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = HttpPeer(address, self._clock)
+        return peer
+
+    def left_ms(self, flight: Flight) -> int:
+        """Returns the time until the deadline in milliseconds."""
+        return (flight.deadline_ns - self._clock.now_ns()) // NS_PER_MS
+
+    def _run_any(self, flight: Flight, target: Target, sessions: tuple[Session, ...]) -> None:
+        left = [s for s in sessions if s.data_address not in flight.tried] or sessions
+        started_ns = self._clock.now_ns()
+        session = self._chooser.choose(left, started_ns)
+        result = Result.ANSWERED
+        try:
+            if session.id == self._router.own_id:
+                self._run_local(flight, target)
+            else:
+                self._run_remote(flight, session.data_address, target)
+        except RequestFailedError as error:
+            flight.tried.add(session.data_address)
+            result = _RESULTS[error.refusal.outcome]
+            raise
+        except CallerGoneError:
+            result = Result.CANCELLED
+            raise
+        finally:
+            self._chooser.observe(session, result, self._clock.now_ns() - started_ns)
+
+    def _run_local(self, flight: Flight, target: Target) -> None:
+        address = self._ownership.upstream_address()
+        if address is None:
+            raise not_run("no-upstream", "no upstream has announced itself", "route")
+        self._check_lease(target)
+        self._read_prefix(flight)
+        try:
+            ticket = self._admission.enter(target, flight.deadline_ns)
+        except NotRunError as error:
+            raise not_run("not-admitted", error.detail, error.step, error.peer) from error
+        result = Result.UNKNOWN
+        try:
+            extra = f"{_headers.DEADLINE_MS}: {self.left_ms(flight)}\r\n"
+            owner = ""
+            if target.shard >= 0:
+                extra += self._grant(target)
+                owner = f"{_headers.OWNER}: {self._ownership.own_address}\r\n"
+            self._exchange(flight, address, extra, target, owner)
+            result = Result.ANSWERED
+        except RequestFailedError as error:
+            result = _RESULTS[error.refusal.outcome]
+            raise
+        except CallerGoneError:
+            result = Result.CANCELLED
+            raise
+        finally:
+            ticket.leave(result)
+
+    def _run_remote(self, flight: Flight, address: str, target: Target) -> None:
+        flight.owner_hint = ""
+        self._read_prefix(flight)
+        head = flight.request.head
+        number = self._counters.requests
+        hop = Hop(
+            f"{self._id_prefix}{number:x}",
+            max(1, self.left_ms(flight) - HOP_MARGIN_MS),
+            1,
+            self._router.map_version,
+        )
+        key = head.special.get(_headers.KEY, "")
+        signed = self._signer.sign(hop, head.method, head.target, key)
+        owner = f"{_headers.OWNER}: {address}\r\n" if target.shard >= 0 else ""
+        self._exchange(flight, address, f"{_headers.HOP}: {signed}\r\n", None, owner)
+
+    def _exchange(
+        self, flight: Flight, address: str, extra: str, local: Target | None, owner: str
+    ) -> None:
+        """Runs one attempt at a peer.
+
+        Args:
+            flight: The request.
+            address: Address of the peer.
+            extra: Header lines for the peer.
+            local: Target at the upstream beside this node, or None for another node.
+            owner: Header line for the caller.
+        """
+        exchange = self._open(flight, address)
+        flight.exchange = exchange
+        try:
+            # Connecting can take long, so the lease is checked again right before the first byte.
+            if local is not None:
+                self._check_lease(local)
+            self._check_stopped(flight)
+            self._watch_silence(flight, exchange, address, local)
+            head = request_head(flight, address, extra)
+            flight.attempts.begin(address)
+            try:
+                self._send(flight, exchange, head)
+                answer = exchange.receive_head(flight.request.head.method)
+                flight.attempt_by_ns = 0
+                self._check_answer(flight, exchange, answer, local, address)
+                flight.attempts.on_possibly_run()
+                pass_on(flight, exchange, answer, owner, self._clock)
+            except OutcomeUnknownError as error:
+                flight.attempts.on_possibly_run()
+                if flight.request.is_answered:
+                    raise
+                self._on_silence(flight, exchange)
+                raise failure_of(flight, exchange, error) from error
+        finally:
+            flight.exchange = None
+            flight.attempt_by_ns = 0
+            exchange.abort()
+
+    def _send(self, flight: Flight, exchange: Exchange, head: bytes) -> None:
+        try:
+            send_request(flight, exchange, head)
+        except CallerGoneError as error:
+            flight.attempts.on_possibly_run()
+            if flight.stop_reason == DEADLINE:
+                raise unknown(
+                    DEADLINE,
+                    "the deadline passed inside the request body",
+                    error.step,
+                    status="504 Gateway Timeout",
+                ) from error
+            raise
+        except RequestFailedError as error:
+            # The fault lies in the caller's body, but a part of it has reached the peer.
+            flight.attempts.on_possibly_run()
+            refusal = error.refusal
+            raise unknown(
+                refusal.reason, refusal.detail, refusal.step, status=refusal.status
+            ) from error
+
+    def _open(self, flight: Flight, address: str) -> Exchange:
+        self._check_stopped(flight)
+        left_s = self.left_ms(flight) / 1000
+        idle_ns = MAX_IDLE_NS if flight.attempts.repeatable else FRESH_IDLE_NS
+        try:
+            return self.peer(address).open(
+                max_idle_ns=idle_ns, timeout_s=min(CONNECT_TIMEOUT_S, left_s)
+            )
+        except NotRunError as error:
+            raise not_run("connect-failed", error.detail, error.step, error.peer) from error
+
+    def _watch_silence(
+        self, flight: Flight, exchange: Exchange, address: str, local: Target | None
+    ) -> None:
+        # Only worth it on an older connection: silence on a new one means a slow peer, and sending
+        # the request again would not help.
+        if not (flight.attempts.repeatable and exchange.is_reused and self._budget.tokens >= 1.0):
+            return
+        divisor = SILENCE_DIVISOR_LOCAL if local is not None else SILENCE_DIVISOR_NODE
+        now_ns = self._clock.now_ns()
+        usual_ns = int(self.peer(address).slowest_recent_ns * SILENCE_FACTOR)
+        wait_ns = min((flight.deadline_ns - now_ns) // divisor, max(MIN_SILENCE_NS, usual_ns))
+        flight.attempt_by_ns = now_ns + wait_ns
+
+    def _on_silence(self, flight: Flight, exchange: Exchange) -> None:
+        if exchange.interrupt_reason and flight.stop_reason != CALLER_GONE:
+            self._counters.silent += exchange.interrupt_reason == SILENT
+            exchange.suspect()
+
+    def _check_answer(
+        self,
+        flight: Flight,
+        exchange: Exchange,
+        answer: AnswerParser,
+        local: Target | None,
+        address: str,
+    ) -> None:
+        """Raises the failure that an answer stands for, if it is not the upstream's own."""
+        if local is not None:
+            if answer.status not in SHED_STATUSES:
+                return
+            fields = {name.lower(): value for name, value in answer.fields}
+            if fields.get(_headers.NOT_RUN) != "1":
+                return
+            read_small(exchange)
+            exchange.finish()
+            flight.attempts.on_not_run()
+            hint = fields.get("retry-after", "")
+            wait_ms = int(hint) * 1000 if hint.isdecimal() and len(hint) < 6 else 1000
+            status = f"{answer.status} {answer.phrase}"
+            detail = "the upstream answered that it did not run the request"
+            raise not_run(SHED, detail, "upstream", address, status=status, retry_after_ms=wait_ms)
+        fields = {}
+        for name, value in answer.fields:
+            lower = name.lower()
+            if lower.startswith(_headers.PREFIX):
+                fields[lower] = value
+        if _headers.OUTCOME not in fields:
+            return
+        status = f"{answer.status} {answer.phrase}"
+        refusal = parse_refusal(status, fields, read_small(exchange), address)
+        exchange.finish()
+        if refusal.outcome is Outcome.UNKNOWN:
+            flight.attempts.on_possibly_run()
+        else:
+            flight.attempts.on_not_run()
+        raise RequestFailedError(refusal)
+
+    def _read_prefix(self, flight: Flight) -> None:
+        if flight.prefix is not None:
+            return
+        try:
+            flight.prefix = flight.request.body.read_up_to(BUFFERED_BYTES)
+        except CallerGoneError:
+            self._check_stopped(flight)
+            raise
+
+    def _check_lease(self, target: Target) -> None:
+        if not self._ownership.may_serve():
+            raise not_run("no-lease", "this node holds no valid lease", "lease")
+        if not self._router.is_still_local(target):
+            raise not_run("not-owner", "the key moved to another node", "route")
+
+    def _check_stopped(self, flight: Flight) -> None:
+        if flight.stop_reason == CALLER_GONE:
+            raise CallerGoneError("the caller closed the connection", step="forward")
+        if flight.stop_reason or self.left_ms(flight) <= 0:
+            detail = "the deadline passed before the request was sent"
+            raise not_run("deadline", detail, "forward", status="504 Gateway Timeout")
+
+    def _grant(self, target: Target) -> str:
+        grant = f"{target.service};{target.shard};{target.epoch}"
+        if self._ownership.lease_end_ns is not None:
+            grant += f";{self._ownership.lease_end_ns()}"
+        return f"{_headers.GRANT}: {grant}\r\n"
--- /dev/null
+++ b/src/auburnsail/_flights.py
@@ -0,0 +1,146 @@
+"""The table of requests in flight and the system that ends those whose time is over."""
+
+import select
+from collections.abc import Callable
+
+from ._clock import NS_PER_MS
+from ._hop import Hop
+from ._http_server import Request
+from ._pool import Exchange
+from ._retry import AttemptLog
+
+__all__ = ["CALLER_GONE", "DEADLINE", "SILENT", "STALLED", "Flight", "FlightTable"]
+
+CALLER_GONE = "caller-gone"
+DEADLINE = "deadline"
+SILENT = "silent"
+STALLED = "stalled"
+
+STALL_TIMEOUT_NS = 30_000 * NS_PER_MS
+
+
+class Flight:
+    """One request from its head to the end of its answer.
+
+    Attributes:
+        request: The caller's request.
+        hop: What the node before said, or None if a caller sent the request.
+        deadline_ns: Time after which the answer is of no use.
+        covers_body: Whether the deadline covers the answer's body too.
+        attempts: Attempts and what is known of them.
+        prefix: Beginning of the request body, kept for a further attempt.
+        is_body_consumed: Whether more than the prefix was read, so that it cannot be sent again.
+        owner_hint: Address that a node with a newer map named, or an empty string.
+        tried: Addresses of unkeyed upstreams that failed.
+        exchange: Current exchange with a peer.
+        attempt_by_ns: When silence ends the current attempt, 0 for never.
+        progress_by_ns: When the answer counts as stalled, 0 before it began.
+        stop_reason: Why the request was stopped, or an empty string.
+    """
+
+    __slots__ = (
+        "attempt_by_ns",
+        "attempts",
+        "covers_body",
+        "deadline_ns",
+        "exchange",
+        "hop",
+        "is_body_consumed",
+        "is_watched",
+        "owner_hint",
+        "prefix",
+        "progress_by_ns",
+        "request",
+        "stop_reason",
+        "tried",
+    )
+
+    def __init__(
+        self,
+        request: Request,
+        hop: Hop | None,
+        deadline_ns: int,
+        covers_body: bool,
+        attempts: AttemptLog,
+    ) -> None:
+        self.request = request
+        self.hop = hop
+        self.deadline_ns = deadline_ns
+        self.covers_body = covers_body
+        self.attempts = attempts
+        self.prefix: bytes | None = None
+        self.is_body_consumed = False
+        self.owner_hint = ""
+        self.tried: set[str] = set()
+        self.exchange: Exchange | None = None
+        self.attempt_by_ns = 0
+        self.progress_by_ns = 0
+        self.stop_reason = ""
+        self.is_watched = False
+
+    def stop(self, reason: str) -> None:
+        """Ends the request; the greenlet that runs it wakes with an error."""
+        if self.stop_reason:
+            return
+        self.stop_reason = reason
+        if self.exchange is not None:
+            self.exchange.interrupt(reason)
+        if self.request.is_answered:
+            self.request.break_off()
+        else:
+            self.request.interrupt_read()
+
+
+class FlightTable:
+    """All requests in flight."""
+
+    def __init__(self, on_stop: Callable[[str], None] | None = None) -> None:
+        self._flights: set[Flight] = set()
+        self._on_stop = on_stop or (lambda reason: None)
+
+    def __len__(self) -> int:
+        return len(self._flights)
+
+    def add(self, flight: Flight) -> None:
+        """Adds a request."""
+        self._flights.add(flight)
+
+    def discard(self, flight: Flight) -> None:
+        """Removes a request."""
+        self._flights.discard(flight)
+
+    def sweep(self, now_ns: int) -> None:
+        """Stops requests whose deadline passed, whose peer is silent or whose caller has gone."""
+        if not self._flights:
+            return
+        callers: dict[int, Flight] = {}
+        poll = select.poll()
+        for flight in tuple(self._flights):
+            if flight.stop_reason:
+                continue
+            self._check_time(flight, now_ns)
+            # Most requests end between two sweeps; only the others are worth a look at the caller.
+            if flight.is_watched and (number := flight.request.fileno()) >= 0:
+                callers[number] = flight
+                poll.register(number, select.POLLRDHUP)
+            flight.is_watched = True
+        for number, _ in poll.poll(0) if callers else ():
+            self._stop(callers[number], CALLER_GONE)
+
+    def _check_time(self, flight: Flight, now_ns: int) -> None:
+        if flight.progress_by_ns:
+            if flight.covers_body and now_ns >= flight.deadline_ns:
+                self._stop(flight, DEADLINE)
+            elif now_ns >= flight.progress_by_ns:
+                self._stop(flight, STALLED)
+        elif now_ns >= flight.deadline_ns:
+            self._stop(flight, DEADLINE)
+        elif 0 < flight.attempt_by_ns <= now_ns:
+            exchange = flight.exchange
+            if exchange is not None and not exchange.answered:
+                exchange.interrupt(SILENT)
+
+    def _stop(self, flight: Flight, reason: str) -> None:
+        if not flight.stop_reason:
+            flight.stop(reason)
+            self._on_stop(reason)
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -1,26 +1,58 @@
 """The HTTP data path: receives requests, routes them and passes answers back."""
 
-from collections.abc import Callable, Iterator
+import random
+from collections.abc import Callable
+
+import gevent
+import structlog
 
 from . import _headers
-from ._outcome import Outcome, Refusal
-from ._pool import Exchange, HttpPeer
-from ._routing import Forward, Local, Refuse, Router, Target
-from .exceptions import NotRunError, OutcomeUnknownError
+from ._admission import Admission, Chooser, CountingAdmission, RotatingChooser
+from ._attempt import SHED, AttemptRunner, Counters, Ownership
+from ._clock import NS_PER_MS, BootClock, Clock
+from ._flights import SILENT, Flight, FlightTable
+from ._hop import HopSigner
+from ._http_server import Request
+from ._outcome import (
+    Outcome,
+    Refusal,
+    RequestFailedError,
+    not_run,
+    refused,
+    unknown,
+)
+from ._retry import AttemptLog, RepeatablePolicy, RetryBudget, backoff_ms
+from ._routing import Router
+from .exceptions import (
+    CallerGoneError,
+    InvariantViolation,
+    OutcomeUnknownError,
+)
 
 __all__ = ["ProxyApplication"]
 
-RETRY_HINT_MS = 250
-BLOCK_BYTES = 64 * 1024
+DEFAULT_DEADLINE_MS = 30_000
+MAX_DEADLINE_MS = 600_000
+MAX_ATTEMPTS = 3
 
 
 class ProxyApplication:
-    """WSGI application that forwards requests.
+    """Forwards requests.
 
     Args:
         router: Decides where a request goes.
         upstream_address: Returns the address of the upstream beside this node, or None.
-        may_serve: Whether this node's lease is valid now.
+        may_serve: Whether this node's lease is valid now; asked again right before bytes go to
+            the upstream.
+        signer: Signs requests to other nodes and checks theirs.
+        own_address: Address at which this node serves, named as the owner of its keys.
+        lease_end_ns: Returns the end of the lease for fenced grants; None leaves it out.
+        admission: Admits requests to the upstream beside this node.
+        chooser: Chooses among the upstreams of an unkeyed service.
+        repeatable: Decides which requests may be sent again.
+        clock: Source of time.
+        jitter: Returns random numbers in [0, 1).
+        on_violation: Called once when a guarantee was found broken.
     """
 
     def __init__(
@@ -28,104 +60,169 @@
         router: Router,
         upstream_address: Callable[[], str | None],
         may_serve: Callable[[], bool],
+        *,
+        signer: HopSigner,
+        own_address: str = "",
+        lease_end_ns: Callable[[], int] | None = None,
+        admission: Admission | None = None,
+        chooser: Chooser | None = None,
+        repeatable: RepeatablePolicy | None = None,
+        clock: Clock | None = None,
+        jitter: Callable[[], float] = random.random,
+        on_violation: Callable[[InvariantViolation], None] | None = None,
     ) -> None:
         self._router = router
-        self._upstream_address = upstream_address
-        self._may_serve = may_serve
-        self._peers: dict[str, HttpPeer] = {}
-
-    def __call__(self, environ: dict, start_response) -> Iterator[bytes]:
+        self._signer = signer
+        self._repeatable = repeatable or RepeatablePolicy()
+        self._clock = clock or BootClock()
+        self._jitter = jitter
+        self._on_violation = on_violation
+        self._budget = RetryBudget()
+        self._flights = FlightTable()
+        self._log = structlog.get_logger(address=own_address)
+        self.counters = Counters()
+        self._runner = AttemptRunner(
+            router,
+            Ownership(upstream_address, may_serve, own_address, lease_end_ns),
+            signer,
+            admission or CountingAdmission(),
+            chooser or RotatingChooser(),
+            self._budget,
+            self._clock,
+            self.counters,
+        )
+        self.violation: InvariantViolation | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Number of requests in flight."""
+        return len(self._flights)
+
+    def __call__(self, request: Request) -> None:
         """Serves one request."""
-        key = environ.get("HTTP_AUBURNSAIL_KEY")
-        is_forwarded = "HTTP_AUBURNSAIL_HOP" in environ
-        route = self._router.route(environ["PATH_INFO"], key)
-        match route:
-            case Refuse(refusal=refusal):
-                return _refuse(refusal, start_response)
-            case Local(target=target):
-                return self._serve_local(target, environ, start_response)
-            case Forward() if is_forwarded:
-                refusal = _not_run("not-owner", "another node owns the key", "route")
-                return _refuse(refusal, start_response)
-            case Forward(target=target, session=session):
-                extra = [(_headers.HOP, "1")]
-                owner = (_headers.OWNER, session.data_address)
-                return self._send(session.data_address, environ, extra, [owner], start_response)
-
-    def _serve_local(self, target: Target, environ: dict, start_response) -> Iterator[bytes]:
-        address = self._upstream_address()
-        if address is None:
-            refusal = _not_run("no-upstream", "no upstream has announced itself", "route")
-            return _refuse(refusal, start_response)
-        if not self._may_serve():
-            refusal = _not_run("no-lease", "this node holds no valid lease", "lease")
-            return _refuse(refusal, start_response)
-        extra = []
-        if target.shard >= 0:
-            grant = f"{target.service};{target.shard};{target.epoch}"
-            extra.append((_headers.GRANT, grant))
-        return self._send(address, environ, extra, [], start_response)
-
-    def _send(
-        self, address: str, environ: dict, extra: list, answer_extra: list, start_response
-    ) -> Iterator[bytes]:
-        peer = self._peers.setdefault(address, HttpPeer(address))
+        self.counters.requests += 1
         try:
-            exchange = peer.open()
-        except NotRunError as error:
-            refusal = _not_run("connect-failed", error.detail, error.step, error.peer)
-            return _refuse(refusal, start_response)
+            flight = self._begin(request)
+        except RequestFailedError as error:
+            self.counters.refused += error.refusal.outcome is Outcome.REFUSED
+            request.refuse(error.refusal)
+            return
+        self._flights.add(flight)
         try:
-            exchange.send(_request_head(address, environ, extra))
-            for block in iter(lambda: environ["wsgi.input"].read(BLOCK_BYTES), b""):
-                exchange.send(block)
-            response = exchange.receive_head(environ["REQUEST_METHOD"])
-        except OutcomeUnknownError as error:
-            refusal = Refusal(
-                "502 Bad Gateway",
-                Outcome.UNKNOWN,
-                "no-answer",
-                error.detail,
-                error.step,
-                error.peer,
+            self._run(flight)
+        except CallerGoneError:
+            self.counters.cancelled += 1
+            request.break_off()
+        except InvariantViolation as error:
+            self._violate(error)
+            if not request.is_answered:
+                request.refuse(unknown("violation", error.detail, error.step).refusal)
+        finally:
+            self._flights.discard(flight)
+
+    def sweep(self, now_ns: int) -> None:
+        """See `Application.sweep`."""
+        self._flights.sweep(now_ns)
+
+    def _begin(self, request: Request) -> Flight:
+        if self.violation is not None:
+            raise not_run("violation", self.violation.detail, self.violation.step)
+        head = request.head
+        hop = None
+        signed = head.special.get(_headers.HOP)
+        if signed is not None:
+            key = head.special.get(_headers.KEY, "")
+            hop = self._signer.verify(signed, head.method, head.target, key)
+            self.counters.forwarded += 1
+        now_ns = self._clock.now_ns()
+        if hop is None:
+            deadline_ms, is_explicit = _deadline(head.special.get(_headers.DEADLINE_MS))
+            self._budget.on_request(now_ns)
+        else:
+            deadline_ms, is_explicit = hop.deadline_ms, False
+        attempts = AttemptLog(self._repeatable.is_repeatable(head.method, head.path))
+        return Flight(request, hop, now_ns + deadline_ms * NS_PER_MS, is_explicit, attempts)
+
+    def _run(self, flight: Flight) -> None:
+        failures: list[RequestFailedError] = []
+        while True:
+            try:
+                self._runner.run(flight)
+                return
+            except RequestFailedError as error:
+                failures.append(error)
+            except OutcomeUnknownError as error:
+                # The answer was cut short after a part of it had been passed on.
+                self.counters.cut_short += 1
+                self._log.warning("answer cut short", error=str(error))
+                return
+            if not self._prepare_retry(flight, failures):
+                self._refuse(flight, failures)
+                return
+
+    def _prepare_retry(self, flight: Flight, failures: list[RequestFailedError]) -> bool:
+        """Waits before the next attempt; returns False if there is none."""
+        refusal = failures[-1].refusal
+        if flight.hop is not None or flight.stop_reason or flight.is_body_consumed:
+            return False
+        if refusal.outcome is Outcome.REFUSED or len(failures) >= MAX_ATTEMPTS:
+            return False
+        if not flight.attempts.may_send or (refusal.reason == SHED and not flight.tried):
+            return False
+        delay_ms = 0.0
+        if refusal.owner and refusal.map_version > self._router.map_version:
+            flight.owner_hint = refusal.owner
+        elif refusal.reason != SILENT and not flight.tried:
+            delay_ms = backoff_ms(len(failures), self._jitter())
+        if self._runner.left_ms(flight) <= delay_ms or not self._budget.take():
+            return False
+        self.counters.retries += 1
+        if delay_ms:
+            gevent.sleep(delay_ms / 1000)
+        return not flight.stop_reason
+
+    def _refuse(self, flight: Flight, failures: list[RequestFailedError]) -> None:
+        refusal = _final_refusal(flight, failures)
+        flight.attempts.check_told(refusal.outcome)
+        match refusal.outcome:
+            case Outcome.NOT_RUN:
+                self.counters.not_run += 1
+            case Outcome.UNKNOWN:
+                self.counters.unknown += 1
+            case Outcome.REFUSED:
+                self.counters.refused += 1
+        if len(failures) > 1:
+            group = ExceptionGroup("all attempts at a request failed", failures)
+            self._log.warning(
+                "request failed", reason=refusal.reason, attempts=len(failures), exc_info=group
             )
-            return _refuse(refusal, start_response)
-        fields = [item for item in response.items() if item[0].lower() not in _headers.HOP_BY_HOP]
-        start_response(f"{response.get_code()} {response.status_message}", fields + answer_extra)
-        return _body(exchange)
-
-
-def _body(exchange: Exchange) -> Iterator[bytes]:
-    try:
-        while block := exchange.read():
-            yield block
-    finally:
-        exchange.finish()
-
-
-def _request_head(address: str, environ: dict, extra: list[tuple[str, str]]) -> bytes:
-    target = environ["PATH_INFO"]
-    if environ["QUERY_STRING"]:
-        target += "?" + environ["QUERY_STRING"]
-    lines = [f"{environ['REQUEST_METHOD']} {target} HTTP/1.1", f"Host: {address}"]
-    for name, value in environ.items():
-        if name.startswith("HTTP_"):
-            field = name[5:].replace("_", "-").lower()
-            if field not in _headers.HOP_BY_HOP and field not in ("host", "auburnsail-hop"):
-                lines.append(f"{field}: {value}")
-    for name in ("CONTENT_TYPE", "CONTENT_LENGTH"):
-        if environ.get(name):
-            lines.append(f"{name.replace('_', '-').lower()}: {environ[name]}")
-    lines += [f"{name}: {value}" for name, value in extra]
-    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1")
-
-
-def _not_run(reason: str, detail: str, step: str, peer: str = "") -> Refusal:
-    status = "503 Service Unavailable"
-    return Refusal(status, Outcome.NOT_RUN, reason, detail, step, peer, RETRY_HINT_MS)
-
-
-def _refuse(refusal: Refusal, start_response) -> list[bytes]:
-    body = refusal.body()
-    start_response(refusal.status, [*refusal.headers(), ("content-length", str(len(body)))])
-    return [body]
+        flight.request.refuse(refusal)
+
+    def _violate(self, error: InvariantViolation) -> None:
+        if self.violation is None:
+            self.violation = error
+            self._log.error("guarantee violated", error=str(error))
+            if self._on_violation is not None:
+                self._on_violation(error)
+
+
+def _deadline(value: str | None) -> tuple[int, bool]:
+    """Returns the time that a request may take in ms and whether the caller set it."""
+    if value is None:
+        return DEFAULT_DEADLINE_MS, False
+    if not (value.isascii() and value.isdecimal() and len(value) <= 9) or int(value) == 0:
+        detail = f"{_headers.DEADLINE_MS} is not a positive number of milliseconds"
+        raise refused("400 Bad Request", "bad-deadline", detail)
+    return min(int(value), MAX_DEADLINE_MS), True
+
+
+def _final_refusal(flight: Flight, failures: list[RequestFailedError]) -> Refusal:
+    """Returns what the caller is told after the last attempt failed."""
+    last = failures[-1].refusal
+    if flight.attempts.outcome is Outcome.UNKNOWN and last.outcome is not Outcome.UNKNOWN:
+        # An earlier attempt may have run, whatever became of the last one.
+        earlier = [f.refusal for f in failures if f.refusal.outcome is Outcome.UNKNOWN]
+        if earlier:
+            return earlier[-1]
+        return unknown(last.reason, last.detail, last.step, last.peer).refusal
+    return last
--- a/src/auburnsail/_headers.py
+++ b/src/auburnsail/_headers.py
@@ -2,27 +2,35 @@
 
 __all__ = [
     "DEADLINE_MS",
+    "FORWARDED_ANSWER",
     "GRANT",
     "HOP",
     "HOP_BY_HOP",
     "KEY",
+    "MAP_VERSION",
     "NOT_RUN",
     "OUTCOME",
     "OWNER",
+    "PREFIX",
     "REASON",
     "RETRY_AFTER_MS",
 ]
 
+PREFIX = "auburnsail-"
 DEADLINE_MS = "auburnsail-deadline-ms"
 GRANT = "auburnsail-grant"
 HOP = "auburnsail-hop"
 KEY = "auburnsail-key"
+MAP_VERSION = "auburnsail-map-version"
 NOT_RUN = "auburnsail-not-run"
 OUTCOME = "auburnsail-outcome"
 OWNER = "auburnsail-owner"
 REASON = "auburnsail-reason"
 RETRY_AFTER_MS = "auburnsail-retry-after-ms"
 
+# Internal headers that a node may put on an answer to another node; an upstream may set none.
+FORWARDED_ANSWER = frozenset({OWNER, MAP_VERSION})
+
 # RFC 9110 section 7.6.1 and RFC 9112: meaningful for one connection only.
 HOP_BY_HOP = frozenset(
     {
--- /dev/null
+++ b/src/auburnsail/_hop.py
@@ -0,0 +1,85 @@
+"""The signed header that one node puts on a request for another node."""
+
+import hashlib
+import hmac
+import time
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from ._outcome import RequestFailedError, refused
+
+__all__ = ["Hop", "HopSigner"]
+
+# Wall clocks are compared here only to limit how long a recorded header can be replayed; leases
+# never depend on it. The VMs' clocks are synchronised far better than this.
+MAX_AGE_S = 30
+MAX_HOPS = 4
+_SIGNATURE_DIGEST = "blake2s"
+
+
+@dataclass(frozen=True, slots=True)
+class Hop:
+    """What the first node tells the next one about a request.
+
+    Attributes:
+        request_id: Identifies the request in the journals of both nodes.
+        deadline_ms: Time left when the request was sent on.
+        hops: Number of nodes that the request has passed.
+        map_version: Version of the fleet log that the sender routed by.
+    """
+
+    request_id: str
+    deadline_ms: int
+    hops: int
+    map_version: int
+
+
+class HopSigner:
+    """Signs and checks hop headers.
+
+    The signature covers the method, the target and the key as well, so that a header recorded from
+    one request cannot be put on another.
+
+    Args:
+        secret: The fleet secret.
+        wall_s: Returns the wall-clock time in seconds.
+    """
+
+    def __init__(self, secret: str, wall_s: Callable[[], float] = time.time) -> None:
+        self._key = hashlib.blake2s(secret.encode(), person=b"hop").digest()
+        self._wall_s = wall_s
+
+    def sign(self, hop: Hop, method: str, target: str, key: str) -> str:
+        """Returns the header value."""
+        text = (
+            f"1;{hop.request_id};{hop.deadline_ms};{hop.hops};{hop.map_version}"
+            f";{int(self._wall_s())}"
+        )
+        return f"{text};{self._signature(text, method, target, key)}"
+
+    def verify(self, value: str, method: str, target: str, key: str) -> Hop:
+        """Returns the content of a header.
+
+        Raises:
+            RequestFailedError: The header is malformed, forged, expired or went through too many
+                nodes.
+        """
+        text, _, signature = value.rpartition(";")
+        expected = self._signature(text, method, target, key)
+        if not hmac.compare_digest(expected.encode(), signature.encode("latin-1")):
+            raise _bad_hop("the signature does not fit the request")
+        # Only a holder of the fleet secret gets here, so the parts have their proper form.
+        _, request_id, deadline_ms, hops, map_version, sent_s = text.split(";")
+        if abs(self._wall_s() - int(sent_s)) > MAX_AGE_S:
+            raise _bad_hop("the header has expired")
+        if int(hops) > MAX_HOPS:
+            raise _bad_hop("the request went through too many nodes")
+        return Hop(request_id, int(deadline_ms), int(hops), int(map_version))
+
+    def _signature(self, text: str, method: str, target: str, key: str) -> str:
+        message = f"{text}\n{method}\n{target}\n{key}".encode("latin-1", "backslashreplace")
+        return hmac.digest(self._key, message, _SIGNATURE_DIGEST).hex()
+
+
+def _bad_hop(detail: str) -> RequestFailedError:
+    return refused("403 Forbidden", "bad-hop", detail, "hop")
--- /dev/null
+++ b/src/auburnsail/_http_head.py
@@ -0,0 +1,207 @@
+"""Strict parsing of request heads.
+
+A router and an upstream that read one request differently can be made to disagree about where it
+ends (request smuggling), so everything ambiguous is refused. The common case is one regular
+expression over the whole head; the search for the exact fault runs only after it did not match.
+"""
+
+import re
+from dataclasses import dataclass, field
+from urllib.parse import unquote_to_bytes
+
+from . import _headers
+from ._outcome import RequestFailedError, refused
+
+__all__ = ["MAX_HEAD_BYTES", "RequestHead", "parse_head", "split_target"]
+
+MAX_HEAD_BYTES = 32 * 1024
+MAX_TARGET_BYTES = 8 * 1024
+MAX_FIELDS = 100
+MAX_LENGTH_DIGITS = 15
+
+_TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
+_HEAD = re.compile(
+    rb"%s [\x21\x22\x24-\x7e]+ HTTP/1\.[01](?:\r\n%s:[\t\x20-\x7e\x80-\xff]*)*" % (_TOKEN, _TOKEN)
+)
+_REQUEST_LINE = re.compile(rb"%s [\x21\x22\x24-\x7e]+ HTTP/1\.[01]" % _TOKEN)
+_VERSION = re.compile(rb"[^ ]+ [^ ]+ HTTP/[0-9.]+")
+_FIELD = re.compile(rb"%s:[\t\x20-\x7e\x80-\xff]*" % _TOKEN)
+_DIGITS = re.compile(r"[0-9]+")
+_BAD_PERCENT = re.compile(r"%(?![0-9A-Fa-f]{2})")
+
+_FORBIDDEN_METHODS = frozenset({"CONNECT", "TRACE"})
+_FROM_CALLERS = frozenset({_headers.KEY, _headers.DEADLINE_MS, _headers.HOP})
+_SINGLE = frozenset({"host", "content-length", "transfer-encoding", "expect"}) | _FROM_CALLERS
+_KEPT_ASIDE = _SINGLE | _headers.HOP_BY_HOP
+_BAD = "400 Bad Request"
+
+
+@dataclass(slots=True)
+class RequestHead:
+    """A valid request head.
+
+    Attributes:
+        method: Method as the caller sent it.
+        target: Request target in origin form, unchanged otherwise.
+        path: Target without its query.
+        lines: Header lines that are passed on, as the caller sent them.
+        special: Headers that this node reads, by lower-case name.
+        length: Declared length of the body, 0 if there is none.
+        chunked: Whether the body is chunked.
+        keep_alive: Whether the caller allows a further request on the connection.
+        is_http_10: Whether the caller speaks HTTP/1.0.
+        expects_continue: Whether the caller waits for ``100 Continue``.
+    """
+
+    method: str
+    target: str
+    path: str
+    lines: list[str] = field(default_factory=list)
+    special: dict[str, str] = field(default_factory=dict)
+    length: int = 0
+    chunked: bool = False
+    keep_alive: bool = True
+    is_http_10: bool = False
+    expects_continue: bool = False
+
+
+def parse_head(data: bytes) -> RequestHead:
+    """Parses a request head.
+
+    Args:
+        data: Bytes from the request line up to, without, the empty line.
+
+    Raises:
+        RequestFailedError: The head is malformed, ambiguous or too large.
+    """
+    if _HEAD.fullmatch(data) is None:
+        raise _explain(data)
+    request_line, *fields = data.decode("latin-1").split("\r\n")
+    if len(fields) > MAX_FIELDS:
+        raise _too_large(f"more than {MAX_FIELDS} header fields")
+    method, target, version = request_line.split(" ")
+    if len(target) > MAX_TARGET_BYTES:
+        detail = f"the target is longer than {MAX_TARGET_BYTES} bytes"
+        raise refused("414 URI Too Long", "target-too-long", detail)
+    if method in _FORBIDDEN_METHODS:
+        raise refused("405 Method Not Allowed", "method", f"method {method} is not supported")
+    target, path = split_target(target)
+    head = RequestHead(method, target, path)
+    _sort_fields(head, fields)
+    _read_framing(head, version == "HTTP/1.0")
+    return head
+
+
+def _sort_fields(head: RequestHead, fields: list[str]) -> None:
+    lines, special = head.lines, head.special
+    for line in fields:
+        raw_name, _, value = line.partition(":")
+        name = raw_name.lower()
+        if name in _KEPT_ASIDE:
+            value = value.strip(" \t")
+            if name in special:
+                if name in _SINGLE:
+                    raise refused(_BAD, "repeated-header", f"header {name} occurs more than once")
+                value = f"{special[name]}, {value}"
+            special[name] = value
+        elif "_" in name:
+            # CGI-style upstreams read x_name and x-name as one header, so a caller could pass off
+            # an internal header under the other spelling.
+            raise refused(_BAD, "header-name", f"header name {name!r} contains an underscore")
+        elif name.startswith(_headers.PREFIX):
+            raise refused(_BAD, "internal-header", f"callers may not send the header {name}")
+        else:
+            lines.append(line)
+
+
+def _read_framing(head: RequestHead, is_http_10: bool) -> None:
+    special = head.special
+    if "host" not in special and not is_http_10:
+        raise refused(_BAD, "missing-host", "the request has no host header")
+    head.is_http_10 = is_http_10
+    head.keep_alive = not is_http_10
+    if "connection" in special:
+        tokens = {token.strip().lower() for token in special["connection"].split(",")}
+        head.keep_alive = "close" not in tokens and (not is_http_10 or "keep-alive" in tokens)
+        tokens -= {"close", "keep-alive", ""}
+        if tokens:
+            head.lines = [x for x in head.lines if x.partition(":")[0].lower() not in tokens]
+    encoding = special.get("transfer-encoding")
+    length = special.get("content-length")
+    if encoding is not None:
+        _check_encoding(encoding, length, is_http_10)
+        head.chunked = True
+    elif length is not None:
+        if not _DIGITS.fullmatch(length) or len(length) > MAX_LENGTH_DIGITS:
+            raise refused(_BAD, "bad-length", "content-length is not a plain number")
+        head.length = int(length)
+    expectation = special.get("expect")
+    if expectation is not None:
+        if expectation.lower() != "100-continue":
+            raise refused("417 Expectation Failed", "expectation", "unknown expectation")
+        head.expects_continue = not is_http_10
+
+
+def _check_encoding(encoding: str, length: str | None, is_http_10: bool) -> None:
+    if length is not None:
+        raise refused(_BAD, "two-lengths", "both content-length and transfer-encoding are given")
+    if is_http_10:
+        raise refused(_BAD, "transfer-encoding", "HTTP/1.0 has no transfer-encoding")
+    if encoding.lower() != "chunked":
+        detail = "the only supported transfer-encoding is chunked"
+        raise refused("501 Not Implemented", "transfer-encoding", detail)
+
+
+def split_target(target: str) -> tuple[str, str]:
+    """Returns the target in origin form and its path.
+
+    Raises:
+        RequestFailedError: The target has dot segments, which an upstream could resolve into
+            another service, or is malformed.
+    """
+    if not target.startswith("/"):
+        scheme, separator, rest = target.partition("://")
+        if not separator or scheme.lower() not in ("http", "https"):
+            raise refused(_BAD, "bad-target", "the target is neither a path nor an http URL")
+        authority, slash, rest = rest.partition("/")
+        if not slash or not authority:
+            raise refused(_BAD, "bad-target", "the target has no path")
+        target = "/" + rest
+    path = target.partition("?")[0]
+    if "%" in path:
+        if _BAD_PERCENT.search(path):
+            raise refused(_BAD, "bad-target", "the target has an incomplete percent escape")
+        segments = unquote_to_bytes(path).split(b"/")
+        if b"." in segments or b".." in segments:
+            raise refused(_BAD, "bad-target", "the target has dot segments")
+    elif "/." in path:
+        segments = path.split("/")
+        if "." in segments or ".." in segments:
+            raise refused(_BAD, "bad-target", "the target has dot segments")
+    return target, path
+
+
+def _too_large(detail: str) -> RequestFailedError:
+    return refused("431 Request Header Fields Too Large", "head-too-large", detail)
+
+
+def _explain(data: bytes) -> RequestFailedError:
+    without_ends = data.replace(b"\r\n", b"")
+    if b"\n" in without_ends or b"\r" in without_ends:
+        return refused(_BAD, "line-end", "a line does not end in CR LF")
+    request_line, *fields = data.split(b"\r\n")
+    if not _REQUEST_LINE.fullmatch(request_line):
+        if _VERSION.fullmatch(request_line):
+            detail = "this HTTP version or target is not supported"
+            return refused("505 HTTP Version Not Supported", "request-line", detail)
+        return refused(_BAD, "request-line", "the request line is malformed")
+    for line in fields:
+        if _FIELD.fullmatch(line):
+            continue
+        if line[:1] in (b" ", b"\t"):
+            return refused(_BAD, "folded-header", "a header value continues on a second line")
+        name, colon, _ = line.partition(b":")
+        if colon and name != name.rstrip(b" \t"):
+            return refused(_BAD, "header-name", "a header name is followed by white space")
+        return refused(_BAD, "bad-header", "a header line is malformed")
+    return refused(_BAD, "request-line", "the request head is malformed")
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -1,13 +1,288 @@
-"""The HTTP server that faces callers and other nodes."""
+"""The HTTP server that faces callers and other nodes.
 
+gevent's server accepts the connections and starts one greenlet for each. Its own handler is replaced
+through the documented `handler_class`: it builds a WSGI environment in which the original target and
+header lines are lost, accepts heads that an upstream may read differently, and copies each body
+through several layers.
+"""
+
+import contextlib
+import struct
+from typing import Protocol
+
+import gevent
 from gevent import socket
 from gevent.pywsgi import WSGIServer
 
-__all__ = ["HttpServer"]
+from ._clock import NS_PER_MS, BootClock, Clock
+from ._http_body import BLOCK_BYTES, RequestBody
+from ._http_head import MAX_HEAD_BYTES, RequestHead, parse_head
+from ._outcome import Refusal, RequestFailedError, refused
+from .exceptions import CallerGoneError
+
+__all__ = ["Application", "ControlServer", "HttpServer", "Request"]
+
+SWEEP_MS = 10
+HEAD_TIMEOUT_MS = 10_000
+IDLE_TIMEOUT_MS = 75_000
+CONNECTION_SWEEP_MS = 500
+LINGER_S = 1.0
+LINGER_BYTES = 1 << 20
+MAX_BODY_BYTES = 1 << 30
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_ACCEPTED_AT_DRAIN = 1024
+
+
+class Application(Protocol):
+    """Serves the requests of a server."""
+
+    def __call__(self, request: "Request") -> None:
+        """Answers one request."""
+
+    def sweep(self, now_ns: int) -> None:
+        """Stops requests whose time is over or whose caller has gone."""
+
+
+class Request:
+    """One request of a caller.
+
+    Attributes:
+        head: The request's head.
+        body: The request's body.
+        is_answered: Whether any byte of an answer was sent.
+    """
+
+    __slots__ = ("_connection", "_is_whole", "body", "head", "is_answered")
+
+    def __init__(self, connection: "_Connection", head: RequestHead) -> None:
+        self._connection = connection
+        self._is_whole = False
+        self.head = head
+        self.body = RequestBody(connection, head, connection.server.max_body_bytes)
+        self.is_answered = False
+
+    @property
+    def can_keep_alive(self) -> bool:
+        """Whether a further request can follow on the caller's connection."""
+        return (
+            self.head.keep_alive and self.body.is_complete and not self._connection.server.draining
+        )
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the answer is complete and the connection can be used again."""
+        return self._is_whole
+
+    def fileno(self) -> int:
+        """Returns the descriptor of the caller's connection, -1 if it is closed."""
+        return self._connection.sock.fileno()
+
+    def send(self, data: bytes) -> None:
+        """Sends a part of the answer; waits while the caller does not read.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        self.is_answered = True
+        self._connection.send(data)
+
+    def end(self, *, keep_alive: bool) -> None:
+        """Notes that the answer is complete."""
+        self._is_whole = keep_alive
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Sends an answer of the node's own."""
+        if not self.body.is_complete:
+            self.body.skip_buffered()
+        keep_alive = self.can_keep_alive
+        self.send(refusal.encode(close=not keep_alive, head_only=self.head.method == "HEAD"))
+        self.end(keep_alive=keep_alive)
+
+    def break_off(self) -> None:
+        """Resets the caller's connection, so that a partial answer cannot pass for a whole one."""
+        self._connection.reset()
+
+    def interrupt_read(self) -> None:
+        """Makes a blocked read of the body fail; an answer can still be sent."""
+        self._connection.shut_down(socket.SHUT_RD)
+
+
+class _Connection:
+    """One caller's connection; serves its requests one after another."""
+
+    __slots__ = ("_timed_out", "buffered", "head_by_ns", "is_idle", "server", "sock")
+
+    def __init__(self, sock: socket.socket, _address: tuple, server: "HttpServer") -> None:
+        self.sock = sock
+        self.server = server
+        self.buffered = b""
+        self.head_by_ns = 0
+        self.is_idle = True
+        self._timed_out = False
+
+    def handle(self) -> None:
+        """Serves requests until the connection ends."""
+        connections = self.server.connections
+        connections.add(self)
+        try:
+            while self._serve_one():
+                pass
+        except CallerGoneError:
+            pass
+        finally:
+            connections.discard(self)
+            self.sock.close()
+
+    def receive(self) -> bool:
+        """See `ByteSource.receive`."""
+        try:
+            data = self.sock.recv(BLOCK_BYTES)
+        except OSError:
+            return False
+        self.buffered = self.buffered + data if self.buffered else data
+        return bool(data)
+
+    def send(self, data: bytes) -> None:
+        """Sends bytes to the caller.
+
+        Raises:
+            CallerGoneError: The caller closed the connection.
+        """
+        try:
+            self.sock.sendall(data)
+        except OSError as error:
+            raise CallerGoneError(str(error), step="answer") from error
+
+    def send_continue(self) -> None:
+        """See `ByteSource.send_continue`."""
+        self.send(_CONTINUE)
+
+    def reset(self) -> None:
+        """Closes the connection with a reset."""
+        with contextlib.suppress(OSError):
+            self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        self.sock.close()
+
+    def shut_down(self, how: int) -> None:
+        """Shuts one direction down, which wakes the greenlet that waits for it."""
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(how)
+
+    def expire(self) -> None:
+        """Ends a connection whose next head did not arrive in time."""
+        self._timed_out = True
+        self.shut_down(socket.SHUT_RD)
+
+    def _serve_one(self) -> bool:
+        server = self.server
+        try:
+            data = self._read_head()
+            if data is None:
+                return False
+            head = parse_head(data)
+            request = Request(self, head)
+        except RequestFailedError as error:
+            self.send(error.refusal.encode(close=True))
+            self._close_softly()
+            return False
+        try:
+            server.application(request)
+        finally:
+            self.is_idle = True
+        if request.is_whole:
+            return True
+        self._close_softly()
+        return False
+
+    def _read_head(self) -> bytes | None:
+        server = self.server
+        now_ns = server.clock.now_ns()
+        if not self.buffered:
+            if server.draining and server.drain_idle_now:
+                return None
+            self.head_by_ns = now_ns + IDLE_TIMEOUT_MS * NS_PER_MS
+            if not self.receive():
+                return None
+        self.is_idle = False
+        self.head_by_ns = now_ns + HEAD_TIMEOUT_MS * NS_PER_MS
+        if self.buffered.startswith(b"\r\n"):
+            # RFC 9112 section 2.2: an empty line before a request is ignored.
+            self.buffered = self.buffered[2:]
+        while (end := self.buffered.find(b"\r\n\r\n")) < 0:
+            if len(self.buffered) > MAX_HEAD_BYTES:
+                break
+            if b"\n\n" in self.buffered:
+                raise refused("400 Bad Request", "line-end", "a line does not end in CR LF")
+            if not self.receive():
+                if self._timed_out:
+                    detail = "the head did not arrive in time"
+                    raise refused("408 Request Timeout", "head-timeout", detail)
+                return None
+        self.head_by_ns = 0
+        if not 0 <= end <= MAX_HEAD_BYTES:
+            detail = f"the head is longer than {MAX_HEAD_BYTES} bytes"
+            raise refused("431 Request Header Fields Too Large", "head-too-large", detail)
+        data = self.buffered[:end]
+        self.buffered = self.buffered[end + 4 :]
+        return data
+
+    def _close_softly(self) -> None:
+        # Closing while unread bytes are left sends a reset, which can overtake the answer.
+        if self.sock.fileno() < 0:
+            return
+        self.shut_down(socket.SHUT_WR)
+        left = LINGER_BYTES
+        try:
+            self.sock.settimeout(LINGER_S)
+            while left > 0 and (data := self.sock.recv(BLOCK_BYTES)):
+                left -= len(data)
+        except OSError:
+            pass
 
 
 class HttpServer(WSGIServer):
-    """Serves HTTP on one address."""
+    """Serves HTTP on one address.
+
+    Args:
+        listener: Address to listen on.
+        application: Serves the requests.
+        clock: Source of time.
+        max_body_bytes: Longest request body.
+
+    Attributes:
+        draining: Whether the server has stopped accepting.
+        drain_idle_now: Whether a connection without a request is closed at once.
+    """
+
+    handler_class = _Connection
+
+    def __init__(
+        self,
+        listener: tuple[str, int],
+        application: Application,
+        *,
+        clock: Clock | None = None,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
+        super().__init__(listener, application, log=None, error_log=None)
+        self.clock = clock or BootClock()
+        self.connections: set[_Connection] = set()
+        self.draining = False
+        self.drain_idle_now = False
+        self.max_body_bytes = max_body_bytes
+        self._sweeper: gevent.Greenlet | None = None
+
+    @property
+    def in_flight(self) -> int:
+        """Number of connections with a request that is not answered."""
+        return sum(not connection.is_idle for connection in self.connections)
+
+    def start(self) -> None:
+        """Starts accepting."""
+        super().start()
+        if self._sweeper is None:
+            self._sweeper = gevent.spawn(self._sweep_forever)
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Handles one accepted connection."""
@@ -15,3 +290,74 @@
         # acknowledgement of the first, about 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
+
+    def drain(self, *, idle_grace_s: float, timeout_s: float) -> bool:
+        """Stops accepting and waits until the requests in flight are answered.
+
+        Connections that wait in the listen queue are still accepted and served. Every answer from
+        now on ends its connection.
+
+        Args:
+            idle_grace_s: How long idle connections stay open, for requests that are on their way.
+            timeout_s: Longest wait in seconds.
+
+        Returns:
+            Whether all requests in flight were answered.
+        """
+        self.draining = True
+        self.stop_accepting()
+        self._accept_queued()
+        self.close()
+        end_ns = self.clock.now_ns() + int(timeout_s * 1e9)
+        gevent.sleep(min(idle_grace_s, timeout_s))
+        self.drain_idle_now = True
+        while self.connections:
+            for connection in tuple(self.connections):
+                if connection.is_idle and not connection.buffered:
+                    connection.shut_down(socket.SHUT_RD)
+            if not self.in_flight:
+                break
+            if self.clock.now_ns() >= end_ns:
+                return False
+            gevent.sleep(SWEEP_MS / 1000)
+        return True
+
+    def kill(self) -> None:
+        """Stops accepting and resets all connections."""
+        self.stop(timeout=0)
+        if self._sweeper is not None:
+            self._sweeper.kill(block=False)
+        for connection in tuple(self.connections):
+            connection.reset()
+
+    def _accept_queued(self) -> None:
+        listener = self.socket
+        listener.settimeout(0)
+        for _ in range(_ACCEPTED_AT_DRAIN):
+            try:
+                sock, address = listener.accept()
+            except OSError:
+                return
+            sock.settimeout(None)
+            gevent.spawn(self.handle, sock, address)
+
+    def _sweep_forever(self) -> None:
+        next_connections_ns = 0
+        while True:
+            gevent.sleep(SWEEP_MS / 1000)
+            now_ns = self.clock.now_ns()
+            self.application.sweep(now_ns)
+            if now_ns >= next_connections_ns:
+                next_connections_ns = now_ns + CONNECTION_SWEEP_MS * NS_PER_MS
+                for connection in tuple(self.connections):
+                    if 0 < connection.head_by_ns <= now_ns:
+                        connection.expire()
+
+
+class ControlServer(WSGIServer):
+    """gevent's WSGI server for the control port, with TCP_NODELAY."""
+
+    def handle(self, sock: socket.socket, address: tuple) -> None:
+        """Handles one accepted connection."""
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().handle(sock, address)
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -6,10 +6,12 @@
 import msgspec
 import structlog
 
+from ._admission import RotatingChooser
 from ._clock import BootClock, Timers
 from ._fleet import FleetState
 from ._forward import ProxyApplication
-from ._http_server import HttpServer
+from ._hop import HopSigner
+from ._http_server import ControlServer, HttpServer
 from ._log import VersionedLog
 from ._model import (
     Assign,
@@ -77,13 +79,18 @@
 
     def run(self) -> None:
         """Serves until the process ends."""
-        data = ProxyApplication(self._router, self._upstream_address, lambda: True)
-        for address, application in (
-            (self._settings.data_address, data),
-            (self._settings.control_address, self._serve_control),
-        ):
-            host, _, port = address.rpartition(":")
-            HttpServer((host, int(port)), application, log=None, error_log=None).start()
+        data = ProxyApplication(
+            self._router,
+            self._upstream_address,
+            lambda: True,
+            signer=HopSigner(self._settings.fleet_secret),
+            own_address=self._settings.data_address,
+            chooser=RotatingChooser(self._settings.region, self._settings.domain),
+            clock=self._clock,
+        )
+        HttpServer(_endpoint(self._settings.data_address), data, clock=self._clock).start()
+        control = _endpoint(self._settings.control_address)
+        ControlServer(control, self._serve_control, log=None, error_log=None).start()
         self._log.info("node started", address=self._settings.data_address)
         while True:
             try:
@@ -177,6 +184,11 @@
         return True
 
 
+def _endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
+
+
 def build_node(settings: NodeSettings) -> Node:
     """Wires a node from its settings."""
     return Node(settings)
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -4,19 +4,25 @@
 again after a connection error, and a router may not repeat a request whose outcome is unknown.
 """
 
+import contextlib
+import select
 from dataclasses import dataclass
 
 import gevent
 from gevent import socket
-from geventhttpclient.response import HTTPConnectionClosed, HTTPParseError, HTTPSocketResponse
 
+from ._answer_parser import AnswerParser, HTTPParseError
+from ._clock import NS_PER_MS, BootClock, Clock
 from .exceptions import NotRunError, OutcomeUnknownError
 
-__all__ = ["Answer", "Exchange", "HttpPeer"]
+__all__ = ["Answer", "Exchange", "HttpPeer", "is_quiet"]
 
 CONNECT_TIMEOUT_S = 1.0
 BLOCK_BYTES = 64 * 1024
 MAX_IDLE = 64
+# Shorter than the keep-alive time of usual servers, so that the node closes first.
+MAX_IDLE_NS = 30_000 * NS_PER_MS
+PEAK_DECAY = 0.99
 
 
 @dataclass(slots=True)
@@ -28,88 +34,175 @@
     body: bytes
 
 
+@dataclass(slots=True)
+class _Connection:
+    sock: socket.socket
+    proven_ns: int
+    is_reused: bool = False
+
+
 class Exchange:
-    """One request on one connection; closed unless the exchange ends cleanly."""
+    """One request on one connection; closed unless the exchange ends cleanly.
+
+    Attributes:
+        started_ns: When the exchange got its connection.
+        bytes_sent: Bytes of the request handed to the operating system, at least.
+        answered: Whether any byte of an answer arrived.
+        interrupt_reason: Why the exchange was interrupted, or an empty string.
+    """
 
-    def __init__(self, peer: "HttpPeer", sock: socket.socket) -> None:
+    __slots__ = (
+        "_connection",
+        "_left",
+        "_parser",
+        "_peer",
+        "answered",
+        "bytes_sent",
+        "interrupt_reason",
+        "started_ns",
+    )
+
+    def __init__(self, peer: "HttpPeer", connection: _Connection, now_ns: int) -> None:
         self._peer = peer
-        self._socket = sock
-        self._response: HTTPSocketResponse | None = None
+        self._connection: _Connection | None = connection
+        self._parser: AnswerParser | None = None
+        self._left = 0
+        self.started_ns = now_ns
         self.bytes_sent = 0
+        self.answered = False
+        self.interrupt_reason = ""
+
+    @property
+    def is_reused(self) -> bool:
+        """Whether the connection served an earlier exchange."""
+        return self._connection is not None and self._connection.is_reused
+
+    @property
+    def has_early_answer(self) -> bool:
+        """Whether the peer sent something, or closed, before the request was sent completely."""
+        return self._connection is not None and not is_quiet(self._connection.sock)
 
     def send(self, data: bytes) -> None:
-        """Sends raw bytes of the request."""
+        """Sends raw bytes of the request.
+
+        Raises:
+            OutcomeUnknownError: The connection broke; some of the bytes may have arrived.
+        """
+        self.bytes_sent += len(data)
         try:
-            self._socket.sendall(data)
+            self._open_socket().sendall(data)
         except OSError as error:
-            self.abort()
-            raise OutcomeUnknownError(
-                str(error), step="http.send", peer=self._peer.address
-            ) from error
-        self.bytes_sent += len(data)
+            raise self._failure(str(error), "http.send") from error
 
-    def receive_head(self, method: str) -> HTTPSocketResponse:
-        """Waits for the status line and the headers of the answer."""
-        try:
-            self._response = _Response(self._socket, BLOCK_BYTES, method)
-        except (OSError, HTTPConnectionClosed, HTTPParseError) as error:
-            self.abort()
-            raise OutcomeUnknownError(
-                str(error) or "connection closed", step="http.receive", peer=self._peer.address
-            ) from error
-        return self._response
+    def receive_head(self, method: str) -> AnswerParser:
+        """Waits for the status line and the headers of the answer.
+
+        Raises:
+            OutcomeUnknownError: The connection ended or carried no valid answer.
+        """
+        self._parser = parser = AnswerParser(method)
+        while not parser.head_done:
+            self._receive()
+        if parser.length is not None:
+            self._left = parser.length
+        return parser
 
     def read(self) -> bytes:
-        """Returns the next part of the body, or empty bytes at its end."""
-        response = self._response
-        buffered = response.take()
-        if buffered or response.message_complete:
-            return buffered
-        try:
-            while not buffered and not response.message_complete:
-                data = self._socket.recv(BLOCK_BYTES)
-                response.feed(data)
-                if not data and not response.message_complete:
-                    raise HTTPParseError("connection closed inside the body")
-                buffered = response.take()
-        except (OSError, HTTPParseError) as error:
-            self.abort()
-            raise OutcomeUnknownError(
-                str(error), step="http.read", peer=self._peer.address
-            ) from error
-        return buffered
+        """Returns the next part of the body, or empty bytes at its end.
+
+        Raises:
+            OutcomeUnknownError: The body was cut short.
+        """
+        parser = self._parser
+        data = parser.take_body()
+        if parser.length is not None:
+            if not data and self._left:
+                data = self._receive_raw()
+                if len(data) > self._left:
+                    parser.has_excess = True
+                    data = data[: self._left]
+            self._left -= len(data)
+            return data
+        while not data and not parser.done:
+            self._receive()
+            data = parser.take_body()
+        return data
 
     def finish(self) -> None:
         """Returns the connection to the pool if the exchange ended cleanly."""
-        if self._socket is None:
+        connection = self._connection
+        if connection is None:
             return
-        if self._response is not None and not self._response.should_close():
-            self._peer.put_idle(self._socket)
-            self._socket = None
-        else:
+        if not self._is_clean():
             self.abort()
+            return
+        self._connection = None
+        self._peer.put_idle(connection, self.started_ns)
 
     def abort(self) -> None:
         """Closes the connection."""
-        if self._socket is not None:
-            self._socket.close()
-            self._socket = None
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.sock.close()
 
+    def interrupt(self, reason: str) -> None:
+        """Makes a blocked call of another greenlet on this exchange fail.
 
-class _Response(HTTPSocketResponse):
-    """Response parser that leaves the connection to the exchange."""
-
-    def __init__(self, sock: socket.socket, block_size: int, method: str) -> None:
-        super().__init__(sock, block_size=block_size, method=method)
+        Args:
+            reason: Kept in `interrupt_reason` and named in the error.
+        """
+        if self._connection is None or self.interrupt_reason:
+            return
+        self.interrupt_reason = reason
+        _shut_down(self._connection.sock)
+
+    def suspect(self) -> None:
+        """Notes that the peer stayed silent on this exchange."""
+        if not self.answered:
+            self._peer.suspect_before(self.started_ns)
+
+    def _is_clean(self) -> bool:
+        parser = self._parser
+        if parser is None or not parser.head_done or not parser.keep_alive or parser.has_excess:
+            return False
+        return self._left == 0 if parser.length is not None else parser.done
+
+    def _receive(self) -> None:
+        data = self._receive_raw(at_end_ok=True)
+        parser = self._parser
+        try:
+            if data:
+                parser.feed(data)
+            elif parser.head_done and parser.length is None and not parser.is_chunked:
+                parser.done = True
+            else:
+                raise HTTPParseError("the connection ended inside the answer")
+        except HTTPParseError as error:
+            raise self._failure(str(error), "http.receive") from error
+
+    def _receive_raw(self, at_end_ok: bool = False) -> bytes:
+        try:
+            data = self._open_socket().recv(BLOCK_BYTES)
+        except OSError as error:
+            raise self._failure(str(error), "http.receive") from error
+        if self.interrupt_reason:
+            raise self._failure("interrupted", "http.receive")
+        if data:
+            self.answered = True
+        elif not at_end_ok:
+            raise self._failure("the connection ended inside the body", "http.receive")
+        return data
 
-    def release(self) -> None:
-        """Does nothing: the exchange decides what becomes of the connection."""
+    def _open_socket(self) -> socket.socket:
+        if self._connection is None:
+            raise OSError("the connection is closed")
+        return self._connection.sock
 
-    def take(self) -> bytes:
-        """Returns and clears the body bytes parsed so far."""
-        data = bytes(self._body_buffer)
-        self._body_buffer.clear()
-        return data
+    def _failure(self, detail: str, step: str) -> OutcomeUnknownError:
+        self.abort()
+        if self.interrupt_reason:
+            detail = f"stopped: {self.interrupt_reason}"
+        return OutcomeUnknownError(detail, step=step, peer=self._peer.address)
 
 
 class HttpPeer:
@@ -117,44 +210,84 @@
 
     Args:
         address: ``ip:port`` of the peer.
+        clock: Source of time.
+        drops_suspects: Whether a silent time-out drops older idle connections; switched off only
+            to measure what it is worth.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, clock: Clock | None = None, *, drops_suspects: bool = True
+    ) -> None:
         host, _, port = address.rpartition(":")
-        self._endpoint = (host, int(port))
-        self._idle: list[socket.socket] = []
+        self._endpoint = (host.strip("[]"), int(port))
+        self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._clock = clock or BootClock()
+        self._idle: list[_Connection] = []
+        self._drops_suspects = drops_suspects
         self.address = address
+        self.slowest_recent_ns = 0.0
+
+    @property
+    def idle(self) -> int:
+        """Number of idle connections."""
+        return len(self._idle)
 
-    def open(self) -> Exchange:
+    def open(
+        self, *, max_idle_ns: int = MAX_IDLE_NS, timeout_s: float = CONNECT_TIMEOUT_S
+    ) -> Exchange:
         """Returns an exchange on an idle or a new connection.
 
+        Args:
+            max_idle_ns: A connection that was last proven to work longer ago is not used.
+            timeout_s: Longest time to connect in seconds.
+
         Raises:
             NotRunError: No connection could be made.
         """
+        now_ns = self._clock.now_ns()
         while self._idle:
-            sock = self._idle.pop()
-            if _is_quiet(sock):
-                return Exchange(self, sock)
-            sock.close()
-        try:
-            sock = socket.create_connection(self._endpoint, timeout=CONNECT_TIMEOUT_S)
-        except OSError as error:
-            raise NotRunError(str(error), step="http.connect", peer=self.address) from error
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.settimeout(None)
-        return Exchange(self, sock)
-
-    def put_idle(self, sock: socket.socket) -> None:
-        """Keeps a connection for later use."""
+            connection = self._idle[-1]
+            if now_ns - connection.proven_ns > max_idle_ns:
+                # The list is ordered by use, so all others are older still.
+                break
+            self._idle.pop()
+            if is_quiet(connection.sock):
+                return Exchange(self, connection, now_ns)
+            connection.sock.close()
+        if max_idle_ns >= MAX_IDLE_NS:
+            self.drop_idle()
+        return Exchange(self, self._connect(min(timeout_s, CONNECT_TIMEOUT_S)), now_ns)
+
+    def put_idle(self, connection: _Connection, started_ns: int) -> None:
+        """Keeps a connection whose exchange ended cleanly for later use."""
+        now_ns = self._clock.now_ns()
+        self.slowest_recent_ns = max(now_ns - started_ns, self.slowest_recent_ns * PEAK_DECAY)
+        connection.proven_ns = now_ns
+        connection.is_reused = True
         if len(self._idle) < MAX_IDLE:
-            self._idle.append(sock)
+            self._idle.append(connection)
         else:
-            sock.close()
+            connection.sock.close()
+
+    def suspect_before(self, limit_ns: int) -> None:
+        """Drops idle connections that were last proven to work before a silent exchange began.
+
+        All open connections of a pair can go silent at once, while new ones work.
+        """
+        if not self._drops_suspects:
+            return
+        kept = []
+        for connection in self._idle:
+            if connection.proven_ns >= limit_ns:
+                kept.append(connection)
+            else:
+                connection.sock.close()
+        self._idle = kept
 
     def drop_idle(self) -> None:
         """Closes all idle connections."""
         while self._idle:
-            self._idle.pop().close()
+            self._idle.pop().sock.close()
 
     def fetch(
         self,
@@ -178,7 +311,7 @@
             NotRunError: No connection could be made.
             OutcomeUnknownError: The request was sent but no whole answer came.
         """
-        exchange = self.open()
+        exchange = self.open(timeout_s=timeout_s)
         lines = [f"{method} {target} HTTP/1.1", f"Host: {self.address}"]
         lines += [f"{name}: {value}" for name, value in headers]
         lines.append(f"Content-Length: {len(body)}")
@@ -192,11 +325,12 @@
             while part := exchange.read():
                 parts.append(part)
             exchange.finish()
-            return Answer(response.get_code(), list(response.items()), b"".join(parts))
+            fields = [(name.lower(), value) for name, value in response.fields]
+            return Answer(response.status, fields, b"".join(parts))
         except gevent.Timeout as error:
             if error is not timeout:
                 raise
-            self.drop_idle()
+            exchange.suspect()
             raise OutcomeUnknownError(
                 f"no answer within {timeout_s} s", step="http.fetch", peer=self.address
             ) from None
@@ -204,18 +338,33 @@
             timeout.close()
             exchange.abort()
 
+    def _connect(self, timeout_s: float) -> _Connection:
+        sock = socket.socket(self._family, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(timeout_s)
+            sock.connect(self._endpoint)
+        except OSError as error:
+            sock.close()
+            raise NotRunError(str(error), step="http.connect", peer=self.address) from error
+        except BaseException:
+            sock.close()
+            raise
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.settimeout(None)
+        return _Connection(sock, self._clock.now_ns())
+
 
-def _is_quiet(sock: socket.socket) -> bool:
-    # An idle connection that is readable was closed by the peer or carries stray bytes.
+def is_quiet(sock: socket.socket) -> bool:
+    """Returns whether a connection is open and has nothing to read."""
+    poll = select.poll()
     try:
-        return not _readable(sock)
-    except OSError:
+        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
+    except (OSError, ValueError):
         return False
+    return not poll.poll(0)
 
 
-def _readable(sock: socket.socket) -> bool:
-    try:
-        sock._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
-    except BlockingIOError:
-        return False
-    return True
+def _shut_down(sock: socket.socket) -> None:
+    # If the peer closed the connection already, that wakes the blocked call as well.
+    with contextlib.suppress(OSError):
+        sock.shutdown(socket.SHUT_RDWR)
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -1,17 +1,20 @@
 """Decides where a request goes."""
 
 from dataclasses import dataclass
+from urllib.parse import unquote_to_bytes
 
 from ._fleet import FleetState
 from ._model import Session, SessionId
-from ._outcome import Outcome, Refusal
+from ._outcome import Refusal, RequestFailedError, not_run, refused
 from ._settings import TreeSettings
 from ._shards import shard_of
 
-__all__ = ["Forward", "Local", "Refuse", "Router", "Target"]
+__all__ = ["AnyOf", "Forward", "Local", "Refuse", "Route", "Router", "Target"]
 
 MAX_KEY_BYTES = 1024
-RETRY_HINT_MS = 250
+# Transfers are known everywhere within tens of milliseconds.
+MAP_RETRY_HINT_MS = 50
+_BAD = "400 Bad Request"
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,6 +42,14 @@
     session: Session
 
 
+@dataclass(frozen=True, slots=True)
+class AnyOf:
+    """Any of several nodes can run the request."""
+
+    target: Target
+    sessions: tuple[Session, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class Refuse:
     """The request is not sent anywhere."""
@@ -46,7 +57,7 @@
     refusal: Refusal
 
 
-Route = Local | Forward | Refuse
+Route = Local | Forward | AnyOf | Refuse
 
 
 class Router:
@@ -60,56 +71,116 @@
     def __init__(self, fleet: FleetState, tree: TreeSettings) -> None:
         self._fleet = fleet
         self._tree = tree
-        self._rotation = 0
+        self._members: dict[str, tuple[Session, ...]] = {}
+        self._members_version = -1
         self.own_id: SessionId | None = None
 
-    def route(self, path: str, key_header: str | None) -> Route:
+    @property
+    def map_version(self) -> int:
+        """Version of the fleet log that routes follow."""
+        return self._fleet.version
+
+    def route(
+        self,
+        path: str,
+        key_header: str | None,
+        *,
+        is_forwarded: bool = False,
+        sender_version: int = 0,
+    ) -> Route:
         """Decides where a request goes.
 
         Args:
             path: ``/<service>/<path>``.
             key_header: Value of the key header, or None.
+            is_forwarded: Whether another node sent the request; it is then not sent on.
+            sender_version: Version of the map that the other node routed by.
         """
-        _, service, *rest = path.split("/", 2) if path.count("/") > 1 else (*path.split("/"), "")
+        try:
+            route = self._find(path, key_header)
+            if is_forwarded:
+                return self._stay(route, sender_version)
+        except RequestFailedError as error:
+            return Refuse(error.refusal)
+        return route
+
+    def is_still_local(self, target: Target) -> bool:
+        """Returns whether this node owns the target's shard at the same epoch as before."""
+        if target.shard < 0:
+            return True
+        row = self._fleet.owner(target.service, target.shard)
+        if row is None or row.session.id != self.own_id:
+            return False
+        return self._fleet.epoch(target.service, target.shard) == target.epoch
+
+    def _find(self, path: str, key_header: str | None) -> Route:
+        _, service, *rest = path.split("/", 3)
         settings = self._tree.services.get(service)
         if settings is None:
-            return _refused("404 Not Found", "unknown-service", f"no service {service!r}")
-        if not settings.keyed:
-            return self._any_upstream(service)
-        key = key_header if key_header is not None else rest[0].split("/")[0].split("?")[0]
-        if not key:
-            return _refused("400 Bad Request", "missing-key", "the request names no key")
-        if len(key.encode()) > MAX_KEY_BYTES:
-            return _refused("400 Bad Request", "key-too-long", f"limit is {MAX_KEY_BYTES} bytes")
-        return self._owner(service, key)
+            raise refused("404 Not Found", "unknown-service", f"no service {service!r}", "route")
+        if settings.keyed:
+            return self._owner(service, _key(key_header, rest))
+        members = self._members_of(service)
+        if not members:
+            raise not_run("no-upstream", f"no upstream of {service} is known", "route")
+        return AnyOf(Target(service), members)
 
     def _owner(self, service: str, key: str) -> Route:
         shard = shard_of(key, len(self._fleet.tables[service]))
         row = self._fleet.owner(service, shard)
         if row is None:
-            return _not_run("no-owner", f"shard {shard} of {service} has no owner")
+            raise not_run("no-owner", f"shard {shard} of {service} has no owner", "route")
         target = Target(service, key, shard, self._fleet.epoch(service, shard))
         if row.session.id == self.own_id:
             return Local(target)
         return Forward(target, row.session)
 
-    def _any_upstream(self, service: str) -> Route:
-        rows = [row for row in self._fleet.sessions.values() if row.session.service == service]
-        if not rows:
-            return _not_run("no-upstream", f"no upstream of {service} is known")
-        self._rotation += 1
-        session = rows[self._rotation % len(rows)].session
-        if session.id == self.own_id:
-            return Local(Target(service))
-        return Forward(Target(service), session)
-
-
-def _refused(status: str, reason: str, detail: str) -> Refuse:
-    return Refuse(Refusal(status, Outcome.REFUSED, reason, detail, "route"))
-
-
-def _not_run(reason: str, detail: str) -> Refuse:
-    status = "503 Service Unavailable"
-    return Refuse(
-        Refusal(status, Outcome.NOT_RUN, reason, detail, "route", retry_after_ms=RETRY_HINT_MS)
-    )
+    def _stay(self, route: Route, sender_version: int) -> Route:
+        match route:
+            case AnyOf(target=target, sessions=sessions):
+                if any(session.id == self.own_id for session in sessions):
+                    return Local(target)
+                raise not_run("not-member", "this node does not serve the service", "route")
+            case Forward(session=session):
+                if sender_version > self._fleet.version:
+                    raise not_run(
+                        "map-behind",
+                        f"this node's map has version {self._fleet.version}",
+                        "route",
+                        retry_after_ms=MAP_RETRY_HINT_MS,
+                    )
+                raise not_run(
+                    "not-owner",
+                    "another node owns the key",
+                    "route",
+                    retry_after_ms=MAP_RETRY_HINT_MS,
+                    owner=session.data_address,
+                    map_version=self._fleet.version,
+                )
+        return route
+
+    def _members_of(self, service: str) -> tuple[Session, ...]:
+        if self._members_version != self._fleet.version:
+            self._members_version = self._fleet.version
+            self._members.clear()
+            for row in self._fleet.sessions.values():
+                known = self._members.get(row.session.service, ())
+                self._members[row.session.service] = (*known, row.session)
+        return self._members.get(service, ())
+
+
+def _key(header: str | None, rest: list[str]) -> str:
+    """Returns the key; the escaped and the plain spelling of a path segment are the same key."""
+    if header is not None:
+        raw = header.encode("latin-1")
+    else:
+        segment = rest[0] if rest else ""
+        raw = unquote_to_bytes(segment) if "%" in segment else segment.encode("latin-1")
+    if not raw:
+        raise refused(_BAD, "missing-key", "the request names no key", "route")
+    if len(raw) > MAX_KEY_BYTES:
+        raise refused(_BAD, "key-too-long", f"the limit is {MAX_KEY_BYTES} bytes", "route")
+    try:
+        return raw.decode()
+    except UnicodeDecodeError:
+        raise refused(_BAD, "bad-key", "the key is not valid UTF-8", "route") from None
--- a/src/auburnsail/exceptions.py
+++ b/src/auburnsail/exceptions.py
@@ -2,6 +2,7 @@
 
 __all__ = [
     "AuburnsailError",
+    "CallerGoneError",
     "ConflictError",
     "InvariantViolation",
     "NotRunError",
@@ -32,6 +33,10 @@
         return f"{where}: {self.detail}"
 
 
+class CallerGoneError(AuburnsailError):
+    """The caller closed its connection, so nobody waits for the answer."""
+
+
 class RefusedError(AuburnsailError):
     """The request is invalid or forbidden; it was not run and will not run as it stands."""
 
