Test that bad input is refused and nothing runs

Cause: the strict parsing of heads and bodies had no tests.

Failed attempts are logged as one group without stacks and at most once per second.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -147,6 +147,11 @@
             peer = self._peers[address] = HttpPeer(address, self._clock)
         return peer
 
+    def drop_idle(self) -> None:
+        """Closes the idle connections to all peers."""
+        for peer in self._peers.values():
+            peer.drop_idle()
+
     def left_ms(self, flight: Flight) -> int:
         """Returns the time until the deadline in milliseconds."""
         return (flight.deadline_ns - self._clock.now_ns()) // NS_PER_MS
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -34,6 +34,8 @@
 DEFAULT_DEADLINE_MS = 30_000
 MAX_DEADLINE_MS = 600_000
 MAX_ATTEMPTS = 3
+# An outage fails thousands of requests per second; one line per second shows it.
+LOG_EVERY_NS = 1_000 * NS_PER_MS
 
 
 class ProxyApplication:
@@ -80,6 +82,8 @@
         self._budget = RetryBudget()
         self._flights = FlightTable()
         self._log = structlog.get_logger(address=own_address)
+        self._next_log_ns = 0
+        self._unlogged = 0
         self.counters = Counters()
         self._runner = AttemptRunner(
             router,
@@ -124,6 +128,10 @@
         """See `Application.sweep`."""
         self._flights.sweep(now_ns)
 
+    def close(self) -> None:
+        """Closes the idle connections to peers."""
+        self._runner.drop_idle()
+
     def _begin(self, request: Request) -> Flight:
         if self.violation is not None:
             raise not_run("violation", self.violation.detail, self.violation.step)
@@ -192,12 +200,27 @@
             case Outcome.REFUSED:
                 self.counters.refused += 1
         if len(failures) > 1:
-            group = ExceptionGroup("all attempts at a request failed", failures)
-            self._log.warning(
-                "request failed", reason=refusal.reason, attempts=len(failures), exc_info=group
-            )
+            self._log_failures(refusal, failures)
         flight.request.refuse(refusal)
 
+    def _log_failures(self, refusal: Refusal, failures: list[RequestFailedError]) -> None:
+        now_ns = self._clock.now_ns()
+        if now_ns < self._next_log_ns:
+            self._unlogged += 1
+            return
+        # The stack of an attempt is always the same; the step and the peer tell them apart.
+        errors = [error.with_traceback(None) for error in failures]
+        group = ExceptionGroup("all attempts at a request failed", errors)
+        self._log.warning(
+            "request failed",
+            reason=refusal.reason,
+            outcome=refusal.outcome.value,
+            unlogged=self._unlogged,
+            exc_info=group,
+        )
+        self._next_log_ns = now_ns + LOG_EVERY_NS
+        self._unlogged = 0
+
     def _violate(self, error: InvariantViolation) -> None:
         if self.violation is None:
             self.violation = error
--- /dev/null
+++ b/tests/path_fakes.py
@@ -0,0 +1,192 @@
+"""Fakes for tests of the request path: scripted upstreams and nodes in this process."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import gevent
+from gevent import socket
+from gevent.server import StreamServer
+
+from auburnsail._fleet import FleetState
+from auburnsail._forward import ProxyApplication
+from auburnsail._hop import HopSigner
+from auburnsail._http_server import HttpServer
+from auburnsail._model import Assign, Entry, Grant, Join, Session, SessionId
+from auburnsail._routing import Router
+from auburnsail._settings import ServiceSettings, TreeSettings
+
+SECRET = "0123456789abcdef0123456789abcdef"
+SHARDS = 8
+TREE = TreeSettings(
+    {"catalogue": ServiceSettings(keyed=True, shards=SHARDS), "pledge": ServiceSettings()}
+)
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok"
+SHED = b"HTTP/1.1 503 Busy\r\nauburnsail-not-run: 1\r\nretry-after: 2\r\ncontent-length: 0\r\n\r\n"
+
+
+@dataclass(slots=True)
+class Run:
+    """One request that reached an upstream."""
+
+    head: str
+    body: bytes
+
+
+Script = Callable[[socket.socket, Run], bytes | None]
+
+
+class FakeUpstream:
+    """Reads requests and answers what its script returns; None closes the connection."""
+
+    def __init__(self, script: Script = lambda sock, run: OK) -> None:
+        self.script = script
+        self.runs: list[Run] = []
+        self.connections = 0
+        self.closed_by_peer = 0
+        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.stop(timeout=0)
+
+    def _handle(self, sock, _address) -> None:
+        self.connections += 1
+        buffered = b""
+        while True:
+            try:
+                while (end := buffered.find(b"\r\n\r\n")) < 0:
+                    if not (data := sock.recv(65536)):
+                        return
+                    buffered += data
+                run = Run(buffered[:end].decode("latin-1"), b"")
+                self.runs.append(run)
+                run.body, buffered = _read_body(sock, run.head, buffered[end + 4 :])
+                answer = self.script(sock, run)
+                if answer is None:
+                    return
+                sock.sendall(answer)
+            except OSError:
+                self.closed_by_peer += 1
+                return
+
+
+def _read_body(sock, head: str, data: bytes) -> tuple[bytes, bytes]:
+    if "content-length: " in head:
+        length = int(head.split("content-length: ")[1].split("\r\n")[0])
+        while len(data) < length:
+            data += _more(sock)
+        return data[:length], data[length:]
+    body = b""
+    while "transfer-encoding: chunked" in head:
+        while b"\r\n" not in data:
+            data += _more(sock)
+        line, _, data = data.partition(b"\r\n")
+        size = int(line, 16)
+        while len(data) < size + 2:
+            data += _more(sock)
+        body, data = body + data[:size], data[size + 2 :]
+        if size == 0:
+            break
+    return body, data
+
+
+def _more(sock) -> bytes:
+    if not (data := sock.recv(65536)):
+        raise OSError("the peer closed the connection inside the body")
+    return data
+
+
+class PathNode:
+    """A node's request path without membership."""
+
+    def __init__(self, name: str, upstream: FakeUpstream | None, service: str, **options) -> None:
+        self.fleet = FleetState()
+        self.fleet.add_service("catalogue", SHARDS)
+        self.router = Router(self.fleet, TREE)
+        self.router.own_id = SessionId(name, 1)
+        self.upstream = upstream
+        self.has_lease = True
+        self.application = ProxyApplication(
+            self.router,
+            lambda: self.upstream and self.upstream.address,
+            lambda: self.has_lease,
+            signer=HopSigner(SECRET),
+            **options,
+        )
+        self.server = HttpServer(("127.0.0.1", 0), self.application)
+        self.server.start()
+        self.address = f"127.0.0.1:{self.server.server_port}"
+        self.session = Session(
+            self.router.own_id, "wien", "wien-1", self.address, self.address, service, 4
+        )
+
+    def learn(self, *commands) -> None:
+        """Applies the next entry of the log."""
+        fleet = self.fleet
+        fleet.apply(Entry(fleet.version + 1, fleet.digest, str(fleet.version), commands))
+
+    def stop(self) -> None:
+        """Ends all connections."""
+        self.server.kill()
+        self.application.close()
+
+
+def connect(*nodes: PathNode, owner: PathNode) -> None:
+    """Makes nodes known to each other and gives all shards to one."""
+    joins = [Join(node.session.id.node, node.session) for node in nodes]
+    grant = Grant(owner.session.id, tuple(range(SHARDS)))
+    for node in nodes:
+        node.learn(*joins, Assign("all", "catalogue", (grant,)))
+
+
+def exchange(address: str, data: bytes, timeout_s: float = 5.0) -> bytes:
+    """Sends bytes and returns all that comes back until the connection ends.
+
+    Raises:
+        ConnectionResetError: The connection was reset.
+    """
+    with open_connection(address, timeout_s) as sock:
+        sock.sendall(data)
+        parts = []
+        while part := sock.recv(65536):
+            parts.append(part)
+        return b"".join(parts)
+
+
+def open_connection(address: str, timeout_s: float = 5.0) -> socket.socket:
+    """Returns a connection to an address."""
+    host, _, port = address.rpartition(":")
+    return socket.create_connection((host, int(port)), timeout=timeout_s)
+
+
+def request(
+    method: str = "GET", target: str = "/catalogue/k1", *lines: str, body: bytes = b""
+) -> bytes:
+    """Returns a request after which the connection is closed."""
+    fields = ["host: node", "connection: close", *lines]
+    if body:
+        fields.append(f"content-length: {len(body)}")
+    return "\r\n".join([f"{method} {target} HTTP/1.1", *fields, "", ""]).encode() + body
+
+
+def reason_of(answer: bytes) -> tuple[int, str, str]:
+    """Returns status, outcome and reason of an answer."""
+    head = answer.partition(b"\r\n\r\n")[0].decode("latin-1")
+    status, *lines = head.split("\r\n")
+    fields = dict(line.lower().split(": ", 1) for line in lines)
+    return (
+        int(status.split()[1]),
+        fields.get("auburnsail-outcome", ""),
+        fields.get("auburnsail-reason", ""),
+    )
+
+
+def wait_for(condition: Callable[[], bool], timeout_s: float = 2.0) -> bool:
+    """Returns whether a condition came to hold in time."""
+    with gevent.Timeout(timeout_s, False):
+        while not condition():
+            gevent.sleep(0.005)
+        return True
+    return False
