Test the request path with faults at the upstream

Cause: outcomes, retries, deadlines, cancellation, streaming and draining had no tests.

Change: tests over one and two hops with scripted upstreams in the same process; properties of the retry budget and the attempt log; a random run in which every answer is compared with what the upstream did. The server accepts connections from the listen queue when it starts to drain.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -7,6 +7,7 @@
 """
 
 import contextlib
+import os
 import struct
 from typing import Protocol
 
@@ -259,7 +260,7 @@
 
     def __init__(
         self,
-        listener: tuple[str, int],
+        listener: tuple[str, int] | socket.socket,
         application: Application,
         *,
         clock: Clock | None = None,
@@ -331,15 +332,17 @@
             connection.reset()
 
     def _accept_queued(self) -> None:
-        listener = self.socket
+        # gevent hands out only a weak reference to the listening socket.
+        listener = socket.socket(fileno=os.dup(self.socket.fileno()))
         listener.settimeout(0)
         for _ in range(_ACCEPTED_AT_DRAIN):
             try:
                 sock, address = listener.accept()
             except OSError:
-                return
+                break
             sock.settimeout(None)
             gevent.spawn(self.handle, sock, address)
+        listener.close()
 
     def _sweep_forever(self) -> None:
         next_connections_ns = 0
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -108,16 +108,20 @@
         self.router.own_id = SessionId(name, 1)
         self.upstream = upstream
         self.has_lease = True
+        listener = socket.socket()
+        listener.bind(("127.0.0.1", 0))
+        listener.listen()
+        self.address = f"127.0.0.1:{listener.getsockname()[1]}"
         self.application = ProxyApplication(
             self.router,
             lambda: self.upstream and self.upstream.address,
             lambda: self.has_lease,
             signer=HopSigner(SECRET),
+            own_address=self.address,
             **options,
         )
-        self.server = HttpServer(("127.0.0.1", 0), self.application)
+        self.server = HttpServer(listener, self.application)
         self.server.start()
-        self.address = f"127.0.0.1:{self.server.server_port}"
         self.session = Session(
             self.router.own_id, "wien", "wien-1", self.address, self.address, service, 4
         )
@@ -133,9 +137,9 @@
         self.application.close()
 
 
-def connect(*nodes: PathNode, owner: PathNode) -> None:
-    """Makes nodes known to each other and gives all shards to one."""
-    joins = [Join(node.session.id.node, node.session) for node in nodes]
+def connect(*nodes: PathNode, owner: PathNode, others: tuple[PathNode, ...] = ()) -> None:
+    """Tells nodes about each other, or about others instead; one of them owns all shards."""
+    joins = [Join(node.session.id.node, node.session) for node in others or nodes]
     grant = Grant(owner.session.id, tuple(range(SHARDS)))
     for node in nodes:
         node.learn(*joins, Assign("all", "catalogue", (grant,)))
--- /dev/null
+++ b/tests/test_request_path.py
@@ -0,0 +1,376 @@
+"""The request path from caller to upstream, with faults at the upstream."""
+
+import unittest
+from unittest import mock
+
+import gevent
+import msgspec
+from gevent import socket
+
+from auburnsail._model import Join, Transfer
+from auburnsail._outcome import not_run
+from auburnsail.exceptions import InvariantViolation
+from tests.path_fakes import (
+    OK,
+    SHARDS,
+    SHED,
+    FakeUpstream,
+    PathNode,
+    connect,
+    exchange,
+    open_connection,
+    reason_of,
+    request,
+    wait_for,
+)
+
+MB = 1 << 20
+
+
+class PathTest(unittest.TestCase):
+    """Two nodes; `owner` owns all keys, `other` sends requests on."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream()
+        self.second = FakeUpstream()
+        self.owner = PathNode("a", self.upstream, "catalogue")
+        self.other = PathNode("b", self.second, "catalogue")
+        connect(self.owner, self.other, owner=self.owner)
+        for thing in (self.upstream, self.second, self.owner, self.other):
+            self.addCleanup(thing.stop)
+
+    def both(self):
+        """Yields the entry nodes: one hop and two hops."""
+        for node in (self.owner, self.other):
+            self.upstream.runs.clear()
+            yield node
+
+    def test_request_reaches_the_upstream_unchanged(self):
+        """Guards against a changed target, key or header and against a missing grant."""
+        for node in self.both():
+            target = "/catalogue/k%C3%B6/a%2Fb?x=%20&y"
+            data = request("POST", target, "X-Mixed: \xe4 b", "auburnsail-deadline-ms: 900")
+            answer = exchange(node.address, data)
+            self.assertIn(f"auburnsail-owner: {self.owner.address}".encode(), answer)
+            (run,) = self.upstream.runs
+            self.assertTrue(run.head.startswith(f"POST {target} HTTP/1.1\r\nhost: node\r\n"))
+            self.assertIn("\r\nX-Mixed: ", run.head)
+            self.assertRegex(run.head, r"\r\nauburnsail-grant: catalogue;\d+;1")
+            self.assertRegex(run.head, r"\r\nauburnsail-deadline-ms: [678]\d\d")
+            self.assertNotIn("auburnsail-hop", run.head)
+
+    def test_request_without_answer_is_unknown_and_runs_once(self):
+        """Guards against repeating a POST and against calling it not run (P4, P5)."""
+        self.upstream.script = lambda sock, run: None
+        for node in self.both():
+            answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(reason_of(answer), (502, "unknown", "no-answer"))
+            self.assertEqual(len(self.upstream.runs), 1)
+            body = msgspec.json.decode(answer.partition(b"\r\n\r\n")[2])
+            self.assertEqual((body["outcome"], body["peer"]), ("unknown", self.upstream.address))
+
+    def test_repeatable_request_is_sent_again_by_the_first_node_only(self):
+        """Guards against two nodes that both retry, and against no retry at all."""
+        for node in self.both():
+            self.upstream.script = lambda sock, run: None
+            self.assertEqual(reason_of(exchange(node.address, request()))[1], "unknown")
+            self.assertEqual(len(self.upstream.runs), 3)
+            self.upstream.runs.clear()
+            answers = [OK, None]
+            self.upstream.script = lambda sock, run, left=answers: left.pop()
+            self.assertEqual(reason_of(exchange(node.address, request()))[0], 200)
+            self.assertEqual(len(self.upstream.runs), 2)
+
+    def test_refused_connection_is_not_run(self):
+        """Guards against an unknown outcome where no byte was sent."""
+        self.upstream.stop()
+        for node in self.both():
+            answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(reason_of(answer), (503, "not-run", "connect-failed"))
+            self.assertIn(b"\r\nauburnsail-retry-after-ms: ", answer)
+
+    def test_upstream_that_did_not_run_a_request_is_believed(self):
+        """Guards against losing the upstream's word, and against believing it without the header."""
+        for node in self.both():
+            self.upstream.script = lambda sock, run: SHED
+            answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(reason_of(answer), (503, "not-run", "upstream-shed"))
+            self.assertIn(b"\r\nretry-after: 2\r\n", answer)
+            self.upstream.script = lambda sock, run: SHED.replace(b"-not-run", b"-outcome")
+            answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(reason_of(answer), (503, "", ""))
+
+    def test_unkeyed_request_that_was_not_run_goes_to_another_upstream(self):
+        """Guards against a refusal while another upstream is free, and against a double run."""
+        nodes = [PathNode(name, FakeUpstream(), "pledge") for name in ("c", "d")]
+        for node in nodes:
+            self.addCleanup(node.stop)
+            self.addCleanup(node.upstream.stop)
+            for each in (self.owner, *nodes):
+                each.learn(Join(node.session.id.node, node.session))
+        nodes[0].upstream.script = lambda sock, run: SHED
+        for _ in range(4):
+            answer = exchange(self.owner.address, request("POST", "/pledge/1", body=b"1"))
+            self.assertEqual(reason_of(answer)[0], 200)
+        self.assertEqual(len(nodes[1].upstream.runs), 4)
+
+    def test_answer_cut_short_never_looks_complete(self):
+        """Guards against a truncated body that passes for a whole one."""
+        large = b"HTTP/1.1 200 OK\r\ncontent-length: 1000000\r\n\r\n" + b"x" * 900_000
+        chunked = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+        cases = {
+            "length": large,
+            "no last chunk": chunked + b"5\r\nhello\r\n",
+            "inside a chunk": chunked + b"ff\r\nhello",
+            "malformed chunk": chunked + b"5\r\nhello\r\nxx\r\n",
+        }
+        for name, data in cases.items():
+            for node in self.both():
+                self.upstream.script = lambda sock, run, data=data: sock.sendall(data)
+                try:
+                    answer = exchange(node.address, request("POST", body=b"1"))
+                except ConnectionResetError:
+                    continue
+                is_complete = b"content-length: 1000000" not in answer and b"0\r\n\r\n" in answer
+                self.assertFalse(is_complete, name)
+                self.assertIn(reason_of(answer)[1], ("", "unknown"), name)
+        self.upstream.script = lambda sock, run: sock.sendall(
+            b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nshort"
+        )
+        answer = exchange(self.owner.address, request("POST", body=b"1"))
+        self.assertEqual(reason_of(answer), (502, "unknown", "no-answer"))
+
+    def test_answers_without_a_body_keep_the_connection(self):
+        """Guards against waiting for a body after HEAD, 204, 304 and interim answers."""
+        cases = (
+            ("HEAD", b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\n"),
+            ("GET", b"HTTP/1.1 204 No Content\r\n\r\n"),
+            ("GET", b"HTTP/1.1 304 Not Modified\r\ncontent-length: 5\r\n\r\n"),
+            ("GET", b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nlink: a\r\n\r\n" + OK),
+            ("HEAD", b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"),
+        )
+        for node in self.both():
+            before = self.upstream.connections
+            for method, data in cases:
+                self.upstream.script = lambda sock, run, data=data: data
+                answer = exchange(node.address, request(method))
+                status = int(data.rsplit(b"HTTP/1.1 ", 1)[1][:3])
+                self.assertEqual(reason_of(answer)[0], status, answer)
+                self.assertNotIn(b"link: a", answer)
+            self.assertLessEqual(self.upstream.connections - before, 1)
+
+    def test_chunked_and_endless_answers(self):
+        """Guards against wrong framing towards HTTP/1.1 and HTTP/1.0 callers."""
+        data = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n3\r\ndef\r\n0\r\n\r\n"
+        self.upstream.script = lambda sock, run: data
+        answer = exchange(self.other.address, request())
+        self.assertIn(b"transfer-encoding: chunked", answer)
+        self.assertTrue(answer.endswith(b"0\r\n\r\n"))
+        answer = exchange(self.owner.address, request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+        self.assertTrue(answer.endswith(b"\r\n\r\nabcdef"), answer)
+        self.upstream.script = lambda sock, run: sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
+        answer = exchange(self.other.address, request())
+        self.assertTrue(answer.endswith(b"\r\n\r\nabc"), answer)
+
+    def test_request_bodies(self):
+        """Guards against lost or changed bodies: with a length, chunked, small and large."""
+        for node in self.both():
+            for body in (b"a" * 10, bytes(range(256)) * 2000):
+                self.assertEqual(
+                    reason_of(exchange(node.address, request("POST", body=body)))[0], 200
+                )
+                self.assertEqual(self.upstream.runs[-1].body, body)
+                data = request("POST", "/catalogue/k1", "transfer-encoding: chunked")
+                for start in range(0, len(body), 5000):
+                    part = body[start : start + 5000]
+                    data += b"%x\r\n%b\r\n" % (len(part), part)
+                data += b"0\r\nx-trailer: 1\r\n\r\n"
+                self.assertEqual(reason_of(exchange(node.address, data))[0], 200)
+                self.assertEqual(self.upstream.runs[-1].body, body)
+
+    def test_streamed_body_is_not_sent_again(self):
+        """Guards against a retry with a body that is gone, even for a repeatable method."""
+        self.upstream.script = lambda sock, run: None
+        answer = exchange(self.owner.address, request("PUT", body=b"x" * 300_000))
+        self.assertEqual(reason_of(answer), (502, "unknown", "no-answer"))
+        self.assertEqual(len(self.upstream.runs), 1)
+
+    def test_malformed_body_after_its_beginning_is_unknown(self):
+        """Guards against "refused" for a request whose beginning reached the upstream (P4)."""
+        data = request("POST", "/catalogue/k1", "transfer-encoding: chunked")
+        data += b"%x\r\n%b\r\n" % (100_000, b"x" * 100_000) + b"zz\r\n"
+        answer = exchange(self.owner.address, data)
+        self.assertEqual(reason_of(answer), (400, "unknown", "bad-chunk"))
+        self.assertIsNone(self.owner.application.violation)
+
+    def test_expect_continue(self):
+        """Guards against callers that wait for ever, and against asking for a useless body."""
+        lines = ("expect: 100-continue", "content-length: 3")
+        with open_connection(self.other.address) as sock:
+            sock.sendall(request("POST", "/catalogue/k1", *lines))
+            self.assertEqual(sock.recv(1000), b"HTTP/1.1 100 Continue\r\n\r\n")
+            sock.sendall(b"abc")
+            self.assertTrue(sock.recv(1000).startswith(b"HTTP/1.1 200"))
+        self.assertEqual(self.upstream.runs[-1].body, b"abc")
+        answer = exchange(self.other.address, request("POST", "/nothing/k1", *lines))
+        self.assertEqual(reason_of(answer)[0], 404)
+
+    def test_disconnect_of_the_caller_closes_the_exchange(self):
+        """Guards against work that goes on for a caller that has gone."""
+        ended = []
+
+        def script(sock, run):
+            ended.append(sock.recv(1) == b"")
+
+        self.upstream.script = script
+        for node in self.both():
+            ended.clear()
+            with open_connection(node.address) as sock:
+                sock.sendall(request("POST", body=b"1"))
+                self.assertTrue(wait_for(lambda: len(self.upstream.runs) == 1))
+            self.assertTrue(wait_for(lambda: ended == [True], 0.5))
+            self.assertTrue(wait_for(lambda: self.owner.application.in_flight == 0))
+
+    def test_deadline_stops_the_exchange(self):
+        """Guards against waiting past the deadline, on either node."""
+        ended = []
+        self.upstream.script = lambda sock, run: ended.append(sock.recv(1))
+        for node in self.both():
+            ended.clear()
+            with gevent.Timeout(0.4):
+                answer = exchange(node.address, request("POST", "/catalogue/k1", *DEADLINE))
+            self.assertEqual(reason_of(answer), (504, "unknown", "deadline"))
+            self.assertTrue(wait_for(lambda: ended == [b""], 0.2))
+
+    def test_deadline_before_the_body_is_not_run(self):
+        """Guards against an unknown outcome for a request that never left the node."""
+        data = request("POST", "/catalogue/k1", *DEADLINE, "content-length: 5") + b"ab"
+        answer = exchange(self.owner.address, data)
+        self.assertEqual(reason_of(answer), (504, "not-run", "deadline"))
+        self.assertEqual(self.upstream.runs, [])
+
+    def move_to_other(self) -> Transfer:
+        """Returns the command that moves all shards from `owner` to `other`."""
+        shards = tuple(range(SHARDS))
+        return Transfer("t", "catalogue", self.owner.session.id, self.other.session.id, shards)
+
+    def add_first(self) -> PathNode:
+        """Returns a third node that knows the same map."""
+        first = PathNode("c", None, "catalogue")
+        self.addCleanup(first.stop)
+        connect(first, others=(self.owner, self.other), owner=self.owner)
+        return first
+
+    def test_owner_by_a_newer_map_is_found(self):
+        """Guards against a request that ends at a former owner although the new one is known."""
+        first = self.add_first()
+        for node in (self.owner, self.other):
+            node.learn(self.move_to_other())
+        answer = exchange(first.address, request("POST", body=b"1"))
+        self.assertEqual(reason_of(answer)[0], 200)
+        self.assertEqual((len(self.upstream.runs), len(self.second.runs)), (0, 1))
+
+    def test_node_behind_does_not_serve_or_send_on(self):
+        """Guards against loops between nodes with different maps."""
+        first = self.add_first()
+        first.learn(self.move_to_other())
+        answer = exchange(first.address, request("POST", body=b"1"))
+        self.assertEqual(reason_of(answer), (503, "not-run", "map-behind"))
+        self.assertEqual((self.upstream.runs, self.second.runs), ([], []))
+
+    def test_lost_lease_sends_nothing(self):
+        """Guards against bytes to the upstream after the lease ended (P1)."""
+        self.owner.has_lease = False
+        for node in self.both():
+            answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(reason_of(answer), (503, "not-run", "no-lease"))
+        self.assertEqual(self.upstream.runs, [])
+
+    def test_stray_bytes_on_an_idle_connection_are_no_answer(self):
+        """Guards against the rest of one exchange becoming the answer of the next (P3)."""
+        late = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray"
+
+        def script(sock, run):
+            gevent.spawn_later(0.02, sock.sendall, late)
+            return OK
+
+        self.upstream.script = script
+        for excess in (b"", late):
+            self.upstream.script = script if not excess else lambda sock, run: OK + late
+            for _ in range(3):
+                answer = exchange(self.owner.address, request())
+                self.assertTrue(answer.endswith(b"\r\n\r\nok"), answer)
+                gevent.sleep(0.03)
+
+    def test_slow_caller_bounds_memory(self):
+        """Guards against a node that reads a large answer faster than the caller takes it."""
+        sent = []
+
+        def script(sock, run):
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (64 * MB))
+            for _ in range(64):
+                sock.sendall(b"x" * MB)
+                sent.append(MB)
+
+        self.upstream.script = script
+        with open_connection(self.other.address) as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+            sock.sendall(request())
+            gevent.sleep(0.5)
+            # Kernel buffers of three connections hold some megabytes; the nodes hold one block.
+            self.assertLess(sum(sent), 40 * MB)
+            held = sum(sent)
+            gevent.sleep(0.2)
+            self.assertEqual(sum(sent), held)
+            size = 0
+            while part := sock.recv(MB):
+                size += len(part)
+        self.assertGreater(size, 64 * MB)
+
+    def test_violation_refuses_all_further_requests(self):
+        """Guards against guards that a fault in the retry or outcome rules passes (P4, P5)."""
+        self.upstream.script = lambda sock, run: None
+        wrong_word = not_run("wrong", "the fault under test", "test").refusal
+        for rule, fault in (
+            ("_final_refusal", lambda flight, failures: wrong_word),
+            ("ProxyApplication._prepare_retry", lambda self, flight, failures: True),
+        ):
+            reported = []
+            node = PathNode("c", self.upstream, "catalogue", on_violation=reported.append)
+            self.addCleanup(node.stop)
+            connect(node, owner=node)
+            self.upstream.runs.clear()
+            with mock.patch(f"auburnsail._forward.{rule}", fault):
+                answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(reason_of(answer), (502, "unknown", "violation"), rule)
+            self.assertEqual(len(self.upstream.runs), 1)
+            self.assertIsInstance(reported[0], InvariantViolation)
+            self.assertEqual(reason_of(exchange(node.address, request()))[2], "violation")
+
+    def test_drain_finishes_requests_and_closes_idle_connections(self):
+        """Guards against a shutdown that cuts off a request or never ends (P7)."""
+
+        def script(sock, run):
+            gevent.sleep(0.2)
+            return OK
+
+        self.upstream.script = script
+        idle = open_connection(self.owner.address)
+        late = open_connection(self.owner.address)
+        busy = gevent.spawn(exchange, self.owner.address, request("POST", body=b"1"))
+        self.assertTrue(wait_for(lambda: self.owner.server.in_flight == 1))
+        drain = gevent.spawn(self.owner.server.drain, idle_grace_s=0.05, timeout_s=2.0)
+        gevent.sleep(0.01)
+        late.sendall(request().replace(b"connection: close\r\n", b""))
+        with self.assertRaises(ConnectionRefusedError):
+            open_connection(self.owner.address)
+        self.assertTrue(drain.get(timeout=2.0))
+        self.assertEqual(reason_of(busy.get())[0], 200)
+        answer = late.recv(1000)
+        self.assertIn(b"\r\nconnection: close\r\n", answer)
+        self.assertEqual(idle.recv(1), b"")
+        idle.close()
+        late.close()
+
+
+DEADLINE = ("auburnsail-deadline-ms: 100",)
--- /dev/null
+++ b/tests/test_request_policies.py
@@ -0,0 +1,292 @@
+"""Policies of the request path, and a long random run with faults."""
+
+import os
+import random
+import unittest
+
+import gevent
+from hypothesis import given
+from hypothesis import strategies as st
+
+from auburnsail._answer_parser import AnswerParser, HTTPParseError
+from auburnsail._clock import ManualClock
+from auburnsail._outcome import Outcome, parse_refusal
+from auburnsail._pool import HttpPeer
+from auburnsail._retry import BUDGET_RESERVE, AttemptLog, RepeatablePolicy, RetryBudget
+from auburnsail.exceptions import InvariantViolation, OutcomeUnknownError
+from tests.path_fakes import (
+    SHED,
+    FakeUpstream,
+    PathNode,
+    connect,
+    exchange,
+    open_connection,
+    reason_of,
+    request,
+    wait_for,
+)
+
+# `RANDOM_SEED=n RANDOM_REQUESTS=n python -m unittest tests.test_request_policies` runs for longer.
+RANDOM_SEED = int(os.environ.get("RANDOM_SEED", "7"))
+RANDOM_REQUESTS = int(os.environ.get("RANDOM_REQUESTS", "600"))
+
+
+class RetryTest(unittest.TestCase):
+    """Retry budget, attempt log and the choice of repeatable requests."""
+
+    @given(st.lists(st.tuples(st.integers(0, 2000), st.booleans()), max_size=400))
+    def test_retries_stay_within_the_budget(self, steps):
+        """Guards against retries that add more than a tenth to an overload."""
+        budget, clock, retries = RetryBudget(), ManualClock(), 0
+        for requests, (wait_ms, wants_retry) in enumerate(steps, 1):
+            clock.advance_ms(wait_ms)
+            budget.on_request(clock.now_ns())
+            retries += wants_retry and budget.take()
+            self.assertLessEqual(retries, BUDGET_RESERVE + requests * 0.1 + 1e-6)
+
+    @given(st.booleans(), st.lists(st.sampled_from(["not-run", "unknown"]), max_size=6))
+    def test_attempt_log_never_allows_a_second_run(self, repeatable, ends):
+        """Guards against a second sending after one that may have run, and a false "not run"."""
+        log, possible_runs = AttemptLog(repeatable), 0
+        for end in ends:
+            if possible_runs and not repeatable:
+                with self.assertRaises(InvariantViolation):
+                    log.begin("peer")
+                break
+            log.begin("peer")
+            with self.assertRaises(InvariantViolation):
+                log.check_told(Outcome.NOT_RUN)
+            if end == "unknown":
+                possible_runs += 1
+                log.on_possibly_run()
+            else:
+                log.on_not_run()
+        self.assertIs(log.outcome, Outcome.UNKNOWN if possible_runs else Outcome.NOT_RUN)
+        if possible_runs:
+            for told in (Outcome.NOT_RUN, Outcome.REFUSED):
+                with self.assertRaises(InvariantViolation):
+                    log.check_told(told)
+
+    def test_settings_narrow_and_add_repeatable_requests(self):
+        """Guards against repeating a request that settings exclude."""
+        policy = RepeatablePolicy(never=["/ledger/club"], always=["/portal/search"])
+        for method, path, expected in (
+            ("GET", "/portal/1", True),
+            ("POST", "/portal/1", False),
+            ("PATCH", "/portal/1", False),
+            ("PUT", "/ledger/club/1", False),
+            ("POST", "/portal/search", True),
+        ):
+            self.assertIs(policy.is_repeatable(method, path), expected, (method, path))
+
+
+class AnswerTest(unittest.TestCase):
+    """Parsing of answers."""
+
+    def test_ambiguous_answers_are_errors(self):
+        """Guards against passing on an answer that two parsers read differently."""
+        for lines in (
+            b"content-length: 1\r\ncontent-length: 2",
+            b"content-length: 1\r\ntransfer-encoding: chunked",
+            b"transfer-encoding: gzip, chunked",
+            b"content-length: -1",
+            b"content-length : 1",
+            b"x: a\r\n folded",
+            b"x: a\nb",
+            b"x: " + b"a" * 200_000,
+        ):
+            with self.assertRaises(HTTPParseError, msg=lines):
+                parser = AnswerParser("GET")
+                data = b"HTTP/1.1 200 OK\r\n" + lines + b"\r\n\r\n1"
+                for start in range(0, len(data), 65536):
+                    parser.feed(data[start : start + 65536])
+
+    def test_header_values_pass_unchanged(self):
+        """Guards against an encoding error on header bytes outside ASCII."""
+        upstream = FakeUpstream(
+            lambda sock, run: b"HTTP/1.1 200 \xfc\r\nx: \xff\xc3\xb6\r\ncontent-length: 0\r\n\r\n"
+        )
+        node = PathNode("a", upstream, "catalogue")
+        self.addCleanup(upstream.stop)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        answer = exchange(node.address, request())
+        self.assertIn(b"\r\nx: \xff\xc3\xb6\r\n", answer)
+
+    def test_malformed_refusal_is_unknown(self):
+        """Guards against taking another node's damaged answer for "not run"."""
+        for fields, body in (
+            ({"auburnsail-outcome": "not-run"}, b"{"),
+            ({"auburnsail-outcome": "not-run"}, b'{"outcome":"never"}'),
+            ({"auburnsail-outcome": "perhaps"}, b""),
+        ):
+            refusal = parse_refusal("503 Busy", fields, body, "peer")
+            self.assertIs(refusal.outcome, Outcome.UNKNOWN)
+
+
+class PoolTest(unittest.TestCase):
+    """Connections of one peer."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+
+    def test_one_silent_time_out_drops_older_idle_connections(self):
+        """Guards against one time-out for each open connection after all have gone silent."""
+        clock = ManualClock()
+        peer = HttpPeer(self.upstream.address, clock)
+        self.addCleanup(peer.drop_idle)
+        exchanges = [peer.open() for _ in range(4)]
+        for number, each in enumerate(exchanges):
+            clock.advance_ms(1)
+            each.send(b"GET / HTTP/1.1\r\n\r\n")
+            each.receive_head("GET")
+            self.assertEqual(each.read(), b"ok")
+            if number == 3:
+                silent = peer.open()
+                clock.advance_ms(1)
+            each.finish()
+        # Three of the four are idle; the silent exchange holds the other one.
+        self.assertEqual(peer.idle, 3)
+        silent.suspect()
+        silent.abort()
+        # The last one answered after the silent exchange had begun.
+        self.assertEqual(peer.idle, 1)
+
+    def test_connections_idle_for_long_are_not_used(self):
+        """Guards against the race with a peer that closes connections after their idle time."""
+        clock = ManualClock()
+        peer = HttpPeer(self.upstream.address, clock)
+        self.addCleanup(peer.drop_idle)
+        peer.fetch("GET", "/", timeout_s=1.0)
+        clock.advance_ms(31_000)
+        fresh = peer.open()
+        self.assertFalse(fresh.is_reused)
+        fresh.abort()
+        self.assertEqual(peer.idle, 0)
+
+    def test_interrupted_exchange_ends(self):
+        """Guards against a greenlet that waits for ever for a silent peer."""
+        self.upstream.script = lambda sock, run: gevent.sleep(10)
+        each = HttpPeer(self.upstream.address).open()
+        each.send(b"GET / HTTP/1.1\r\n\r\n")
+        gevent.spawn_later(0.02, each.interrupt, "test")
+        with gevent.Timeout(1.0), self.assertRaises(OutcomeUnknownError):
+            each.receive_head("GET")
+
+    def test_repeatable_request_survives_silent_connections(self):
+        """Guards against callers of repeatable requests seeing more than one time-out."""
+        node = PathNode("a", self.upstream, "catalogue")
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        dead = set()
+
+        def script(sock, run):
+            if sock in dead:
+                gevent.sleep(10)
+            known.add(sock)
+            return b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n"
+
+        known = set()
+        self.upstream.script = script
+        callers = [gevent.spawn(exchange, node.address, request()) for _ in range(5)]
+        gevent.joinall(callers)
+        dead.update(known)
+        for _ in range(3):
+            answer = exchange(
+                node.address, request("GET", "/catalogue/k", "auburnsail-deadline-ms: 2000")
+            )
+            self.assertEqual(reason_of(answer)[0], 200)
+        self.assertEqual(node.application.counters.silent, 1)
+        before = self.upstream.connections
+        self.assertEqual(reason_of(exchange(node.address, request("POST", body=b"1")))[0], 200)
+        self.assertEqual(self.upstream.connections, before)
+
+
+class RandomRunTest(unittest.TestCase):
+    """Random faults; every answer is compared with what the upstream really did."""
+
+    def setUp(self):
+        self.random = random.Random(RANDOM_SEED)
+        self.runs: dict[str, int] = {}
+        self.upstream = FakeUpstream(self.script)
+        self.owner = PathNode("a", self.upstream, "catalogue")
+        self.other = PathNode("b", None, "catalogue")
+        connect(self.owner, self.other, owner=self.owner)
+        for thing in (self.upstream, self.owner, self.other):
+            self.addCleanup(thing.stop)
+
+    def script(self, sock, run):
+        """Answers with the request's own id, or fails in one of several ways."""
+        request_id = run.head.split("x-request-id: ")[1].split("\r\n")[0]
+        fault = self.random.choices(
+            ["", "shed", "close", "late", "cut", "excess", "slow"], [70, 8, 5, 4, 5, 4, 4]
+        )[0]
+        if fault == "shed":
+            return SHED
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        size = self.random.choice([0, 10, 70_000, 300_000])
+        body = request_id.encode() + b"." * size
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+        match fault:
+            case "close":
+                return None
+            case "late":
+                gevent.sleep(0.3)
+            case "slow":
+                gevent.sleep(0.05)
+            case "cut":
+                sock.sendall(answer[:-1])
+                return None
+            case "excess":
+                sock.sendall(answer + answer)
+                return None
+        return answer
+
+    def call(self, number: int) -> None:
+        """Sends one request and checks the answer against the upstream's record."""
+        request_id = f"r{number}"
+        method = self.random.choice(["GET", "POST", "POST"])
+        node = self.random.choice([self.owner, self.other])
+        lines = (f"x-request-id: {request_id}", "auburnsail-deadline-ms: 150")
+        body = b"b" * self.random.choice([0, 5, 100_000]) if method == "POST" else b""
+        data = request(method, f"/catalogue/{number}", *lines, body=body)
+        if self.random.random() < 0.05:
+            with open_connection(node.address) as sock:
+                sock.sendall(data)
+            return
+        try:
+            answer = exchange(node.address, data)
+        except ConnectionResetError:
+            answer = b""
+        runs = self.runs.get(request_id, 0)
+        if method == "POST":
+            self.assertLessEqual(runs, 1, request_id)
+        if not answer:
+            return
+        status, outcome, _ = reason_of(answer)
+        head, _, content = answer.partition(b"\r\n\r\n")
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+        if outcome in ("not-run", "refused"):
+            self.assertEqual(runs, 0, (request_id, answer))
+        if not outcome:
+            self.assertEqual(status, 200)
+            length = int(head.split(b"content-length: ")[1].split(b"\r\n")[0])
+            if len(content) == length:
+                self.assertTrue(content.startswith(request_id.encode()), (request_id, content[:9]))
+                self.assertEqual(runs, 1 if method == "POST" else max(1, runs))
+
+    def test_random_faults(self):
+        """Guards against wrong outcomes, repeated runs and swapped answers (P3, P4, P5)."""
+        self.outcomes: dict[str, int] = {}
+
+        def caller(numbers) -> None:
+            for number in numbers:
+                self.call(number)
+
+        callers = [gevent.spawn(caller, range(n, RANDOM_REQUESTS, 10)) for n in range(10)]
+        gevent.joinall(callers, raise_error=True)
+        self.assertTrue(wait_for(lambda: not self.owner.application.in_flight))
+        for node in (self.owner, self.other):
+            self.assertIsNone(node.application.violation)
+        self.assertLessEqual({"", "not-run", "unknown"}, set(self.outcomes))
