--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -87,7 +87,7 @@
             self.exchange.interrupt(reason)
         if self.request.is_answered:
             self.request.break_off()
-        else:
+        elif not self.request.body.is_complete:
             self.request.interrupt_read()
 
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -242,6 +242,15 @@
             self.assertEqual(reason_of(answer), (504, "unknown", "deadline"))
             self.assertTrue(wait_for(lambda: ended == [b""], 0.2))
 
+    def test_caller_keeps_its_connection_after_a_deadline(self):
+        """Guards against an answer that promises a connection which is then closed."""
+        self.upstream.script = lambda sock, run: gevent.sleep(0.15) or OK
+        with open_connection(self.owner.address) as sock:
+            for lines, status in ((DEADLINE, 504), ((), 200)):
+                data = request("POST", "/catalogue/k1", *lines, body=b"1")
+                sock.sendall(data.replace(b"connection: close\r\n", b""))
+                self.assertEqual(reason_of(sock.recv(1000))[0], status)
+
     def test_deadline_before_the_body_is_not_run(self):
         """Guards against an unknown outcome for a request that never left the node."""
         data = request("POST", "/catalogue/k1", *DEADLINE, "content-length: 5") + b"ab"
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -165,6 +165,19 @@
         fresh.abort()
         self.assertEqual(peer.idle, 0)
 
+    def test_unclean_connections_are_closed(self):
+        """Guards against reusing a connection whose peer wants it closed or sent too much."""
+        ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
+        for answer in (
+            ok + b"connection: close\r\n\r\nok",
+            ok + b"\r\nokay",
+            b"HTTP/1.0 200 OK\r\ncontent-length: 2\r\n\r\nok",
+        ):
+            self.upstream.script = lambda sock, run, answer=answer: answer
+            peer = HttpPeer(self.upstream.address)
+            self.assertEqual(peer.fetch("GET", "/", timeout_s=1.0).body, b"ok")
+            self.assertEqual(peer.idle, 0, answer)
+
     def test_interrupted_exchange_ends(self):
         """Guards against a greenlet that waits for ever for a silent peer."""
         self.upstream.script = lambda sock, run: gevent.sleep(10)
