Test the second ownership check and the retry budget's limit

Cause: 17 mutations of the request path were run against the tests (trials on scratch copies).

Change: a test that loses the lease or the shard while a request waits for admission; an example with 400 retries in a row for the budget's property.

--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -7,6 +7,7 @@
 import msgspec
 from gevent import socket
 
+from auburnsail._admission import CountingAdmission
 from auburnsail._model import Join, Transfer
 from auburnsail._outcome import not_run
 from auburnsail.exceptions import InvariantViolation
@@ -295,6 +296,33 @@
             self.assertEqual(reason_of(answer), (503, "not-run", "no-lease"))
         self.assertEqual(self.upstream.runs, [])
 
+    def test_ownership_lost_while_a_request_waits_sends_nothing(self):
+        """Guards against a check of lease and shard only before the wait for admission (P1)."""
+        for loss, reason in (
+            (lambda node: setattr(node, "has_lease", False), "no-lease"),
+            (lambda node: node.learn(self.move_to_other()), "not-owner"),
+        ):
+            admission = CountingAdmission()
+            node = PathNode("a", self.upstream, "catalogue", admission=admission)
+            self.addCleanup(node.stop)
+            connect(node, others=(self.owner, self.other), owner=self.owner)
+            enter = admission.enter
+
+            def lose(target, deadline_ns, node=node, loss=loss, enter=enter):
+                loss(node)
+                return enter(target, deadline_ns)
+
+            admission.enter = lose
+            answer = exchange(node.address, request("POST", body=b"1"))
+            self.assertEqual(self.upstream.runs, [], reason)
+            if reason == "no-lease":
+                self.assertEqual(reason_of(answer), (503, "not-run", reason))
+            else:
+                # The first node finds the new owner by itself.
+                self.assertEqual(len(self.second.runs), 0)
+                self.assertEqual(reason_of(answer)[1], "not-run")
+            self.assertEqual((admission.in_flight, admission.by_shard), (0, {}))
+
     def test_stray_bytes_on_an_idle_connection_are_no_answer(self):
         """Guards against the rest of one exchange becoming the answer of the next (P3)."""
         late = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nstray"
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -5,7 +5,7 @@
 import unittest
 
 import gevent
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 
 from auburnsail._answer_parser import AnswerParser, HTTPParseError
@@ -35,6 +35,7 @@
     """Retry budget, attempt log and the choice of repeatable requests."""
 
     @given(st.lists(st.tuples(st.integers(0, 2000), st.booleans()), max_size=400))
+    @example([(0, True)] * 400)
     def test_retries_stay_within_the_budget(self, steps):
         """Guards against retries that add more than a tenth to an overload."""
         budget, clock, retries = RetryBudget(), ManualClock(), 0
