--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -9,14 +9,16 @@
 import structlog
 from gevent.event import Event
 
+from ._admission import RotatingChooser
 from ._checkpoint import dump_fleet
-from ._clock import NS_PER_MS, BootClock, Timers
+from ._clock import NS_PER_MS, NS_PER_S, BootClock, Timers
 from ._control import Announcement, ControlApplication
 from ._effects import Applied, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState
 from ._forward import ProxyApplication
 from ._gate import RequestGate
-from ._http_server import HttpServer
+from ._hop import HopSigner
+from ._http_server import ControlServer, HttpServer
 from ._io import Callbacks, NodeIo, Records, UdpSocket
 from ._journal import Journal
 from ._membership import Membership
@@ -78,7 +80,27 @@
         self._announced_ns = 0
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
-        self._servers: list[HttpServer] = []
+        self._data = ProxyApplication(
+            self._router,
+            self._upstream_address,
+            self._gate.confirm,
+            signer=HopSigner(settings.fleet_secret),
+            own_address=settings.data_address,
+            lease_end_ns=self._gate.expires_ns,
+            admission=self._gate,
+            chooser=RotatingChooser(settings.region, settings.domain),
+            clock=self._clock,
+            on_violation=lambda error: self._violate(str(error)),
+        )
+        self._data_server = HttpServer(
+            _endpoint(settings.data_address), self._data, clock=self._clock
+        )
+        self._control_server = ControlServer(
+            _endpoint(settings.control_address),
+            ControlApplication(self, self._codec),
+            log=None,
+            error_log=None,
+        )
         self._stopped = Event()
         self._timers.subscribe("membership", TICK_MS, self._tick)
         self._timers.subscribe("upstream", TICK_MS, self._follow_upstream)
@@ -99,7 +121,8 @@
         """Moves everything away, ends the session and then ends the process."""
         if not self._mover.stopping:
             self._log.info("stopping")
-            self._gate.close_connections = True
+            # Callers are told to use another connection.
+            self._data_server.draining = True
             self._mover.drain("stop signal", stopping=True)
             gevent.spawn(self._wait_stopped)
 
@@ -334,31 +357,22 @@
     # Start and stop.
 
     def _start_servers(self) -> None:
-        data = ProxyApplication(self._router, self._upstream_address, self._gate)
-        control = ControlApplication(self, self._codec)
-        for address, application in (
-            (self._settings.data_address, self._gate.count(data)),
-            (self._settings.control_address, control),
-        ):
-            host, _, port = address.rpartition(":")
-            server = HttpServer((host, int(port)), application, log=None, error_log=None)
-            server.start()
-            self._servers.append(server)
+        self._data_server.start()
+        self._control_server.start()
 
     def _wait_stopped(self) -> None:
         end_ns = self._clock.now_ns() + STOP_LIMIT_MS * NS_PER_MS
-        while self._clock.now_ns() < end_ns and not (self._mover.finished and not self._gate.total):
-            gevent.sleep(TICK_MS / 1000)
-        self._servers[0].stop_accepting()
-        gevent.sleep(CLOSE_WAIT_MS / 1000)
-        while self._gate.total and self._clock.now_ns() < end_ns:
+        while self._clock.now_ns() < end_ns and not self._mover.finished:
             gevent.sleep(TICK_MS / 1000)
+        left_s = max(0.0, (end_ns - self._clock.now_ns()) / NS_PER_S)
+        self._data_server.drain(idle_grace_s=CLOSE_WAIT_MS / 1000, timeout_s=left_s)
         self._stopped.set()
 
     def _close(self) -> None:
-        self._log.info("stopped", in_flight=self._gate.total)
-        for server in self._servers:
-            server.close()
+        self._log.info("stopped", in_flight=self._data.in_flight)
+        self._data.close()
+        self._data_server.close()
+        self._control_server.close()
         self._udp.close()
 
 
@@ -380,3 +394,8 @@
 def build_node(settings: NodeSettings) -> Node:
     """Wires a node from its settings."""
     return Node(settings)
+
+
+def _endpoint(address: str) -> tuple[str, int]:
+    host, _, port = address.rpartition(":")
+    return host, int(port)
