Add the load tool auburnsail-load

Cause: availability, latency and refusals as callers see them could not be measured.

Nothing is sent twice; only a node that refuses the connection is replaced.

--- /dev/null
+++ b/src/auburnsail/_load_client.py
@@ -0,0 +1,164 @@
+"""Sends one planned request, never twice, and classifies what came back."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from ._headers import DEADLINE_MS, OUTCOME, OWNER, REASON
+from ._pool import Answer, HttpPeer
+from .exceptions import NotRunError, OutcomeUnknownError
+
+__all__ = [
+    "NO_ANSWER",
+    "NO_CONNECTION",
+    "OK",
+    "UNNAMED",
+    "WRONG_CALLER",
+    "Caller",
+    "Result",
+    "classify",
+]
+
+OK = "ok"
+NO_ANSWER = "no-answer"
+NO_CONNECTION = "no-connection"
+WRONG_CALLER = "wrong-caller"
+UNNAMED = "unnamed"
+
+REQUEST_ID = "x-request-id"
+CONNECT_ATTEMPTS = 3
+MAX_KNOWN_OWNERS = 100_000
+
+
+@dataclass(slots=True)
+class Result:
+    """What became of a request.
+
+    Attributes:
+        outcome: ``ok``, ``upstream-<status>``, ``<outcome>/<reason>`` of auburnsail's own answers,
+            ``no-connection``, ``no-answer``, ``wrong-caller`` or ``unnamed``.
+        target: The node that was asked.
+        status: HTTP status, 0 without an answer.
+        size: Bytes of the answer's body.
+    """
+
+    outcome: str
+    target: str
+    status: int = 0
+    size: int = 0
+
+
+class Caller:
+    """Chooses a node for each request and sends the request at most once.
+
+    Args:
+        targets: Addresses of nodes.
+        follows_owner: Whether a key's next request goes to the node named as its owner.
+        avoid_s: How long a node that did not answer is left out, in seconds.
+    """
+
+    def __init__(self, targets: tuple[str, ...], follows_owner: bool, avoid_s: float) -> None:
+        self._targets = targets
+        self._peers = {target: HttpPeer(target) for target in targets}
+        self._follows_owner = follows_owner
+        self._owners: dict[str, str] = {}
+        self._avoid_s = avoid_s
+        self._avoided: dict[str, float] = {}
+        self._rotation = 0
+
+    def send(
+        self,
+        request_id: str,
+        method: str,
+        target: str,
+        body: bytes,
+        *,
+        key: str,
+        deadline_ms: int,
+        now_s: float,
+    ) -> Result:
+        """Sends a request and waits for its answer.
+
+        A node that refuses the connection has not received the request, so another node is asked
+        instead; nothing else is sent again.
+
+        Args:
+            request_id: Unique identifier of the request.
+            method: HTTP method.
+            target: Request target.
+            body: Request body.
+            key: The key, to find its owner again; may be empty.
+            deadline_ms: Time that is left for the request in milliseconds.
+            now_s: The current time in seconds.
+        """
+        headers = ((REQUEST_ID, request_id), (DEADLINE_MS, str(deadline_ms)))
+        tried: list[str] = []
+        for _ in range(min(CONNECT_ATTEMPTS, len(self._targets))):
+            address = self._choose(key, now_s, tried)
+            tried.append(address)
+            try:
+                answer = self._peers[address].fetch(
+                    method, target, body, timeout_s=deadline_ms / 1000, headers=headers
+                )
+            except NotRunError:
+                self._avoid(address, key, now_s)
+                continue
+            except OutcomeUnknownError:
+                self._avoid(address, key, now_s)
+                return Result(NO_ANSWER, address)
+            return self._received(answer, request_id, address, key)
+        return Result(NO_CONNECTION, tried[-1])
+
+    def _received(self, answer: Answer, request_id: str, address: str, key: str) -> Result:
+        headers = {name.lower(): value for name, value in answer.headers}
+        owner = headers.get(OWNER)
+        if self._follows_owner and key and owner:
+            if len(self._owners) >= MAX_KNOWN_OWNERS:
+                self._owners.clear()
+            self._owners[key] = owner
+            self._peers.setdefault(owner, HttpPeer(owner))
+        outcome = classify(answer.status, headers, answer.body, request_id)
+        return Result(outcome, address, answer.status, len(answer.body))
+
+    def _choose(self, key: str, now_s: float, tried: list[str]) -> str:
+        owner = self._owners.get(key)
+        if owner is not None and owner not in tried and self._avoided.get(owner, 0.0) <= now_s:
+            return owner
+        self._rotation += 1
+        start = self._rotation % len(self._targets)
+        order = self._targets[start:] + self._targets[:start]
+        untried = [target for target in order if target not in tried]
+        answering = (target for target in untried if self._avoided.get(target, 0.0) <= now_s)
+        return next(answering, untried[0])
+
+    def _avoid(self, address: str, key: str, now_s: float) -> None:
+        self._avoided[address] = now_s + self._avoid_s
+        self._owners.pop(key, None)
+
+
+def classify(status: int, headers: dict[str, str], body: bytes, request_id: str) -> str:
+    """Returns the outcome of an answer.
+
+    Args:
+        status: HTTP status.
+        headers: Headers with names in lower case.
+        body: The answer's body.
+        request_id: The request that was asked on this connection.
+    """
+    named = {name for name in (headers.get(REQUEST_ID), _named_in(headers, body)) if name}
+    if named - {request_id}:
+        return WRONG_CALLER
+    if OUTCOME in headers:
+        return f"{headers[OUTCOME]}/{headers.get(REASON, '')}"
+    if not 200 <= status < 300:
+        return f"upstream-{status}"
+    return OK if named else UNNAMED
+
+
+def _named_in(headers: dict[str, str], body: bytes) -> str | None:
+    if not body.startswith(b'{"upstream"'):
+        return None
+    try:
+        return msgspec.json.decode(body).get("request")
+    except msgspec.DecodeError:
+        return None
--- /dev/null
+++ b/src/auburnsail/_load_schedule.py
@@ -0,0 +1,161 @@
+"""Plans the requests of a load run: when each one starts, what it asks for and of which key."""
+
+import random
+from array import array
+from bisect import bisect_left
+from collections.abc import Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+
+from .exceptions import SettingsError
+
+__all__ = ["Arrivals", "KeyChoice", "Kind", "Planned", "parse_kind", "plan"]
+
+NON_REPEATABLE_METHODS = frozenset({"POST", "PATCH"})
+NS_PER_S = 1_000_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """One kind of request in the mix.
+
+    Attributes:
+        method: HTTP method.
+        template: Request target, in which ``{key}`` and ``{id}`` are replaced.
+        weight: Share in the mix, relative to the other kinds.
+        body_bytes: Size of the request body.
+    """
+
+    method: str
+    template: str
+    weight: float = 1.0
+    body_bytes: int = 0
+
+    @property
+    def is_repeatable(self) -> bool:
+        """Whether a second run of the request does no harm."""
+        return self.method not in NON_REPEATABLE_METHODS
+
+
+@dataclass(frozen=True, slots=True)
+class Planned:
+    """One request of the schedule.
+
+    Attributes:
+        number: Position in the schedule, from 0.
+        start_ns: Intended start, counted from the start of the run.
+        kind: What to ask for.
+        key: The key, or an empty string if the target has none.
+    """
+
+    number: int
+    start_ns: int
+    kind: Kind
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Arrivals:
+    """When requests start.
+
+    Attributes:
+        rate: Requests per second.
+        duration_s: Length of the schedule in seconds.
+        is_poisson: Whether the gaps are exponential and not all equal.
+    """
+
+    rate: float
+    duration_s: float
+    is_poisson: bool = True
+
+    def starts_ns(self, source: random.Random) -> Iterator[int]:
+        """Yields intended starts in nanoseconds from the start of the run."""
+        at_s = 0.0
+        gap_s = 1 / self.rate
+        while True:
+            at_s += source.expovariate(self.rate) if self.is_poisson else gap_s
+            if at_s >= self.duration_s:
+                return
+            yield int(at_s * NS_PER_S)
+
+
+class KeyChoice:
+    """Zipf distribution of keys whose hottest ones change.
+
+    Args:
+        keys: Number of keys.
+        exponent: Zipf exponent; 0 makes all keys equally likely.
+        hot_keys: How many of the hottest keys change places with others at each change.
+        change_every_s: Seconds between two changes; 0 keeps the hottest keys.
+    """
+
+    def __init__(
+        self, keys: int, exponent: float, hot_keys: int = 57, change_every_s: float = 0.0
+    ) -> None:
+        weights = (1 / (rank + 1) ** exponent for rank in range(keys))
+        self._cumulated = array("d", accumulate(weights))
+        self._hot_keys = min(hot_keys, keys)
+        self._change_every_s = change_every_s
+
+    def choose(self, source: random.Random, at_s: float) -> str:
+        """Returns a key.
+
+        Args:
+            source: Source of randomness.
+            at_s: Time since the start of the run in seconds.
+        """
+        rank = bisect_left(self._cumulated, source.random() * self._cumulated[-1])
+        return f"key-{self._index(rank, at_s)}"
+
+    def _index(self, rank: int, at_s: float) -> int:
+        # The hottest ranks exchange their keys with a block further down, so that the number of
+        # keys stays the same and the former hot keys are asked for as rarely as that block was.
+        blocks = len(self._cumulated) // self._hot_keys
+        if not self._change_every_s or blocks < 2:
+            return rank
+        first = int(at_s / self._change_every_s) % blocks * self._hot_keys
+        if rank < self._hot_keys:
+            return rank + first
+        if first <= rank < first + self._hot_keys:
+            return rank - first
+        return rank
+
+
+def parse_kind(text: str) -> Kind:
+    """Returns a kind from ``METHOD TARGET [WEIGHT [BODY_BYTES]]``.
+
+    Raises:
+        SettingsError: The text has another form.
+    """
+    fields = text.split()
+    try:
+        method, template, *rest = fields
+        weight = float(rest[0]) if rest else 1.0
+        body_bytes = int(rest[1]) if len(rest) > 1 else 0
+    except ValueError as error:
+        raise SettingsError(
+            f"{text!r} is not METHOD TARGET [WEIGHT [BODY_BYTES]]", step="load.mix", peer=""
+        ) from error
+    if not template.startswith("/") or weight <= 0 or body_bytes < 0 or len(rest) > 2:
+        raise SettingsError(f"{text!r} is out of range", step="load.mix", peer="")
+    return Kind(method.upper(), template, weight, body_bytes)
+
+
+def plan(
+    arrivals: Arrivals, kinds: tuple[Kind, ...], keys: KeyChoice, seed: int
+) -> Iterator[Planned]:
+    """Yields the requests of a run in the order of their intended starts.
+
+    Args:
+        arrivals: When requests start.
+        kinds: The mix.
+        keys: Chooses the key of each request.
+        seed: The same seed gives the same schedule.
+    """
+    source = random.Random(seed)
+    weights = list(accumulate(kind.weight for kind in kinds))
+    for number, start_ns in enumerate(arrivals.starts_ns(random.Random(seed + 1))):
+        kind = kinds[bisect_left(weights, source.random() * weights[-1])]
+        has_key = "{key}" in kind.template
+        key = keys.choose(source, start_ns / NS_PER_S) if has_key else ""
+        yield Planned(number, start_ns, kind, key)
