--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -5,11 +5,11 @@
 import gevent
 import msgspec
 import structlog
-from gevent.pywsgi import WSGIServer
 
 from ._clock import BootClock, Timers
 from ._fleet import FleetState
 from ._forward import ProxyApplication
+from ._http_server import HttpServer
 from ._log import VersionedLog
 from ._model import (
     Assign,
@@ -23,9 +23,10 @@
     encode_entry,
 )
 from ._routing import Router
-from ._settings import NodeSettings, TreeSettings, parse_jsonc
+from ._settings import NodeSettings, TreeSettings
 from ._shards import NO_OWNER
 from ._store import HttpTableStore
+from ._tree import parse_tree
 from .exceptions import AuburnsailError, ConflictError, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
@@ -83,7 +84,7 @@
             (self._settings.control_address, self._serve_control),
         ):
             host, _, port = address.rpartition(":")
-            WSGIServer((host, int(port)), application, log=None, error_log=None).start()
+            HttpServer((host, int(port)), application, log=None, error_log=None).start()
         self._log.info("node started", address=self._settings.data_address)
         while True:
             try:
@@ -102,7 +103,7 @@
                 step="settings.load",
                 peer=self._settings.store_url,
             )
-        return parse_jsonc(record.data.decode(), TreeSettings, f"settings version {head}")
+        return parse_tree(record.data.decode(), f"settings version {head}", ignore_unknown=True)
 
     def _upstream_address(self) -> str | None:
         return self._announcement.address if self._announcement else None
