Check the guarantees on ledgers and on the load log

Cause: whether a key had two owners or a request ran twice can only be judged afterwards, from what the upstreams ran.

Change: pure checks for double ownership, lapsed grants, successors that start while a lost owner's grant is valid, repeated and refused-but-run requests, late work and cut-off requests of a drain, and the time until lost shards are served again. The load tool counts an upstream's own not-run answer as not-run, and a path that ends in /slow/<ms> takes that long.

--- a/src/auburnsail/_load_client.py
+++ b/src/auburnsail/_load_client.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ._headers import DEADLINE_MS, OUTCOME, OWNER, REASON
+from ._headers import DEADLINE_MS, NOT_RUN, OUTCOME, OWNER, REASON
 from ._pool import Answer, HttpPeer
 from .exceptions import NotRunError, OutcomeUnknownError
 
@@ -24,6 +24,7 @@
 NO_CONNECTION = "no-connection"
 WRONG_CALLER = "wrong-caller"
 UNNAMED = "unnamed"
+NOT_RUN_BY_UPSTREAM = "not-run/upstream"
 
 REQUEST_ID = "x-request-id"
 CONNECT_ATTEMPTS = 3
@@ -35,8 +36,8 @@
     """What became of a request.
 
     Attributes:
-        outcome: ``ok``, ``upstream-<status>``, ``<outcome>/<reason>`` of auburnsail's own answers,
-            ``no-connection``, ``no-answer``, ``wrong-caller`` or ``unnamed``.
+        outcome: ``ok``, ``upstream-<status>``, ``<outcome>/<reason>`` of auburnsail's own answers
+            (``not-run/upstream`` if the upstream itself said so), ``no-connection``, ``no-answer``, ``wrong-caller`` or ``unnamed``.
         target: The node that was asked.
         status: HTTP status, 0 without an answer.
         size: Bytes of the answer's body.
@@ -150,6 +151,8 @@
         return WRONG_CALLER
     if OUTCOME in headers:
         return f"{headers[OUTCOME]}/{headers.get(REASON, '')}"
+    if headers.get(NOT_RUN) == "1":
+        return NOT_RUN_BY_UPSTREAM
     if not 200 <= status < 300:
         return f"upstream-{status}"
     return OK if named else UNNAMED
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -38,6 +38,7 @@
 DRAIN_BOUND_S = 2.0
 DRAIN_REFUSE_AFTER_S = 3.0
 DOWNLOAD = re.compile(r"/download/(\d+)$")
+SLOW = re.compile(r"/slow/(\d+)$")
 MEGABYTE = 1 << 20
 NOT_RUN = ("auburnsail-not-run", "1")
 STATUS_LINES = {
@@ -130,7 +131,8 @@
         self._ledger.begin(execution)
         self._running += 1
         self.counters.most_running = max(self.counters.most_running, self._running)
-        seconds = self._seconds(environ.get("HTTP_STANDIN_SERVICE_MS"))
+        slow = SLOW.search(path)
+        seconds = self._seconds(slow[1] if slow else environ.get("HTTP_STANDIN_SERVICE_MS"))
         if "HTTP_STANDIN_CRASH" in environ or (
             self.faults.crash_path and self.faults.crash_path in path
         ):
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -60,6 +60,7 @@
             (503, {"x-request-id": "other"}, b"", "wrong-caller"),
             (200, {}, b"", "unnamed"),
             (500, own, b"", "upstream-500"),
+            (503, {"auburnsail-not-run": "1"}, b"", "not-run/upstream"),
             (503, {"auburnsail-outcome": "not-run", "auburnsail-reason": "x"}, b"", "not-run/x"),
         ]
         for status, headers, content, outcome in cases:
--- /dev/null
+++ b/tools/ledger_checks.py
@@ -0,0 +1,233 @@
+"""Checks of the guarantees on the ledgers of upstreams and on the log of a load run.
+
+Each check is a function of the records that returns its findings as sentences; no findings mean that
+the guarantee held in what was recorded.
+"""
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+from auburnsail._load_report import Record
+from standins.grants import FencedGrant, is_expired, parse_grant
+from standins.ledger import COMPLETED, RUNNING, Execution
+
+NEVER_NS = 1 << 62
+# What a caller takes for "this request was not run and will not be".
+NOT_RUN_PREFIXES = ("not-run/", "refused/", "no-connection", "not-sent")
+UNKNOWN_PREFIXES = ("unknown/", "no-answer", "upstream-5")
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """An execution under a grant.
+
+    Attributes:
+        execution: The ledger's record.
+        grant: The grant that came with the request.
+        end_ns: Until when the work could have had an effect.
+    """
+
+    execution: Execution
+    grant: FencedGrant
+    end_ns: int
+
+
+def granted_runs(
+    executions: Iterable[Execution], gone_ns: dict[str, int]
+) -> dict[tuple[str, int], list[Run]]:
+    """Returns the executions under grants by service and shard, in the order of their starts.
+
+    Args:
+        executions: Records of all upstreams.
+        gone_ns: When an upstream was killed; what ran there ended then.
+    """
+    shards: dict[tuple[str, int], list[Run]] = defaultdict(list)
+    for execution in executions:
+        if execution.grant:
+            grant = parse_grant(execution.grant)
+            end_ns = _end_ns(execution, grant, gone_ns)
+            shards[grant.service, grant.shard].append(Run(execution, grant, end_ns))
+    for runs in shards.values():
+        runs.sort(key=lambda run: run.execution.started_ns)
+    return shards
+
+
+def _end_ns(execution: Execution, grant: FencedGrant, gone_ns: dict[str, int]) -> int:
+    if execution.outcome == RUNNING:
+        return gone_ns.get(execution.upstream, NEVER_NS)
+    if execution.outcome == COMPLETED or not grant.expires_ns:
+        return execution.finished_ns
+    # Work that the upstream gave up has no effect after the end of its grant, even if the process
+    # was frozen when that passed and noticed later.
+    return min(execution.finished_ns, grant.expires_ns)
+
+
+def double_ownership(shards: dict[tuple[str, int], list[Run]]) -> list[str]:
+    """Reports shards that two upstreams served at one time.
+
+    That is: two upstreams under one epoch; work that starts under an epoch after work under a newer
+    one has started; work of one upstream that starts before that of another has ended.
+    """
+    return [finding for runs in shards.values() for finding in _double_owners(runs)]
+
+
+def _double_owners(runs: list[Run]) -> Iterator[str]:
+    owners: dict[int, str] = {}
+    latest_end: dict[str, Run] = {}
+    highest = 0
+    for run in runs:
+        upstream, epoch = run.execution.upstream, run.grant.epoch
+        if owners.setdefault(epoch, upstream) != upstream:
+            yield f"{_name(run)} and {owners[epoch]} both ran under this epoch"
+        if epoch < highest:
+            yield f"{_name(run)} started after epoch {highest} had started"
+        highest = max(highest, epoch)
+        for other, last in latest_end.items():
+            if other != upstream and last.end_ns > run.execution.started_ns:
+                overlap_ms = (last.end_ns - run.execution.started_ns) / 1e6
+                yield f"{_name(run)} overlaps {_name(last)} by {overlap_ms:.1f} ms"
+        if upstream not in latest_end or latest_end[upstream].end_ns < run.end_ns:
+            latest_end[upstream] = run
+
+
+def lapsed_grants(shards: dict[tuple[str, int], list[Run]]) -> list[str]:
+    """Reports work that started under a grant that had expired."""
+    return [
+        f"{_name(run)} started under an expired grant"
+        for runs in shards.values()
+        for run in runs
+        if is_expired(run.grant, run.execution.started_ns)
+    ]
+
+
+def early_successors(shards: dict[tuple[str, int], list[Run]], lost: set[str]) -> list[str]:
+    """Reports work that started while a grant of a lost owner was still valid.
+
+    An owner that hands its shards over may do so before its grants expire; one that was lost cannot.
+
+    Args:
+        shards: Executions by shard.
+        lost: Upstreams whose shards were taken away without their help.
+    """
+    findings = []
+    for runs in shards.values():
+        expires = dict.fromkeys(lost, 0)
+        for run in runs:
+            upstream = run.execution.upstream
+            for other, expires_ns in expires.items():
+                if other != upstream and expires_ns > run.execution.started_ns:
+                    findings.append(f"{_name(run)} started under a valid grant of {other}")
+            if upstream in lost:
+                expires[upstream] = max(expires[upstream], run.grant.expires_ns)
+    return findings
+
+
+def executions_by_id(executions: Iterable[Execution]) -> dict[str, list[Execution]]:
+    """Returns the executions of each request."""
+    by_id: dict[str, list[Execution]] = defaultdict(list)
+    for execution in executions:
+        by_id[execution.request_id].append(execution)
+    return by_id
+
+
+def repeated(records: Iterable[Record], by_id: dict[str, list[Execution]]) -> list[str]:
+    """Reports non-repeatable requests that ran more than once."""
+    return [
+        f"{record.request_id} ran {len(by_id[record.request_id])} times"
+        for record in records
+        if not record.is_repeatable and len(by_id.get(record.request_id, ())) > 1
+    ]
+
+
+def run_despite_refusal(records: Iterable[Record], by_id: dict[str, list[Execution]]) -> list[str]:
+    """Reports requests that ran although their callers were told that they did not."""
+    return [
+        f"{record.request_id} ({record.outcome}) ran at {by_id[record.request_id][0].upstream}"
+        for record in records
+        if record.outcome.startswith(NOT_RUN_PREFIXES) and record.request_id in by_id
+    ]
+
+
+def answered_without_run(records: Iterable[Record], by_id: dict[str, list[Execution]]) -> list[str]:
+    """Reports requests that were answered with success although no execution was completed."""
+    return [
+        f"{record.request_id} was answered and did not complete anywhere"
+        for record in records
+        if record.outcome == "ok"
+        and not any(run.outcome == COMPLETED for run in by_id.get(record.request_id, ()))
+    ]
+
+
+def work_after_drain(
+    executions: Iterable[Execution], upstream: str, since_ns: int, bound_ms: int
+) -> list[str]:
+    """Reports work that a leaving upstream began later than the bound allows."""
+    limit_ns = since_ns + bound_ms * 1_000_000
+    return [
+        f"{run.request_id} started at {upstream} {(run.started_ns - since_ns) / 1e9:.2f} s "
+        "after the drain began"
+        for run in executions
+        if run.upstream == upstream and run.started_ns > limit_ns
+    ]
+
+
+def cut_off(
+    records: Iterable[Record],
+    by_id: dict[str, list[Execution]],
+    upstream: str,
+    node: str,
+    since_ns: int,
+) -> list[str]:
+    """Reports requests that a drain cut off.
+
+    Args:
+        records: Log of the load run.
+        by_id: Executions of each request.
+        upstream: Name of the upstream that left.
+        node: Data address of the node beside it.
+        since_ns: When the drain began.
+    """
+    findings = []
+    for record in records:
+        if record.finished_ns < since_ns or not record.outcome.startswith(UNKNOWN_PREFIXES):
+            continue
+        runs = by_id.get(record.request_id, ())
+        if record.target == node or any(run.upstream == upstream for run in runs):
+            findings.append(f"{record.request_id} got {record.outcome}")
+    return findings
+
+
+def restored_after_s(
+    shards: dict[tuple[str, int], list[Run]], upstream: str, lost_ns: int
+) -> list[float]:
+    """Returns for each shard of a lost upstream the seconds until another one completed work on it.
+
+    A shard that was not served again counts with infinity. Pauses between requests for a shard are
+    included, so the figures are upper bounds.
+
+    Args:
+        shards: Executions by shard.
+        upstream: The lost upstream.
+        lost_ns: When it was lost.
+    """
+    delays = []
+    for runs in shards.values():
+        before = [run for run in runs if run.execution.started_ns < lost_ns]
+        if not before or before[-1].execution.upstream != upstream:
+            continue
+        served = [
+            run.execution.finished_ns
+            for run in runs
+            if run.execution.started_ns >= lost_ns
+            and run.execution.upstream != upstream
+            and run.execution.outcome == COMPLETED
+        ]
+        delays.append((min(served) - lost_ns) / 1e9 if served else float("inf"))
+    return sorted(delays)
+
+
+def _name(run: Run) -> str:
+    grant = run.grant
+    place = f"{grant.service}/{grant.shard} epoch {grant.epoch}"
+    return f"{run.execution.request_id} at {run.execution.upstream} ({place})"
