Add the demonstration

Cause: the guarantees had never been shown together on a fleet under load.

Change: make demo starts 12 VMs in three regions with two domains each, loads them, kills one VM, freezes another past its lease, takes the store away for 20 s and drains a third, then judges the ledgers and the load log. A guarantee that was not measured counts as broken.

About 15% of the requests are refused as not-owner: a node that receives a forwarded request of an unkeyed service chooses again.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench
+.PHONY: test unit check format bench demo
 
 .venv: .venv/.installed
 
@@ -27,3 +27,6 @@
 
 bench: .venv
 	$(PY) -m tools.bench
+
+demo: .venv
+	$(PY) -m tools.demo
--- /dev/null
+++ b/tools/demo_fleet.py
@@ -0,0 +1,227 @@
+"""The fleet of the demonstration: Ampelkorb's regions and domains in part, on loopback."""
+
+import http.client
+import time
+from dataclasses import dataclass
+from pathlib import Path
+
+import msgspec
+
+from standins.ledger import Execution, read_ledger
+
+from .processes import FLEET_SECRET, Processes, free_addresses
+
+REGIONS = ("steiermark", "wien", "tirol")
+DOMAINS_PER_REGION = 2
+STORE_REGION = "steiermark"
+SHARDS = 48
+TREE = {"services": {"catalogue": {"keyed": True, "shards": SHARDS}, "pledge": {}}}
+SLOTS = 12
+CONNECTIONS = 100
+SERVICE_MS = 5
+KNOWN_PEERS = 4
+START_LIMIT_S = 15.0
+CALL_TIMEOUT_S = 1.0
+POLL_S = 0.1
+
+
+class FleetError(Exception):
+    """The fleet of the demonstration did not start."""
+
+
+@dataclass(frozen=True, slots=True)
+class Vm:
+    """One VM: an upstream and the node beside it.
+
+    Attributes:
+        name: Name of the node and of its upstream.
+        service: Service of the upstream.
+        data: Address of the node for callers.
+        control: Control address of the node.
+        upstream: Address of the upstream.
+    """
+
+    name: str
+    region: str
+    domain: str
+    service: str
+    data: str
+    control: str
+    upstream: str
+
+    @property
+    def node_process(self) -> str:
+        """Name of the node's process."""
+        return f"{self.name}-node"
+
+    @property
+    def upstream_process(self) -> str:
+        """Name of the upstream's process."""
+        return f"{self.name}-upstream"
+
+
+def call(address: str, method: str, target: str, content: object = None) -> object:
+    """Calls a process and returns the decoded answer.
+
+    Raises:
+        OSError: There was no answer, or the status was not 200.
+    """
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=CALL_TIMEOUT_S)
+    try:
+        body = None if content is None else msgspec.json.encode(content)
+        connection.request(method, target, body)
+        answer = connection.getresponse()
+        data = answer.read()
+    except http.client.HTTPException as error:
+        raise OSError(f"{address}{target}: {error!r}") from error
+    finally:
+        connection.close()
+    if answer.status != 200:
+        raise OSError(f"{address}{target}: status {answer.status}")
+    return msgspec.json.decode(data)
+
+
+class DemoFleet:
+    """Platform, upstreams and nodes of the demonstration.
+
+    Args:
+        processes: Starts the processes.
+        folder: Receives settings and ledgers.
+    """
+
+    def __init__(self, processes: Processes, folder: Path) -> None:
+        self._processes = processes
+        self._folder = folder
+        self._platform = free_addresses(1)[0]
+        self.vms = _plan_vms()
+        self.killed: set[str] = set()
+
+    @property
+    def store_url(self) -> str:
+        """Base URL of both stores."""
+        return f"http://{self._platform}"
+
+    def vm(self, name: str) -> Vm:
+        """Returns the VM of a name."""
+        return next(vm for vm in self.vms if vm.name == name)
+
+    def start(self) -> None:
+        """Starts everything and waits until all shards have an owner that serves.
+
+        Raises:
+            FleetError: That took too long.
+        """
+        self._processes.start("platform", "standins.platform", "--listen", self._platform)
+        self._await("the platform", lambda: call(self._platform, "GET", "/admin/faults"))
+        tree = self._processes.write_settings("tree", TREE)
+        arguments = ("settings", "init", "--store", self.store_url, tree)
+        self._processes.start("settings", "auburnsail._cli_operator", *arguments)
+        if self._processes.wait("settings", START_LIMIT_S) != 0:
+            raise FleetError("the settings tree was not accepted")
+        for vm in self.vms:
+            self._start_vm(vm)
+        self._await("a lease and an owner for every shard", self._is_ready)
+
+    def sessions(self) -> int:
+        """Returns how many sessions the best informed node knows."""
+        return max((len(status["sessions"]) for status in self.statuses().values()), default=0)
+
+    def statuses(self) -> dict[str, dict]:
+        """Returns the status of each node that answers."""
+        found = {}
+        for vm in self.vms:
+            if vm.name not in self.killed:
+                try:
+                    found[vm.name] = call(vm.control, "GET", "/v1/status")
+                except OSError:
+                    continue
+        return found
+
+    def counters(self) -> dict[str, dict]:
+        """Returns the counters of each upstream that answers."""
+        found = {}
+        for vm in self.vms:
+            if vm.name not in self.killed:
+                try:
+                    found[vm.name] = call(vm.upstream, "GET", "/admin/counters")
+                except OSError:
+                    continue
+        return found
+
+    def set_store_faults(self, **faults) -> None:
+        """Replaces the faults of the platform."""
+        call(self._platform, "POST", "/admin/faults", faults)
+
+    def drain(self, vm: Vm) -> None:
+        """Lets an upstream announce that it leaves."""
+        call(vm.upstream, "POST", "/admin/drain")
+
+    def ledgers(self) -> list[Execution]:
+        """Returns every execution of all upstreams."""
+        return [run for vm in self.vms for run in read_ledger(self._ledger(vm))]
+
+    def _start_vm(self, vm: Vm) -> None:
+        content = {
+            "node": vm.name,
+            "region": vm.region,
+            "domain": vm.domain,
+            "data_address": vm.data,
+            "control_address": vm.control,
+            "store_url": self.store_url,
+            "objects_url": self.store_url,
+            "store_region": STORE_REGION,
+            "fleet_secret": FLEET_SECRET,
+            "peers": [peer.control for peer in self.vms[:KNOWN_PEERS] if peer is not vm],
+        }
+        settings = self._processes.write_settings(vm.name, content)
+        self._processes.start(vm.node_process, "auburnsail._cli_node", settings)
+        arguments = ["--name", vm.name, "--service", vm.service, "--listen", vm.upstream]
+        arguments += ["--node", vm.control, "--slots", str(SLOTS)]
+        arguments += ["--connections", str(CONNECTIONS), "--service-ms", str(SERVICE_MS)]
+        arguments += ["--spread", "exponential", "--ledger", str(self._ledger(vm))]
+        if vm.service == "catalogue":
+            arguments += ["--grants", "required", "--stop-at-expiry"]
+        self._processes.start(vm.upstream_process, "standins.upstream", *arguments)
+
+    def _ledger(self, vm: Vm) -> Path:
+        return self._folder / f"{vm.name}.ledger"
+
+    def _is_ready(self) -> bool:
+        statuses = self.statuses()
+        owned = sum(status["shards"] for status in statuses.values())
+        serving = sum(status["may_serve"] for status in statuses.values())
+        return len(statuses) == serving == len(self.vms) and owned == SHARDS
+
+    def _await(self, what: str, condition) -> None:
+        end = time.monotonic() + START_LIMIT_S
+        while time.monotonic() < end:
+            try:
+                if condition():
+                    return
+            except OSError:
+                pass
+            time.sleep(POLL_S)
+        raise FleetError(f"{what} did not come within {START_LIMIT_S:.0f} s: {self.statuses()}")
+
+
+def _plan_vms() -> list[Vm]:
+    places = [
+        (region, f"{region}-{number + 1}", service)
+        for service in TREE["services"]
+        for number in range(DOMAINS_PER_REGION)
+        for region in REGIONS
+    ]
+    addresses = iter(free_addresses(3 * len(places)))
+    return [
+        Vm(
+            f"{domain}-{service}",
+            region,
+            domain,
+            service,
+            next(addresses),
+            next(addresses),
+            next(addresses),
+        )
+        for region, domain, service in places
+    ]
--- /dev/null
+++ b/tools/processes.py
@@ -0,0 +1,88 @@
+"""Processes of a fleet on loopback, started and ended by their process ids."""
+
+import os
+import signal
+import socket
+import subprocess
+import sys
+from pathlib import Path
+
+import msgspec
+
+ROOT = Path(__file__).parent.parent
+WAIT_S = 5.0
+FLEET_SECRET = "0123456789abcdef0123456789abcdef"
+
+
+def free_addresses(count: int) -> list[str]:
+    """Returns loopback addresses whose ports were free for TCP and UDP a moment ago."""
+    held = []
+    addresses = []
+    try:
+        while len(addresses) < count:
+            stream = socket.socket()
+            datagram = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            held += [stream, datagram]
+            stream.bind(("127.0.0.1", 0))
+            try:
+                datagram.bind(stream.getsockname())
+            except OSError:
+                continue
+            addresses.append(f"127.0.0.1:{stream.getsockname()[1]}")
+    finally:
+        for sock in held:
+            sock.close()
+    return addresses
+
+
+class Processes:
+    """Starts Python modules as processes and ends every one of them on exit.
+
+    Args:
+        folder: Receives settings files and the output of each process.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._environ = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
+        self._running: dict[str, subprocess.Popen] = {}
+
+    def __enter__(self) -> "Processes":
+        return self
+
+    def __exit__(self, *error) -> None:
+        for process in self._running.values():
+            process.kill()
+        for process in self._running.values():
+            process.wait()
+
+    def start(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
+        """Starts a module; its output goes to ``<name>.out`` in the folder."""
+        with (self._folder / f"{name}.out").open("ab") as output:
+            command = [sys.executable, "-m", module, *arguments]
+            process = subprocess.Popen(
+                command, env=self._environ, cwd=ROOT, stdout=output, stderr=subprocess.STDOUT
+            )
+        self._running[name] = process
+        return process
+
+    def send(self, name: str, number: signal.Signals) -> None:
+        """Sends a signal to one process."""
+        self._running[name].send_signal(number)
+
+    def is_running(self, name: str) -> bool:
+        """Returns whether a process has not ended."""
+        return self._running[name].poll() is None
+
+    def wait(self, name: str, timeout_s: float = WAIT_S) -> int | None:
+        """Returns a process's exit code, or None if it does not end in time."""
+        try:
+            return self._running[name].wait(timeout_s)
+        except subprocess.TimeoutExpired:
+            return None
+
+    def write_settings(self, name: str, content: dict) -> str:
+        """Writes a settings file and returns its path."""
+        path = self._folder / f"{name}.json"
+        path.write_bytes(msgspec.json.format(msgspec.json.encode(content), indent=2))
+        return str(path)
