--- a/tools/demo.py
+++ b/tools/demo.py
@@ -1,7 +1,4 @@
-"""Demonstration: a fleet under load loses a VM, a paused VM, its store and a drained VM.
-
-Exit code 0: every guarantee held; 1: one broke; 2: the fleet could not be started.
-"""
+"""Demonstration: a fleet under load loses a VM, a paused VM, its store and a drained VM."""
 
 import signal
 import sys
@@ -10,6 +7,7 @@
 from collections import Counter
 from pathlib import Path
 
+import click
 import msgspec
 
 from auburnsail._load_report import Record
@@ -19,9 +17,13 @@
 from .demo_table import Events, elapsed_s, evaluate, is_broken, render
 from .processes import Processes
 
-RATE_PER_S = 400
+EXIT_HELD = 0
+EXIT_BROKEN = 1
+EXIT_NOT_STARTED = 2
+
+RATE_PER_S = 600
 KEYS = 2000
-ZIPF = 0.8
+ZIPF = 0.5
 DEADLINE_MS = 1000
 MIX = (
     "GET /catalogue/{key} 6",
@@ -206,19 +208,26 @@
         print(f"{elapsed_s(self._start_ns):5.1f} s  {text}", flush=True)
 
 
-def main() -> int:
-    """Runs the demonstration and returns the exit code."""
+@click.command()
+@click.option("--keep", type=click.Path(path_type=Path), help="Folder that keeps all files.")
+def main(keep: Path | None) -> None:
+    """Runs the demonstration.
+
+    Exit code 0: every guarantee held; 1: one broke or was not measured; 2: the fleet did not start.
+    """
     # A terminated demonstration ends its processes like one that fails.
-    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(2))
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_NOT_STARTED))
     with tempfile.TemporaryDirectory(prefix="auburnsail-demo-") as name:
-        folder = Path(name)
+        folder = keep or Path(name)
+        folder.mkdir(parents=True, exist_ok=True)
         with Processes(folder) as processes:
             try:
-                return 0 if Demo(processes, folder).run() else 1
+                held = Demo(processes, folder).run()
             except FleetError as error:
-                print(f"demo: {error}", file=sys.stderr)
-                return 2
+                click.echo(f"demo: {error}", err=True)
+                sys.exit(EXIT_NOT_STARTED)
+    sys.exit(EXIT_HELD if held else EXIT_BROKEN)
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
