--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -14,7 +14,8 @@
 REGIONS = ("steiermark", "wien", "tirol")
 DOMAINS_PER_REGION = 2
 STORE_REGION = "steiermark"
-SHARDS = 48
+# Few shards get enough requests each to show when they are served again.
+SHARDS = 30
 TREE = {"services": {"catalogue": {"keyed": True, "shards": SHARDS}, "pledge": {}}}
 SLOTS = 12
 CONNECTIONS = 100
