--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench silent-connections
+.PHONY: test unit check format bench recovery control-cost silent-connections
 
 .venv: .venv/.installed
 
@@ -25,6 +25,12 @@
 
 test: check unit
 
+recovery: .venv
+	$(PY) -m tools.recovery
+
+control-cost: .venv
+	$(PY) -m tools.control_cost
+
 bench: .venv
 	$(PY) -m tools.bench
 
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -3,6 +3,7 @@
 import os
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from . import _headers
 from ._admission import Admission, Chooser, Result
@@ -18,7 +19,7 @@
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from .exceptions import CallerGoneError, NotRunError, OutcomeUnknownError
 
-__all__ = ["SHED", "AttemptRunner", "Counters", "Ownership"]
+__all__ = ["SHED", "AttemptRunner", "Counters", "Gate", "Ownership"]
 
 # The other node gives up a little earlier, so that its more exact outcome still arrives.
 HOP_MARGIN_MS = 10
@@ -56,22 +57,35 @@
 }
 
 
+class Gate(Protocol):
+    """Knows whether this node may serve; `RequestGate` implements it."""
+
+    def enter(self, service: str, shard: int) -> str:
+        """Admits a request; returns the reason if it must not run, or an empty string."""
+
+    def confirm(self, service: str, shard: int, epoch: int) -> str:
+        """Checks an admitted request again right before bytes go to the upstream."""
+
+    def leave(self, service: str, shard: int) -> None:
+        """Notes that an admitted request has ended."""
+
+    def expires_ns(self) -> int:
+        """Returns when a grant that is given now ends."""
+
+
 @dataclass(slots=True)
 class Ownership:
     """What this node may serve now.
 
     Attributes:
         upstream_address: Returns the address of the upstream beside this node, or None.
-        may_serve: Whether this node's lease is valid now; asked again right before bytes go to
-            the upstream.
+        gate: Knows whether this node may serve.
         own_address: Address at which this node serves, named as the owner of its keys.
-        lease_end_ns: Returns the end of the lease for fenced grants; None leaves it out.
     """
 
     upstream_address: Callable[[], str | None]
-    may_serve: Callable[[], bool]
+    gate: Gate
     own_address: str = ""
-    lease_end_ns: Callable[[], int] | None = None
 
 
 class AttemptRunner:
@@ -180,8 +194,16 @@
         address = self._ownership.upstream_address()
         if address is None:
             raise not_run("no-upstream", "no upstream has announced itself", "route")
-        self._check_lease(target)
         self._read_prefix(flight)
+        gate = self._ownership.gate
+        if reason := gate.enter(target.service, target.shard):
+            raise not_run(reason, "this node does not serve the request now", "admission")
+        try:
+            self._run_admitted(flight, target, address)
+        finally:
+            gate.leave(target.service, target.shard)
+
+    def _run_admitted(self, flight: Flight, target: Target, address: str) -> None:
         try:
             ticket = self._admission.enter(target, flight.deadline_ns)
         except NotRunError as error:
@@ -237,7 +259,7 @@
         try:
             # Connecting can take long, so the lease is checked again right before the first byte.
             if local is not None:
-                self._check_lease(local)
+                self._confirm(local)
             self._check_stopped(flight)
             self._watch_silence(flight, exchange, address, local)
             head = request_head(flight, address, extra)
@@ -358,11 +380,10 @@
             self._check_stopped(flight)
             raise
 
-    def _check_lease(self, target: Target) -> None:
-        if not self._ownership.may_serve():
-            raise not_run("no-lease", "this node holds no valid lease", "lease")
-        if not self._router.is_still_local(target):
-            raise not_run("not-owner", "the key moved to another node", "route")
+    def _confirm(self, target: Target) -> None:
+        reason = self._ownership.gate.confirm(target.service, target.shard, target.epoch)
+        if reason:
+            raise not_run(reason, "ownership ended before the request was sent", "send")
 
     def _check_stopped(self, flight: Flight) -> None:
         if flight.stop_reason == CALLER_GONE:
@@ -372,7 +393,5 @@
             raise not_run("deadline", detail, "forward", status="504 Gateway Timeout")
 
     def _grant(self, target: Target) -> str:
-        grant = f"{target.service};{target.shard};{target.epoch}"
-        if self._ownership.lease_end_ns is not None:
-            grant += f";{self._ownership.lease_end_ns()}"
-        return f"{_headers.GRANT}: {grant}\r\n"
+        place = f"{target.service};{target.shard};{target.epoch}"
+        return f"{_headers.GRANT}: {place};{self._ownership.gate.expires_ns()}\r\n"
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -8,7 +8,7 @@
 
 from . import _headers
 from ._admission import Admission, Chooser, CountingAdmission, RotatingChooser
-from ._attempt import SHED, AttemptRunner, Counters, Ownership
+from ._attempt import SHED, AttemptRunner, Counters, Gate, Ownership
 from ._clock import NS_PER_MS, BootClock, Clock
 from ._flights import SILENT, Flight, FlightTable
 from ._hop import HopSigner
@@ -44,11 +44,9 @@
     Args:
         router: Decides where a request goes.
         upstream_address: Returns the address of the upstream beside this node, or None.
-        may_serve: Whether this node's lease is valid now; asked again right before bytes go to
-            the upstream.
+        gate: Knows whether this node may serve.
         signer: Signs requests to other nodes and checks theirs.
         own_address: Address at which this node serves, named as the owner of its keys.
-        lease_end_ns: Returns the end of the lease for fenced grants; None leaves it out.
         admission: Admits requests to the upstream beside this node.
         chooser: Chooses among the upstreams of an unkeyed service.
         repeatable: Decides which requests may be sent again.
@@ -61,11 +59,10 @@
         self,
         router: Router,
         upstream_address: Callable[[], str | None],
-        may_serve: Callable[[], bool],
+        gate: Gate,
         *,
         signer: HopSigner,
         own_address: str = "",
-        lease_end_ns: Callable[[], int] | None = None,
         admission: Admission | None = None,
         chooser: Chooser | None = None,
         repeatable: RepeatablePolicy | None = None,
@@ -87,7 +84,7 @@
         self.counters = Counters()
         self._runner = AttemptRunner(
             router,
-            Ownership(upstream_address, may_serve, own_address, lease_end_ns),
+            Ownership(upstream_address, gate, own_address),
             signer,
             admission or CountingAdmission(),
             chooser or RotatingChooser(),
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -70,7 +70,7 @@
 
     def __init__(self, fleet: FleetState, tree: TreeSettings) -> None:
         self._fleet = fleet
-        self._tree = tree
+        self.tree = tree
         self._members: dict[str, tuple[Session, ...]] = {}
         self._members_version = -1
         self.own_id: SessionId | None = None
@@ -104,18 +104,9 @@
             return Refuse(error.refusal)
         return route
 
-    def is_still_local(self, target: Target) -> bool:
-        """Returns whether this node owns the target's shard at the same epoch as before."""
-        if target.shard < 0:
-            return True
-        row = self._fleet.owner(target.service, target.shard)
-        if row is None or row.session.id != self.own_id:
-            return False
-        return self._fleet.epoch(target.service, target.shard) == target.epoch
-
     def _find(self, path: str, key_header: str | None) -> Route:
         _, service, *rest = path.split("/", 3)
-        settings = self._tree.services.get(service)
+        settings = self.tree.services.get(service)
         if settings is None:
             raise refused("404 Not Found", "unknown-service", f"no service {service!r}", "route")
         if settings.keyed:
@@ -126,7 +117,10 @@
         return AnyOf(Target(service), members)
 
     def _owner(self, service: str, key: str) -> Route:
-        shard = shard_of(key, len(self._fleet.tables[service]))
+        table = self._fleet.tables.get(service)
+        if table is None:
+            raise not_run("no-owner", f"{service} has no shards yet", "route")
+        shard = shard_of(key, len(table))
         row = self._fleet.owner(service, shard)
         if row is None:
             raise not_run("no-owner", f"shard {shard} of {service} has no owner", "route")
