--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench demo recovery control-cost
+.PHONY: test unit check format bench demo recovery control-cost silent-connections
 
 .venv: .venv/.installed
 
@@ -36,3 +36,6 @@
 
 demo: .venv
 	$(PY) -m tools.demo
+
+silent-connections: .venv
+	$(PY) -m tools.silent_connections
--- a/src/auburnsail/_gate.py
+++ b/src/auburnsail/_gate.py
@@ -1,7 +1,5 @@
 """Admits requests to the upstream beside this node, for the data path."""
 
-from collections.abc import Callable, Iterator
-
 import gevent
 
 from . import _rules
@@ -30,14 +28,7 @@
         self._mover = mover
         self._membership = membership
         self._clock = clock
-        self._total = 0
         self.violation = ""
-        self.close_connections = False
-
-    @property
-    def total(self) -> int:
-        """Number of requests that the data server is serving, forwarded ones included."""
-        return self._total
 
     def expires_ns(self) -> int:
         """Returns when a grant that is given now ends, on the VM's boot clock."""
@@ -66,29 +57,3 @@
     def leave(self, service: str, shard: int) -> None:
         """Notes that an admitted request has ended."""
         self._mover.leave(service, shard)
-
-    def count(self, application: Callable) -> Callable:
-        """Wraps the data application so that the requests it serves are counted."""
-
-        def counted(environ: dict, start_response) -> Iterator[bytes]:
-            self._total += 1
-            body = None
-            try:
-                body = application(environ, self._closing(start_response))
-                yield from body
-            finally:
-                self._total -= 1
-                close = getattr(body, "close", None)
-                if close is not None:
-                    close()
-
-        return counted
-
-    def _closing(self, start_response):
-        def start(status: str, headers: list, exc_info=None):
-            # A node that leaves tells its callers to use another connection.
-            if self.close_connections:
-                headers = [*headers, ("connection", "close")]
-            return start_response(status, headers, exc_info)
-
-        return start
