--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -9,16 +9,14 @@
 import structlog
 from gevent.event import Event
 
-from ._admission import RotatingChooser
 from ._checkpoint import dump_fleet
-from ._clock import NS_PER_MS, NS_PER_S, BootClock, Timers
+from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
+from ._data_path import DataPath
 from ._effects import Applied, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState
-from ._forward import ProxyApplication
 from ._gate import RequestGate
-from ._hop import HopSigner
-from ._http_server import ControlServer, HttpServer
+from ._http_server import ControlServer
 from ._io import Callbacks, NodeIo, Records, UdpSocket
 from ._journal import Journal
 from ._membership import Membership
@@ -80,27 +78,15 @@
         self._announced_ns = 0
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
-        self._data = ProxyApplication(
+        self._data = DataPath(
+            settings,
             self._router,
             self._upstream_address,
-            self._gate.confirm,
-            signer=HopSigner(settings.fleet_secret),
-            own_address=settings.data_address,
-            lease_end_ns=self._gate.expires_ns,
-            admission=self._gate,
-            chooser=RotatingChooser(settings.region, settings.domain),
-            clock=self._clock,
-            on_violation=lambda error: self._violate(str(error)),
-        )
-        self._data_server = HttpServer(
-            _endpoint(settings.data_address), self._data, clock=self._clock
-        )
-        self._control_server = ControlServer(
-            _endpoint(settings.control_address),
-            ControlApplication(self, self._codec),
-            log=None,
-            error_log=None,
+            self._gate,
+            self._clock,
+            lambda error: self._violate(str(error)),
         )
+        self._control_server: ControlServer | None = None
         self._stopped = Event()
         self._timers.subscribe("membership", TICK_MS, self._tick)
         self._timers.subscribe("upstream", TICK_MS, self._follow_upstream)
@@ -121,8 +107,8 @@
         """Moves everything away, ends the session and then ends the process."""
         if not self._mover.stopping:
             self._log.info("stopping")
-            # Callers are told to use another connection.
-            self._data_server.draining = True
+            # A node that leaves tells its callers to use another connection.
+            self._data.announce_close()
             self._mover.drain("stop signal", stopping=True)
             gevent.spawn(self._wait_stopped)
 
@@ -357,22 +343,25 @@
     # Start and stop.
 
     def _start_servers(self) -> None:
-        self._data_server.start()
+        control = _endpoint(self._settings.control_address)
+        application = ControlApplication(self, self._codec)
+        self._control_server = ControlServer(control, application, log=None, error_log=None)
         self._control_server.start()
+        self._data.start()
 
     def _wait_stopped(self) -> None:
         end_ns = self._clock.now_ns() + STOP_LIMIT_MS * NS_PER_MS
-        while self._clock.now_ns() < end_ns and not self._mover.finished:
+        data = self._data
+        while self._clock.now_ns() < end_ns and not (self._mover.finished and not data.in_flight):
             gevent.sleep(TICK_MS / 1000)
-        left_s = max(0.0, (end_ns - self._clock.now_ns()) / NS_PER_S)
-        self._data_server.drain(idle_grace_s=CLOSE_WAIT_MS / 1000, timeout_s=left_s)
+        left_s = max(0.0, (end_ns - self._clock.now_ns()) / 1e9)
+        data.stop(idle_grace_s=CLOSE_WAIT_MS / 1000, timeout_s=left_s)
         self._stopped.set()
 
     def _close(self) -> None:
         self._log.info("stopped", in_flight=self._data.in_flight)
-        self._data.close()
-        self._data_server.close()
-        self._control_server.close()
+        if self._control_server is not None:
+            self._control_server.close()
         self._udp.close()
 
 
@@ -391,11 +380,11 @@
     )
 
 
-def build_node(settings: NodeSettings) -> Node:
-    """Wires a node from its settings."""
-    return Node(settings)
-
-
 def _endpoint(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host, int(port)
+
+
+def build_node(settings: NodeSettings) -> Node:
+    """Wires a node from its settings."""
+    return Node(settings)
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -104,15 +104,6 @@
             return Refuse(error.refusal)
         return route
 
-    def is_still_local(self, target: Target) -> bool:
-        """Returns whether this node owns the target's shard at the same epoch as before."""
-        if target.shard < 0:
-            return True
-        row = self._fleet.owner(target.service, target.shard)
-        if row is None or row.session.id != self.own_id:
-            return False
-        return self._fleet.epoch(target.service, target.shard) == target.epoch
-
     def _find(self, path: str, key_header: str | None) -> Route:
         _, service, *rest = path.split("/", 3)
         settings = self.tree.services.get(service)
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -56,7 +56,7 @@
             (run,) = self.upstream.runs
             self.assertTrue(run.head.startswith(f"POST {target} HTTP/1.1\r\nhost: node\r\n"))
             self.assertIn("\r\nX-Mixed: ", run.head)
-            self.assertRegex(run.head, r"\r\nauburnsail-grant: catalogue;\d+;1")
+            self.assertRegex(run.head, r"\r\nauburnsail-grant: catalogue;\d+;1;1(\r\n|$)")
             self.assertRegex(run.head, r"\r\nauburnsail-deadline-ms: [678]\d\d")
             self.assertNotIn("auburnsail-hop", run.head)
 
@@ -262,9 +262,8 @@
     def move_to_other(self) -> Transfer:
         """Returns the command that moves all shards from `owner` to `other`."""
         shards = tuple(range(SHARDS))
-        epochs = (1,) * SHARDS
-        source, target = self.owner.session.id, self.other.session.id
-        return Transfer("t", "catalogue", source, target, shards, epochs)
+        ids = (self.owner.session.id, self.other.session.id)
+        return Transfer("t", "catalogue", *ids, shards, (1,) * SHARDS)
 
     def add_first(self) -> PathNode:
         """Returns a third node that knows the same map."""
@@ -292,7 +291,7 @@
 
     def test_lost_lease_sends_nothing(self):
         """Guards against bytes to the upstream after the lease ended (P1)."""
-        self.owner.has_lease = False
+        self.owner.gate.has_lease = False
         for node in self.both():
             answer = exchange(node.address, request("POST", body=b"1"))
             self.assertEqual(reason_of(answer), (503, "not-run", "no-lease"))
@@ -301,7 +300,7 @@
     def test_ownership_lost_while_a_request_waits_sends_nothing(self):
         """Guards against a check of lease and shard only before the wait for admission (P1)."""
         for loss, reason in (
-            (lambda node: setattr(node, "has_lease", False), "no-lease"),
+            (lambda node: setattr(node.gate, "has_lease", False), "no-lease"),
             (lambda node: node.learn(self.move_to_other()), "not-owner"),
         ):
             admission = CountingAdmission()
@@ -323,7 +322,9 @@
                 # The first node finds the new owner by itself.
                 self.assertEqual(len(self.second.runs), 0)
                 self.assertEqual(reason_of(answer)[1], "not-run")
-            self.assertEqual((admission.in_flight, admission.by_shard), (0, {}))
+            self.assertEqual(
+                (admission.in_flight, admission.by_shard, node.gate.in_flight), (0, {}, 0)
+            )
 
     def test_stray_bytes_on_an_idle_connection_are_no_answer(self):
         """Guards against the rest of one exchange becoming the answer of the next (P3)."""
