--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
 
 .venv: .venv/.installed
 
@@ -19,11 +19,27 @@
 check: .venv
 	$(PY) -m black --check --quiet src standins tools tests
 	$(PY) -m ruff check --quiet src standins tools tests
+	$(PY) -m tools.reference --check
+
+reference: .venv
+	$(PY) -m tools.reference
 
 unit: .venv
 	$(PY) -m unittest discover -s tests -t .
 
 test: check unit
 
+recovery: .venv
+	$(PY) -m tools.recovery
+
+control-cost: .venv
+	$(PY) -m tools.control_cost
+
 bench: .venv
 	$(PY) -m tools.bench
+
+silent-connections: .venv
+	$(PY) -m tools.silent_connections
+
+demo: .venv
+	$(PY) -m tools.demo
