Apply the request settings of each service

Cause: deadlines, attempts, the retry budget, repeatable paths and size limits of the settings tree had no effect on the request path.

Change: `_request_policy` turns the `requests` section of each service into the form that the data path uses; the node puts it in force with every settings version. Retry budgets are kept per service and go on across settings versions. Paths are compared without percent escapes.

Result: a test sets each rule and observes its effect. Not applied yet: max_head_bytes (fixed at 32 KiB), body_window_bytes (fixed at 64 KiB) and max_hops (a node that is not the owner never sends a forwarded request on, so a request passes at most two nodes).

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -15,7 +15,6 @@
 from ._outcome import Outcome, RequestFailedError, not_run, parse_refusal, unknown
 from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange, HttpPeer
 from ._relay import BUFFERED_BYTES, failure_of, pass_on, read_small, request_head, send_request
-from ._retry import RetryBudget
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from .exceptions import CallerGoneError, NotRunError, OutcomeUnknownError
 
@@ -97,7 +96,6 @@
         signer: Signs requests to other nodes.
         admission: Admits requests to the upstream beside this node.
         chooser: Chooses among the upstreams of an unkeyed service.
-        budget: Retries that are allowed now.
         clock: Source of time.
         counters: Counts of the request path.
     """
@@ -109,7 +107,6 @@
         signer: HopSigner,
         admission: Admission,
         chooser: Chooser,
-        budget: RetryBudget,
         clock: Clock,
         counters: Counters,
     ) -> None:
@@ -118,7 +115,6 @@
         self._signer = signer
         self._admission = admission
         self._chooser = chooser
-        self._budget = budget
         self._clock = clock
         self._counters = counters
         self._peers: dict[str, HttpPeer] = {}
@@ -319,7 +315,7 @@
     ) -> None:
         # Only worth it on an older connection: silence on a new one means a slow peer, and sending
         # the request again would not help.
-        if not (flight.attempts.repeatable and exchange.is_reused and self._budget.tokens >= 1.0):
+        if not (flight.attempts.repeatable and exchange.is_reused and flight.budget.tokens >= 1.0):
             return
         divisor = SILENCE_DIVISOR_LOCAL if local is not None else SILENCE_DIVISOR_NODE
         now_ns = self._clock.now_ns()
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -8,8 +8,9 @@
 from ._forward import ProxyApplication
 from ._hop import HopSigner
 from ._http_server import HttpServer
+from ._request_policy import policies_of
 from ._routing import Router
-from ._settings import NodeSettings
+from ._settings import NodeSettings, TreeSettings
 from .exceptions import InvariantViolation
 
 __all__ = ["DataPath"]
@@ -36,6 +37,7 @@
         clock: Clock,
         on_violation: Callable[[InvariantViolation], None],
     ) -> None:
+        self._settings = settings
         self._application = ProxyApplication(
             router,
             upstream_address,
@@ -54,6 +56,11 @@
         """Number of requests that are being served, forwarded ones included."""
         return self._server.in_flight
 
+    def set_tree(self, tree: TreeSettings) -> None:
+        """Puts a version of the settings in force."""
+        policies = policies_of(tree, self._settings.region, self._settings.domain)
+        self._application.set_policies(policies)
+
     def start(self) -> None:
         """Starts accepting connections."""
         self._server.start()
--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -7,7 +7,8 @@
 from ._hop import Hop
 from ._http_server import Request
 from ._pool import Exchange
-from ._retry import AttemptLog
+from ._request_policy import RequestPolicy
+from ._retry import AttemptLog, RetryBudget
 
 __all__ = ["CALLER_GONE", "DEADLINE", "SILENT", "STALLED", "Flight", "FlightTable"]
 
@@ -28,6 +29,8 @@
         deadline_ns: Time after which the answer is of no use.
         covers_body: Whether the deadline covers the answer's body too.
         attempts: Attempts and what is known of them.
+        policy: Rules for the requests of the service.
+        budget: Retries that the service's requests may make.
         prefix: Beginning of the request body, kept for a further attempt.
         is_body_consumed: Whether more than the prefix was read, so that it cannot be sent again.
         owner_hint: Address that a node with a newer map named, or an empty string.
@@ -41,6 +44,7 @@
     __slots__ = (
         "attempt_by_ns",
         "attempts",
+        "budget",
         "covers_body",
         "deadline_ns",
         "exchange",
@@ -48,6 +52,7 @@
         "is_body_consumed",
         "is_watched",
         "owner_hint",
+        "policy",
         "prefix",
         "progress_by_ns",
         "request",
@@ -62,12 +67,16 @@
         deadline_ns: int,
         covers_body: bool,
         attempts: AttemptLog,
+        policy: RequestPolicy,
+        budget: RetryBudget,
     ) -> None:
         self.request = request
         self.hop = hop
         self.deadline_ns = deadline_ns
         self.covers_body = covers_body
         self.attempts = attempts
+        self.policy = policy
+        self.budget = budget
         self.prefix: bytes | None = None
         self.is_body_consumed = False
         self.owner_hint = ""
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from urllib.parse import unquote
 
 import gevent
 import structlog
@@ -21,7 +22,8 @@
     refused,
     unknown,
 )
-from ._retry import AttemptLog, RepeatablePolicy, RetryBudget, backoff_ms
+from ._request_policy import RequestPolicy
+from ._retry import AttemptLog, RetryBudget, backoff_ms
 from ._routing import Router
 from .exceptions import (
     CallerGoneError,
@@ -31,9 +33,8 @@
 
 __all__ = ["ProxyApplication"]
 
-DEFAULT_DEADLINE_MS = 30_000
-MAX_DEADLINE_MS = 600_000
-MAX_ATTEMPTS = 3
+# For services that the settings tree does not name; their requests are refused.
+DEFAULT_POLICY = RequestPolicy()
 # An outage fails thousands of requests per second; one line per second shows it.
 LOG_EVERY_NS = 1_000 * NS_PER_MS
 
@@ -49,7 +50,6 @@
         own_address: Address at which this node serves, named as the owner of its keys.
         admission: Admits requests to the upstream beside this node.
         chooser: Chooses among the upstreams of an unkeyed service.
-        repeatable: Decides which requests may be sent again.
         clock: Source of time.
         jitter: Returns random numbers in [0, 1).
         on_violation: Called once when a guarantee was found broken.
@@ -65,18 +65,17 @@
         own_address: str = "",
         admission: Admission | None = None,
         chooser: Chooser | None = None,
-        repeatable: RepeatablePolicy | None = None,
         clock: Clock | None = None,
         jitter: Callable[[], float] = random.random,
         on_violation: Callable[[InvariantViolation], None] | None = None,
     ) -> None:
         self._router = router
         self._signer = signer
-        self._repeatable = repeatable or RepeatablePolicy()
         self._clock = clock or BootClock()
         self._jitter = jitter
         self._on_violation = on_violation
-        self._budget = RetryBudget()
+        self._policies: dict[str, RequestPolicy] = {}
+        self._budgets: dict[str, RetryBudget] = {}
         self._flights = FlightTable()
         self._log = structlog.get_logger(address=own_address)
         self._next_log_ns = 0
@@ -88,7 +87,6 @@
             signer,
             admission or CountingAdmission(),
             chooser or RotatingChooser(),
-            self._budget,
             self._clock,
             self.counters,
         )
@@ -125,6 +123,18 @@
         """See `Application.sweep`."""
         self._flights.sweep(now_ns)
 
+    def set_policies(self, policies: dict[str, RequestPolicy]) -> None:
+        """Puts the rules for each service in force; requests in flight keep theirs."""
+        self._policies = policies
+        # Settings change every few seconds in a large fleet, so the budgets go on.
+        known = self._budgets
+        self._budgets = {service: known.get(service) or RetryBudget() for service in policies}
+        for service, budget in self._budgets.items():
+            budget.share = policies[service].retry_share
+        self._router.key_limits = {
+            service: policy.max_key_bytes for service, policy in policies.items()
+        }
+
     def close(self) -> None:
         """Closes the idle connections to peers."""
         self._runner.drop_idle()
@@ -139,14 +149,21 @@
             key = head.special.get(_headers.KEY, "")
             hop = self._signer.verify(signed, head.method, head.target, key)
             self.counters.forwarded += 1
+        service, path = _split_service(head.path)
+        policy = self._policies.get(service, DEFAULT_POLICY)
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(policy.retry_share)
+        request.body.limit(policy.max_body_bytes)
         now_ns = self._clock.now_ns()
         if hop is None:
-            deadline_ms, is_explicit = _deadline(head.special.get(_headers.DEADLINE_MS))
-            self._budget.on_request(now_ns)
+            deadline_ms, is_explicit = _deadline(head.special.get(_headers.DEADLINE_MS), policy)
+            budget.on_request(now_ns)
         else:
             deadline_ms, is_explicit = hop.deadline_ms, False
-        attempts = AttemptLog(self._repeatable.is_repeatable(head.method, head.path))
-        return Flight(request, hop, now_ns + deadline_ms * NS_PER_MS, is_explicit, attempts)
+        attempts = AttemptLog(policy.is_repeatable(head.method, path))
+        deadline_ns = now_ns + deadline_ms * NS_PER_MS
+        return Flight(request, hop, deadline_ns, is_explicit, attempts, policy, budget)
 
     def _run(self, flight: Flight) -> None:
         failures: list[RequestFailedError] = []
@@ -170,7 +187,7 @@
         refusal = failures[-1].refusal
         if flight.hop is not None or flight.stop_reason or flight.is_body_consumed:
             return False
-        if refusal.outcome is Outcome.REFUSED or len(failures) >= MAX_ATTEMPTS:
+        if refusal.outcome is Outcome.REFUSED or len(failures) >= flight.policy.max_attempts:
             return False
         if not flight.attempts.may_send or (refusal.reason == SHED and not flight.tried):
             return False
@@ -179,7 +196,7 @@
             flight.owner_hint = refusal.owner
         elif refusal.reason != SILENT and not flight.tried:
             delay_ms = backoff_ms(len(failures), self._jitter())
-        if self._runner.left_ms(flight) <= delay_ms or not self._budget.take():
+        if self._runner.left_ms(flight) <= delay_ms or not flight.budget.take():
             return False
         self.counters.retries += 1
         if delay_ms:
@@ -226,14 +243,21 @@
                 self._on_violation(error)
 
 
-def _deadline(value: str | None) -> tuple[int, bool]:
+def _split_service(path: str) -> tuple[str, str]:
+    """Returns the service and the rest of a path as upstreams read it, without escapes."""
+    _, service, *rest = path.split("/", 2)
+    tail = "/" + rest[0] if rest else "/"
+    return service, unquote(tail) if "%" in tail else tail
+
+
+def _deadline(value: str | None, policy: RequestPolicy) -> tuple[int, bool]:
     """Returns the time that a request may take in ms and whether the caller set it."""
     if value is None:
-        return DEFAULT_DEADLINE_MS, False
+        return policy.default_deadline_ms, False
     if not (value.isascii() and value.isdecimal() and len(value) <= 9) or int(value) == 0:
         detail = f"{_headers.DEADLINE_MS} is not a positive number of milliseconds"
         raise refused("400 Bad Request", "bad-deadline", detail)
-    return min(int(value), MAX_DEADLINE_MS), True
+    return min(int(value), policy.max_deadline_ms), True
 
 
 def _final_refusal(flight: Flight, failures: list[RequestFailedError]) -> Refusal:
--- a/src/auburnsail/_http_body.py
+++ b/src/auburnsail/_http_body.py
@@ -66,6 +66,16 @@
         if head.length > max_bytes:
             raise _too_large(max_bytes)
 
+    def limit(self, max_bytes: int) -> None:
+        """Lowers the limit before the body is read.
+
+        Raises:
+            RequestFailedError: The declared length is above the limit.
+        """
+        self._max_bytes = min(self._max_bytes, max_bytes)
+        if not self._is_chunked and self._left > self._max_bytes:
+            raise _too_large(self._max_bytes)
+
     def read(self) -> bytes:
         """Returns the next part of the body, or empty bytes at its end.
 
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -302,6 +302,7 @@
             self._log.error("settings not readable", version=changed.version, error=str(error))
             return
         self._router.tree = tree
+        self._data.set_tree(tree)
         for name, service in tree.services.items():
             if service.keyed:
                 self._fleet.add_service(name, service.shards)
--- a/src/auburnsail/_retry.py
+++ b/src/auburnsail/_retry.py
@@ -1,14 +1,11 @@
 """Which requests may be sent again, and the proof that no other one is."""
 
-from collections.abc import Iterable
-
 from ._clock import NS_PER_MS
 from ._outcome import Outcome
 from .exceptions import InvariantViolation
 
-__all__ = ["AttemptLog", "RepeatablePolicy", "RetryBudget", "backoff_ms"]
+__all__ = ["AttemptLog", "RetryBudget", "backoff_ms"]
 
-IDEMPOTENT_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE"})
 BUDGET_SHARE = 0.1
 # Lets a quiet node retry at all; at most this many retries exceed the share.
 BUDGET_RESERVE = 10.0
@@ -17,36 +14,18 @@
 MAX_BACKOFF_MS = 200
 
 
-class RepeatablePolicy:
-    """Decides whether a request may run more than once.
-
-    Args:
-        never: Path prefixes (``/<service>/<path>``) whose requests are not repeatable, whatever
-            their method.
-        always: Path prefixes whose requests are repeatable, whatever their method.
-    """
-
-    def __init__(self, never: Iterable[str] = (), always: Iterable[str] = ()) -> None:
-        self._never = tuple(never)
-        self._always = tuple(always)
-
-    def is_repeatable(self, method: str, path: str) -> bool:
-        """Returns whether a request may be sent again although it may have run."""
-        if self._never and path.startswith(self._never):
-            return False
-        if method in IDEMPOTENT_METHODS:
-            return True
-        return bool(self._always) and path.startswith(self._always)
-
-
 class RetryBudget:
     """Limits retries to a share of recent requests, so that they cannot add to an overload.
 
     Tokens are kept by a bucket whose size is the share of the requests of the last window.
+
+    Args:
+        share: Retries per request; 0 allows none.
+        reserve: Retries that a quiet service may make beyond the share.
     """
 
     def __init__(self, share: float = BUDGET_SHARE, reserve: float = BUDGET_RESERVE) -> None:
-        self._share = share
+        self.share = share
         self._reserve = reserve
         self._tokens = reserve
         self._window_end_ns = 0
@@ -62,15 +41,15 @@
         """Counts a new request of a caller."""
         if now_ns >= self._window_end_ns:
             self._window_end_ns = now_ns + BUDGET_WINDOW_MS * NS_PER_MS
-            self._capacity = max(self._reserve, self._requests * self._share)
+            self._capacity = max(self._reserve, self._requests * self.share)
             self._requests = 0
         self._requests += 1
-        limit = max(self._capacity, self._requests * self._share)
-        self._tokens = min(limit, self._tokens + self._share)
+        limit = max(self._capacity, self._requests * self.share)
+        self._tokens = min(limit, self._tokens + self.share)
 
     def take(self) -> bool:
         """Returns whether one more retry is allowed, and counts it if so."""
-        if self._tokens < 1.0:
+        if self._tokens < 1.0 or self.share <= 0:
             return False
         self._tokens -= 1.0
         return True
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -74,6 +74,7 @@
         self._members: dict[str, tuple[Session, ...]] = {}
         self._members_version = -1
         self.own_id: SessionId | None = None
+        self.key_limits: dict[str, int] = {}
 
     @property
     def map_version(self) -> int:
@@ -110,7 +111,7 @@
         if settings is None:
             raise refused("404 Not Found", "unknown-service", f"no service {service!r}", "route")
         if settings.keyed:
-            return self._owner(service, _key(key_header, rest))
+            return self._owner(service, self._key(service, key_header, rest))
         members = self._members_of(service)
         if not members:
             raise not_run("no-upstream", f"no upstream of {service} is known", "route")
@@ -162,19 +163,19 @@
                 self._members[row.session.service] = (*known, row.session)
         return self._members.get(service, ())
 
-
-def _key(header: str | None, rest: list[str]) -> str:
-    """Returns the key; the escaped and the plain spelling of a path segment are the same key."""
-    if header is not None:
-        raw = header.encode("latin-1")
-    else:
-        segment = rest[0] if rest else ""
-        raw = unquote_to_bytes(segment) if "%" in segment else segment.encode("latin-1")
-    if not raw:
-        raise refused(_BAD, "missing-key", "the request names no key", "route")
-    if len(raw) > MAX_KEY_BYTES:
-        raise refused(_BAD, "key-too-long", f"the limit is {MAX_KEY_BYTES} bytes", "route")
-    try:
-        return raw.decode()
-    except UnicodeDecodeError:
-        raise refused(_BAD, "bad-key", "the key is not valid UTF-8", "route") from None
+    def _key(self, service: str, header: str | None, rest: list[str]) -> str:
+        """Returns the key; the escaped and the plain spelling of a path segment are the same."""
+        if header is not None:
+            raw = header.encode("latin-1")
+        else:
+            segment = rest[0] if rest else ""
+            raw = unquote_to_bytes(segment) if "%" in segment else segment.encode("latin-1")
+        if not raw:
+            raise refused(_BAD, "missing-key", "the request names no key", "route")
+        limit = self.key_limits.get(service, MAX_KEY_BYTES)
+        if len(raw) > limit:
+            raise refused(_BAD, "key-too-long", f"the limit is {limit} bytes", "route")
+        try:
+            return raw.decode()
+        except UnicodeDecodeError:
+            raise refused(_BAD, "bad-key", "the key is not valid UTF-8", "route") from None
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -12,7 +12,9 @@
 from auburnsail._clock import ManualClock
 from auburnsail._outcome import Outcome, parse_refusal
 from auburnsail._pool import HttpPeer
-from auburnsail._retry import BUDGET_RESERVE, AttemptLog, RepeatablePolicy, RetryBudget
+from auburnsail._request_policy import RequestPolicy, policies_of
+from auburnsail._retry import BUDGET_RESERVE, AttemptLog, RetryBudget
+from auburnsail._tree import parse_tree
 from auburnsail.exceptions import InvariantViolation, OutcomeUnknownError
 from tests.path_fakes import (
     SHED,
@@ -70,17 +72,53 @@
 
     def test_settings_narrow_and_add_repeatable_requests(self):
         """Guards against repeating a request that settings exclude."""
-        policy = RepeatablePolicy(never=["/ledger/club"], always=["/portal/search"])
+        policy = RequestPolicy(
+            non_repeatable_paths=("/club",), repeatable_paths=("/search", "/club/look")
+        )
         for method, path, expected in (
-            ("GET", "/portal/1", True),
-            ("POST", "/portal/1", False),
-            ("PATCH", "/portal/1", False),
-            ("PUT", "/ledger/club/1", False),
-            ("POST", "/portal/search", True),
+            ("GET", "/1", True),
+            ("POST", "/1", False),
+            ("PATCH", "/1", False),
+            ("PUT", "/club/1", False),
+            ("POST", "/club/look", False),
+            ("POST", "/search/1", True),
         ):
             self.assertIs(policy.is_repeatable(method, path), expected, (method, path))
 
 
+class SettingsTest(unittest.TestCase):
+    """Rules of the settings tree in the request path."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream(lambda sock, run: None)
+        self.node = PathNode("a", self.upstream, "catalogue")
+        self.addCleanup(self.upstream.stop)
+        self.addCleanup(self.node.stop)
+        connect(self.node, owner=self.node)
+
+    def test_rules_of_a_service_are_in_force(self):
+        """Guards against settings that are accepted and then have no effect."""
+        text = """{"services": {"catalogue": {"keyed": true, "shards": 8, "requests": {
+            "default_deadline_ms": 80, "max_attempts": 2, "non_repeatable_paths": ["/pay"],
+            "max_key_bytes": 16, "max_body_bytes": 3}}}}"""
+        policies = policies_of(parse_tree(text, "test"), "wien", "wien-1")
+        self.node.application.set_policies(policies)
+        for data, reason, runs in (
+            (request("GET", "/catalogue/k"), "no-answer", 2),
+            (request("GET", "/catalogue/pay/k"), "no-answer", 1),
+            (request("GET", "/catalogue/%70ay/k"), "no-answer", 1),
+            (request("GET", f"/catalogue/{'k' * 17}"), "key-too-long", 0),
+            (request("POST", "/catalogue/k", body=b"four"), "body-too-large", 0),
+        ):
+            self.upstream.runs.clear()
+            self.assertEqual(reason_of(exchange(self.node.address, data))[2], reason)
+            self.assertEqual(len(self.upstream.runs), runs, data)
+        self.upstream.script = lambda sock, run: gevent.sleep(1)
+        with gevent.Timeout(0.5):
+            answer = exchange(self.node.address, request("POST", "/catalogue/k"))
+        self.assertEqual(reason_of(answer)[2], "deadline")
+
+
 class AnswerTest(unittest.TestCase):
     """Parsing of answers."""
 
