Document the protocol towards callers; bound idle connections to peers

Cause: callers and operators had no description of outcomes, reasons and retry hints. A node kept a pool for every address that it ever sent a request to, with up to 64 idle connections each and no expiry, which at 5,200 nodes runs out of file descriptors.

Change: docs/requests.md; a test compares its reasons with those in the code. Idle connections end after 30 s and at most 1,024 are kept over all peers, the longest idle ones go first; a peer that was not used for 300 s is forgotten.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -13,7 +13,8 @@
 from ._hop import Hop, HopSigner
 from ._model import Session
 from ._outcome import Outcome, RequestFailedError, not_run, parse_refusal, unknown
-from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange, HttpPeer
+from ._peers import PeerTable
+from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange
 from ._relay import BUFFERED_BYTES, failure_of, pass_on, read_small, request_head, send_request
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from .exceptions import CallerGoneError, NotRunError, OutcomeUnknownError
@@ -98,6 +99,7 @@
         chooser: Chooses among the upstreams of an unkeyed service.
         clock: Source of time.
         counters: Counts of the request path.
+        peers: Connections to upstreams and nodes.
     """
 
     def __init__(
@@ -109,6 +111,7 @@
         chooser: Chooser,
         clock: Clock,
         counters: Counters,
+        peers: PeerTable,
     ) -> None:
         self._router = router
         self._ownership = ownership
@@ -117,7 +120,7 @@
         self._chooser = chooser
         self._clock = clock
         self._counters = counters
-        self._peers: dict[str, HttpPeer] = {}
+        self._peers = peers
         self._id_prefix = os.urandom(6).hex()
 
     def run(self, flight: Flight) -> None:
@@ -150,18 +153,6 @@
             case AnyOf(target=target, sessions=sessions):
                 self._run_any(flight, target, sessions)
 
-    def peer(self, address: str) -> HttpPeer:
-        """Returns the connections to an address."""
-        peer = self._peers.get(address)
-        if peer is None:
-            peer = self._peers[address] = HttpPeer(address, self._clock)
-        return peer
-
-    def drop_idle(self) -> None:
-        """Closes the idle connections to all peers."""
-        for peer in self._peers.values():
-            peer.drop_idle()
-
     def left_ms(self, flight: Flight) -> int:
         """Returns the time until the deadline in milliseconds."""
         return (flight.deadline_ns - self._clock.now_ns()) // NS_PER_MS
@@ -304,7 +295,7 @@
         left_s = self.left_ms(flight) / 1000
         idle_ns = MAX_IDLE_NS if flight.attempts.repeatable else FRESH_IDLE_NS
         try:
-            return self.peer(address).open(
+            return self._peers.get(address).open(
                 max_idle_ns=idle_ns, timeout_s=min(CONNECT_TIMEOUT_S, left_s)
             )
         except NotRunError as error:
@@ -319,7 +310,7 @@
             return
         divisor = SILENCE_DIVISOR_LOCAL if local is not None else SILENCE_DIVISOR_NODE
         now_ns = self._clock.now_ns()
-        usual_ns = int(self.peer(address).slowest_recent_ns * SILENCE_FACTOR)
+        usual_ns = int(self._peers.get(address).slowest_recent_ns * SILENCE_FACTOR)
         wait_ns = min((flight.deadline_ns - now_ns) // divisor, max(MIN_SILENCE_NS, usual_ns))
         flight.attempt_by_ns = now_ns + wait_ns
 
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -22,6 +22,7 @@
     refused,
     unknown,
 )
+from ._peers import PeerTable
 from ._request_policy import RequestPolicy
 from ._retry import AttemptLog, RetryBudget, backoff_ms
 from ._routing import Router
@@ -37,6 +38,7 @@
 DEFAULT_POLICY = RequestPolicy()
 # An outage fails thousands of requests per second; one line per second shows it.
 LOG_EVERY_NS = 1_000 * NS_PER_MS
+EXPIRE_EVERY_NS = 5_000 * NS_PER_MS
 
 
 class ProxyApplication:
@@ -77,6 +79,8 @@
         self._policies: dict[str, RequestPolicy] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._flights = FlightTable()
+        self._peers = PeerTable(self._clock)
+        self._next_expiry_ns = 0
         self._log = structlog.get_logger(address=own_address)
         self._next_log_ns = 0
         self._unlogged = 0
@@ -89,6 +93,7 @@
             chooser or RotatingChooser(),
             self._clock,
             self.counters,
+            self._peers,
         )
         self.violation: InvariantViolation | None = None
 
@@ -122,6 +127,9 @@
     def sweep(self, now_ns: int) -> None:
         """See `Application.sweep`."""
         self._flights.sweep(now_ns)
+        if now_ns >= self._next_expiry_ns:
+            self._next_expiry_ns = now_ns + EXPIRE_EVERY_NS
+            self._peers.expire(now_ns)
 
     def set_policies(self, policies: dict[str, RequestPolicy]) -> None:
         """Puts the rules for each service in force; requests in flight keep theirs."""
@@ -137,7 +145,7 @@
 
     def close(self) -> None:
         """Closes the idle connections to peers."""
-        self._runner.drop_idle()
+        self._peers.drop_idle()
 
     def _begin(self, request: Request) -> Flight:
         if self.violation is not None:
--- /dev/null
+++ b/src/auburnsail/_peers.py
@@ -0,0 +1,56 @@
+"""The connection pools of a node, one for each peer that it has sent requests to."""
+
+from ._clock import NS_PER_MS, Clock
+from ._pool import MAX_IDLE_NS, HttpPeer
+
+__all__ = ["PeerTable"]
+
+# A node of a large fleet sends requests to thousands of others; each idle connection costs a file
+# descriptor on both sides.
+MAX_IDLE_TOTAL = 1024
+# Longer than usual requests, whose connections come back to their pool.
+FORGET_AFTER_NS = 300_000 * NS_PER_MS
+
+
+class PeerTable:
+    """Pools by address.
+
+    Args:
+        clock: Source of time.
+        max_idle: Idle connections to all peers together, as enforced by `expire`.
+    """
+
+    def __init__(self, clock: Clock, max_idle: int = MAX_IDLE_TOTAL) -> None:
+        self._clock = clock
+        self._max_idle = max_idle
+        self._peers: dict[str, HttpPeer] = {}
+
+    def __len__(self) -> int:
+        return len(self._peers)
+
+    def get(self, address: str) -> HttpPeer:
+        """Returns the pool for an address."""
+        peer = self._peers.get(address)
+        if peer is None:
+            peer = self._peers[address] = HttpPeer(address, self._clock)
+        return peer
+
+    def expire(self, now_ns: int) -> None:
+        """Closes connections that were idle for too long and forgets peers that are not used.
+
+        If too many are left, the longest idle ones of all peers go first.
+        """
+        age_ns = MAX_IDLE_NS
+        while True:
+            left = sum(peer.expire_idle(now_ns - age_ns) for peer in self._peers.values())
+            if left <= self._max_idle or not age_ns:
+                break
+            age_ns //= 2
+        limit_ns = now_ns - FORGET_AFTER_NS
+        for address in [a for a, peer in self._peers.items() if peer.used_ns < limit_ns]:
+            self._peers.pop(address).drop_idle()
+
+    def drop_idle(self) -> None:
+        """Closes all idle connections."""
+        for peer in self._peers.values():
+            peer.drop_idle()
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -226,6 +226,7 @@
         self._drops_suspects = drops_suspects
         self.address = address
         self.slowest_recent_ns = 0.0
+        self.used_ns = self._clock.now_ns()
 
     @property
     def idle(self) -> int:
@@ -245,6 +246,7 @@
             NotRunError: No connection could be made.
         """
         now_ns = self._clock.now_ns()
+        self.used_ns = now_ns
         while self._idle:
             connection = self._idle[-1]
             if now_ns - connection.proven_ns > max_idle_ns:
@@ -284,6 +286,17 @@
                 connection.sock.close()
         self._idle = kept
 
+    def expire_idle(self, limit_ns: int) -> int:
+        """Closes connections that last worked before a time; returns how many are left."""
+        expired = 0
+        for connection in self._idle:
+            if connection.proven_ns >= limit_ns:
+                break
+            connection.sock.close()
+            expired += 1
+        del self._idle[:expired]
+        return len(self._idle)
+
     def drop_idle(self) -> None:
         """Closes all idle connections."""
         while self._idle:
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -2,7 +2,9 @@
 
 import os
 import random
+import re
 import unittest
+from pathlib import Path
 
 import gevent
 from hypothesis import example, given
@@ -11,6 +13,7 @@
 from auburnsail._answer_parser import AnswerParser, HTTPParseError
 from auburnsail._clock import ManualClock
 from auburnsail._outcome import Outcome, parse_refusal
+from auburnsail._peers import PeerTable
 from auburnsail._pool import HttpPeer
 from auburnsail._request_policy import RequestPolicy, policies_of
 from auburnsail._retry import BUDGET_RESERVE, AttemptLog, RetryBudget
@@ -119,6 +122,23 @@
         self.assertEqual(reason_of(answer)[2], "deadline")
 
 
+class DocumentationTest(unittest.TestCase):
+    """docs/requests.md."""
+
+    def test_every_reason_is_documented(self):
+        """Guards against a reason token that callers cannot look up."""
+        root = Path(__file__).parent.parent
+        text = (root / "docs" / "requests.md").read_text()
+        pattern = re.compile(
+            r"""\b(?:not_run|unknown)\(\s*"([a-z-]+)"|\brefused\(\s*(?:_BAD|"[^"]+"),\s*"([a-z-]+)\""""
+        )
+        reasons = set()
+        for path in (root / "src" / "auburnsail").glob("*.py"):
+            reasons.update(one or other for one, other in pattern.findall(path.read_text()))
+        self.assertGreater(len(reasons), 30)
+        self.assertEqual({reason for reason in reasons if f"`{reason}`" not in text}, set())
+
+
 class AnswerTest(unittest.TestCase):
     """Parsing of answers."""
 
@@ -204,6 +224,26 @@
         fresh.abort()
         self.assertEqual(peer.idle, 0)
 
+    def test_idle_connections_are_bounded(self):
+        """Guards against file descriptors that pile up in a node that talks to many others."""
+        clock = ManualClock()
+        peers = PeerTable(clock, max_idle=3)
+        others = [FakeUpstream() for _ in range(4)]
+        for other in others:
+            self.addCleanup(other.stop)
+            clock.advance_ms(1000)
+            peers.get(other.address).fetch("GET", "/", timeout_s=1.0)
+        peers.expire(clock.now_ns())
+        # The oldest went; halving the allowed age leaves at most the limit.
+        self.assertEqual(peers.get(others[0].address).idle, 0)
+        self.assertEqual(peers.get(others[3].address).idle, 1)
+        clock.advance_ms(31_000)
+        peers.expire(clock.now_ns())
+        self.assertEqual(peers.get(others[3].address).idle, 0)
+        clock.advance_ms(300_000)
+        peers.expire(clock.now_ns())
+        self.assertEqual(len(peers), 0)
+
     def test_unclean_connections_are_closed(self):
         """Guards against reusing a connection whose peer wants it closed or sent too much."""
         ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
--- a/tools/silent_connections.py
+++ b/tools/silent_connections.py
@@ -15,7 +15,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
-from auburnsail import _attempt
+from auburnsail import _peers
 from auburnsail._pool import HttpPeer
 from tests.path_fakes import FakeUpstream, PathNode, connect, open_connection, reason_of
 
@@ -122,8 +122,8 @@
     # The upstream takes a moment, so that the warm-up opens many connections.
     upstream = FakeUpstream(lambda sock, run: gevent.sleep(0.005) or _OK)
     relay = SilentRelay(upstream.address)
-    original = _attempt.HttpPeer
-    _attempt.HttpPeer = peer_type
+    original = _peers.HttpPeer
+    _peers.HttpPeer = peer_type
     node = PathNode("a", upstream, "catalogue")
     connect(node, owner=node)
     upstream.address = relay.address
@@ -160,7 +160,7 @@
         gevent.joinall(callers, raise_error=True)
         trial.silent = node.application.counters.silent
     finally:
-        _attempt.HttpPeer = original
+        _peers.HttpPeer = original
         node.stop()
         relay.stop()
         upstream.stop()
