--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench recovery control-cost silent-connections
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
 
 .venv: .venv/.installed
 
@@ -19,6 +19,10 @@
 check: .venv
 	$(PY) -m black --check --quiet src standins tools tests
 	$(PY) -m ruff check --quiet src standins tools tests
+	$(PY) -m tools.reference --check
+
+reference: .venv
+	$(PY) -m tools.reference
 
 unit: .venv
 	$(PY) -m unittest discover -s tests -t .
@@ -36,3 +40,6 @@
 
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
+
+demo: .venv
+	$(PY) -m tools.demo
