--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -15,7 +15,7 @@
 from ._clock import NS_PER_MS, BootClock, Clock
 from .exceptions import NotRunError, OutcomeUnknownError
 
-__all__ = ["Answer", "Exchange", "HttpPeer", "is_quiet"]
+__all__ = ["Answer", "Exchange", "HttpPeer", "is_quiet", "send_all"]
 
 CONNECT_TIMEOUT_S = 1.0
 BLOCK_BYTES = 64 * 1024
@@ -90,7 +90,7 @@
         """
         self.bytes_sent += len(data)
         try:
-            self._open_socket().sendall(data)
+            send_all(self._open_socket(), data)
         except OSError as error:
             raise self._failure(str(error), "http.send") from error
 
@@ -226,6 +226,7 @@
         self._drops_suspects = drops_suspects
         self.address = address
         self.slowest_recent_ns = 0.0
+        self.used_ns = self._clock.now_ns()
 
     @property
     def idle(self) -> int:
@@ -245,6 +246,7 @@
             NotRunError: No connection could be made.
         """
         now_ns = self._clock.now_ns()
+        self.used_ns = now_ns
         while self._idle:
             connection = self._idle[-1]
             if now_ns - connection.proven_ns > max_idle_ns:
@@ -284,6 +286,17 @@
                 connection.sock.close()
         self._idle = kept
 
+    def expire_idle(self, limit_ns: int) -> int:
+        """Closes connections that last worked before a time; returns how many are left."""
+        expired = 0
+        for connection in self._idle:
+            if connection.proven_ns >= limit_ns:
+                break
+            connection.sock.close()
+            expired += 1
+        del self._idle[:expired]
+        return len(self._idle)
+
     def drop_idle(self) -> None:
         """Closes all idle connections."""
         while self._idle:
@@ -354,6 +367,18 @@
         return _Connection(sock, self._clock.now_ns())
 
 
+def send_all(sock: socket.socket, data: bytes) -> None:
+    """Sends all bytes; waits while the peer does not read.
+
+    Raises:
+        OSError: The connection broke.
+    """
+    # Nearly always one call takes everything, and `sendall` adds three more calls to it.
+    sent = sock.send(data)
+    if sent < len(data):
+        sock.sendall(memoryview(data)[sent:])
+
+
 def is_quiet(sock: socket.socket) -> bool:
     """Returns whether a connection is open and has nothing to read."""
     poll = select.poll()
