End one request only when a hook or the node itself fails

Cause: an unexpected error in a policy ended the greenlet of the caller's connection without an answer.

Change: such an error is logged and answered with 500, outcome unknown, reason `internal`. The chooser learns "unknown" when an answer was cut short. Tests cover HEAD and large bodies that the second node refuses. Public names of the request path are re-exported.

--- a/src/auburnsail/__init__.py
+++ b/src/auburnsail/__init__.py
@@ -1,27 +1,41 @@
 """A router for servers that own keys exclusively."""
 
+from ._admission import Admission, Chooser, Result, Ticket
 from ._clock import BootClock, Clock, ManualClock, Timers
 from ._fleet import FleetState
+from ._forward import ProxyApplication
+from ._http_server import HttpServer
 from ._log import VersionedLog
 from ._outcome import Outcome, Refusal
+from ._request_policy import RequestPolicy
+from ._routing import Router, Target
 from ._settings import EffectiveSettings, NodeSettings, TreeSettings, load_node_settings
 from ._shards import shard_of
 from ._store import HttpObjectStore, HttpTableStore, ObjectStore, TableStore
 from ._tree import effective, parse_tree
 
 __all__ = [
+    "Admission",
     "BootClock",
+    "Chooser",
     "Clock",
     "EffectiveSettings",
     "FleetState",
     "HttpObjectStore",
+    "HttpServer",
     "HttpTableStore",
     "ManualClock",
     "NodeSettings",
     "ObjectStore",
     "Outcome",
+    "ProxyApplication",
     "Refusal",
+    "RequestPolicy",
+    "Result",
+    "Router",
     "TableStore",
+    "Target",
+    "Ticket",
     "Timers",
     "TreeSettings",
     "VersionedLog",
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -161,12 +161,13 @@
         left = [s for s in sessions if s.data_address not in flight.tried] or sessions
         started_ns = self._clock.now_ns()
         session = self._chooser.choose(left, started_ns)
-        result = Result.ANSWERED
+        result = Result.UNKNOWN
         try:
             if session.id == self._router.own_id:
                 self._run_local(flight, target)
             else:
                 self._run_remote(flight, session.data_address, target)
+            result = Result.ANSWERED
         except RequestFailedError as error:
             flight.tried.add(session.data_address)
             result = _RESULTS[error.refusal.outcome]
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -121,6 +121,16 @@
             self._violate(error)
             if not request.is_answered:
                 request.refuse(unknown("violation", error.detail, error.step).refusal)
+        except Exception as error:
+            # A fault of a hook or of this program ends one request and not the connection's greenlet
+            # with a stack on the console; what it had sent is not known here.
+            self._log.exception("request failed inside the node")
+            if request.is_answered:
+                request.break_off()
+            else:
+                detail = f"the node failed: {type(error).__name__}"
+                status = "500 Internal Server Error"
+                request.refuse(unknown("internal", detail, "forward", status=status).refusal)
         finally:
             self._flights.discard(flight)
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -293,8 +293,9 @@
         """Guards against bytes to the upstream after the lease ended (P1)."""
         self.owner.gate.has_lease = False
         for node in self.both():
-            answer = exchange(node.address, request("POST", body=b"1"))
-            self.assertEqual(reason_of(answer), (503, "not-run", "no-lease"))
+            for method, size in (("POST", 1), ("HEAD", 0), ("POST", 300_000)):
+                answer = exchange(node.address, request(method, body=b"1" * size))
+                self.assertEqual(reason_of(answer), (503, "not-run", "no-lease"), (method, size))
         self.assertEqual(self.upstream.runs, [])
 
     def test_ownership_lost_while_a_request_waits_sends_nothing(self):
@@ -387,6 +388,18 @@
             self.assertIsInstance(reported[0], InvariantViolation)
             self.assertEqual(reason_of(exchange(node.address, request()))[2], "violation")
 
+    def test_fault_of_a_hook_ends_one_request_only(self):
+        """Guards against a fault in a policy that takes the connection or the node down."""
+        admission = CountingAdmission()
+        node = PathNode("c", self.upstream, "catalogue", admission=admission)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        with mock.patch.object(admission, "enter", side_effect=ValueError):
+            answer = exchange(node.address, request("POST", body=b"1"))
+        self.assertEqual(reason_of(answer), (500, "unknown", "internal"))
+        self.assertEqual(reason_of(exchange(node.address, request()))[0], 200)
+        self.assertEqual((node.application.in_flight, node.gate.in_flight), (0, 0))
+
     def test_drain_finishes_requests_and_closes_idle_connections(self):
         """Guards against a shutdown that cuts off a request or never ends (P7)."""
 
