Pass on an answer that comes before the end of the request body

Cause: a peer that answered early and did not read the rest blocked the node in `send` until it closed the connection, and its answer was lost (a new test got 502 instead of 413). The stop of a blocked read from the caller shut the socket down; closing it then reset the connection, and the reset overtook the answer (the same test, second attempt).

A read of a body waits in steps of 20 ms and looks at a flag. Tests for heads that do not end, idle connections and stalled answers. The log of failed attempts has no stacks of causes any more.

--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -32,6 +32,7 @@
         policy: Rules for the requests of the service.
         budget: Retries that the service's requests may make.
         prefix: Beginning of the request body, kept for a further attempt.
+        is_sending: Whether a streamed body is being sent.
         is_body_consumed: Whether more than the prefix was read, so that it cannot be sent again.
         owner_hint: Address that a node with a newer map named, or an empty string.
         tried: Addresses of unkeyed upstreams that failed.
@@ -50,6 +51,7 @@
         "exchange",
         "hop",
         "is_body_consumed",
+        "is_sending",
         "is_watched",
         "owner_hint",
         "policy",
@@ -79,6 +81,7 @@
         self.budget = budget
         self.prefix: bytes | None = None
         self.is_body_consumed = False
+        self.is_sending = False
         self.owner_hint = ""
         self.tried: set[str] = set()
         self.exchange: Exchange | None = None
@@ -128,6 +131,8 @@
             if flight.stop_reason:
                 continue
             self._check_time(flight, now_ns)
+            if flight.is_sending:
+                _check_early_answer(flight)
             # Most requests end between two sweeps; only the others are worth a look at the caller.
             if flight.is_watched and (number := flight.request.fileno()) >= 0:
                 callers[number] = flight
@@ -153,3 +158,11 @@
         if not flight.stop_reason:
             flight.stop(reason)
             self._on_stop(reason)
+
+
+def _check_early_answer(flight: Flight) -> None:
+    """Stops sending a body that the peer has answered already, or whose connection ended."""
+    exchange = flight.exchange
+    if exchange is not None and exchange.has_early_answer:
+        exchange.stop_sending()
+        flight.request.interrupt_read()
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -240,8 +240,8 @@
         if now_ns < self._next_log_ns:
             self._unlogged += 1
             return
-        # The stack of an attempt is always the same; the step and the peer tell them apart.
-        errors = [error.with_traceback(None) for error in failures]
+        # The stacks are always the same; the step and the peer tell the attempts apart.
+        errors = [RequestFailedError(error.refusal) for error in failures]
         group = ExceptionGroup("all attempts at a request failed", errors)
         self._log.warning(
             "request failed",
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -19,7 +19,7 @@
 from ._http_body import BLOCK_BYTES, RequestBody
 from ._http_head import MAX_HEAD_BYTES, RequestHead, parse_head
 from ._outcome import Refusal, RequestFailedError, refused
-from ._pool import send_all
+from ._sockets import send_all, shut_down
 from .exceptions import CallerGoneError
 
 __all__ = ["Application", "ControlServer", "HttpServer", "Request"]
@@ -29,6 +29,7 @@
 IDLE_TIMEOUT_MS = 75_000
 CONNECTION_SWEEP_MS = 500
 LINGER_S = 1.0
+BODY_POLL_S = 0.02
 LINGER_BYTES = 1 << 20
 MAX_BODY_BYTES = 1 << 30
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -106,14 +107,23 @@
         self._connection.reset()
 
     def interrupt_read(self) -> None:
-        """Makes a blocked read of the body fail; an answer can still be sent."""
-        self._connection.shut_down(socket.SHUT_RD)
+        """Makes reading the body fail; an answer can still be sent."""
+        self._connection.read_stopped = True
 
 
 class _Connection:
     """One caller's connection; serves its requests one after another."""
 
-    __slots__ = ("_timed_out", "buffered", "head_by_ns", "is_idle", "server", "sock")
+    __slots__ = (
+        "_is_in_body",
+        "_timed_out",
+        "buffered",
+        "head_by_ns",
+        "is_idle",
+        "read_stopped",
+        "server",
+        "sock",
+    )
 
     def __init__(self, sock: socket.socket, _address: tuple, server: "HttpServer") -> None:
         self.sock = sock
@@ -121,6 +131,8 @@
         self.buffered = b""
         self.head_by_ns = 0
         self.is_idle = True
+        self.read_stopped = False
+        self._is_in_body = False
         self._timed_out = False
 
     def handle(self) -> None:
@@ -139,12 +151,24 @@
     def receive(self) -> bool:
         """See `ByteSource.receive`."""
         try:
-            data = self.sock.recv(BLOCK_BYTES)
+            data = self._receive_in_body() if self._is_in_body else self.sock.recv(BLOCK_BYTES)
         except OSError:
             return False
         self.buffered = self.buffered + data if self.buffered else data
         return bool(data)
 
+    def _receive_in_body(self) -> bytes:
+        # Shutting the socket down would wake the read too, but closing a socket that is shut down
+        # for reading resets the connection, and the reset can overtake the answer.
+        self.sock.settimeout(BODY_POLL_S)
+        try:
+            while not self.read_stopped:
+                with contextlib.suppress(TimeoutError):
+                    return self.sock.recv(BLOCK_BYTES)
+            return b""
+        finally:
+            self.sock.settimeout(None)
+
     def send(self, data: bytes) -> None:
         """Sends bytes to the caller.
 
@@ -166,15 +190,10 @@
             self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
         self.sock.close()
 
-    def shut_down(self, how: int) -> None:
-        """Shuts one direction down, which wakes the greenlet that waits for it."""
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(how)
-
     def expire(self) -> None:
         """Ends a connection whose next head did not arrive in time."""
         self._timed_out = True
-        self.shut_down(socket.SHUT_RD)
+        shut_down(self.sock, socket.SHUT_RD)
 
     def _serve_one(self) -> bool:
         server = self.server
@@ -183,6 +202,7 @@
             if data is None:
                 return False
             head = parse_head(data)
+            self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
             self.send(error.refusal.encode(close=True))
@@ -192,6 +212,7 @@
             server.application(request)
         finally:
             self.is_idle = True
+            self._is_in_body = False
         if request.is_whole:
             return True
         self._close_softly()
@@ -233,7 +254,7 @@
         # Closing while unread bytes are left sends a reset, which can overtake the answer.
         if self.sock.fileno() < 0:
             return
-        self.shut_down(socket.SHUT_WR)
+        shut_down(self.sock, socket.SHUT_WR)
         left = LINGER_BYTES
         try:
             self.sock.settimeout(LINGER_S)
@@ -316,7 +337,7 @@
         while self.connections:
             for connection in tuple(self.connections):
                 if connection.is_idle and not connection.buffered:
-                    connection.shut_down(socket.SHUT_RD)
+                    shut_down(connection.sock, socket.SHUT_RD)
             if not self.in_flight:
                 break
             if self.clock.now_ns() >= end_ns:
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -4,8 +4,6 @@
 again after a connection error, and a router may not repeat a request whose outcome is unknown.
 """
 
-import contextlib
-import select
 from dataclasses import dataclass
 
 import gevent
@@ -13,9 +11,10 @@
 
 from ._answer_parser import AnswerParser, HTTPParseError
 from ._clock import NS_PER_MS, BootClock, Clock
+from ._sockets import is_quiet, send_all, shut_down
 from .exceptions import NotRunError, OutcomeUnknownError
 
-__all__ = ["Answer", "Exchange", "HttpPeer", "is_quiet", "send_all"]
+__all__ = ["Answer", "Exchange", "HttpPeer"]
 
 CONNECT_TIMEOUT_S = 1.0
 BLOCK_BYTES = 64 * 1024
@@ -49,6 +48,7 @@
         bytes_sent: Bytes of the request handed to the operating system, at least.
         answered: Whether any byte of an answer arrived.
         interrupt_reason: Why the exchange was interrupted, or an empty string.
+        sending_stopped: Whether the rest of the request is not sent.
     """
 
     __slots__ = (
@@ -59,6 +59,7 @@
         "answered",
         "bytes_sent",
         "interrupt_reason",
+        "sending_stopped",
         "started_ns",
     )
 
@@ -71,6 +72,7 @@
         self.bytes_sent = 0
         self.answered = False
         self.interrupt_reason = ""
+        self.sending_stopped = False
 
     @property
     def is_reused(self) -> bool:
@@ -92,6 +94,8 @@
         try:
             send_all(self._open_socket(), data)
         except OSError as error:
+            if self.sending_stopped:
+                return
             raise self._failure(str(error), "http.send") from error
 
     def receive_head(self, method: str) -> AnswerParser:
@@ -145,6 +149,13 @@
         if connection is not None:
             connection.sock.close()
 
+    def stop_sending(self) -> None:
+        """Gives up the rest of the request and wakes a blocked `send`; the answer can be read."""
+        if self._connection is None or self.sending_stopped:
+            return
+        self.sending_stopped = True
+        shut_down(self._connection.sock, socket.SHUT_WR)
+
     def interrupt(self, reason: str) -> None:
         """Makes a blocked call of another greenlet on this exchange fail.
 
@@ -154,7 +165,7 @@
         if self._connection is None or self.interrupt_reason:
             return
         self.interrupt_reason = reason
-        _shut_down(self._connection.sock)
+        shut_down(self._connection.sock, socket.SHUT_RDWR)
 
     def suspect(self) -> None:
         """Notes that the peer stayed silent on this exchange."""
@@ -365,31 +376,3 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         sock.settimeout(None)
         return _Connection(sock, self._clock.now_ns())
-
-
-def send_all(sock: socket.socket, data: bytes) -> None:
-    """Sends all bytes; waits while the peer does not read.
-
-    Raises:
-        OSError: The connection broke.
-    """
-    # Nearly always one call takes everything, and `sendall` adds three more calls to it.
-    sent = sock.send(data)
-    if sent < len(data):
-        sock.sendall(memoryview(data)[sent:])
-
-
-def is_quiet(sock: socket.socket) -> bool:
-    """Returns whether a connection is open and has nothing to read."""
-    poll = select.poll()
-    try:
-        poll.register(sock.fileno(), select.POLLIN | select.POLLRDHUP)
-    except (OSError, ValueError):
-        return False
-    return not poll.poll(0)
-
-
-def _shut_down(sock: socket.socket) -> None:
-    # If the peer closed the connection already, that wakes the blocked call as well.
-    with contextlib.suppress(OSError):
-        sock.shutdown(socket.SHUT_RDWR)
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -56,15 +56,22 @@
     is_chunked = flight.request.head.chunked
     exchange.send(head + (_chunk(flight.prefix) if is_chunked else flight.prefix))
     flight.is_body_consumed = True
-    # A peer that answers before the end of the body does not want the rest.
-    while not exchange.has_early_answer:
-        block = body.read()
-        if block:
-            exchange.send(_chunk(block) if is_chunked else block)
-        if body.is_complete:
-            if is_chunked:
-                exchange.send(_LAST_CHUNK)
-            return
+    flight.is_sending = True
+    try:
+        # A peer that answers before the end of the body does not want the rest.
+        while not exchange.sending_stopped:
+            block = body.read()
+            if block:
+                exchange.send(_chunk(block) if is_chunked else block)
+            if body.is_complete:
+                if is_chunked:
+                    exchange.send(_LAST_CHUNK)
+                return
+    except CallerGoneError:
+        if not exchange.sending_stopped:
+            raise
+    finally:
+        flight.is_sending = False
 
 
 def read_small(exchange: Exchange, limit: int = BUFFERED_BYTES) -> bytes:
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -189,6 +189,25 @@
                 self.assertEqual(reason_of(exchange(node.address, data))[0], 200)
                 self.assertEqual(self.upstream.runs[-1].body, body)
 
+    def test_answer_before_the_end_of_the_body_is_passed_on(self):
+        """Guards against losing an upstream's early answer and reusing that connection."""
+
+        def script(sock, run):
+            sock.sendall(b"HTTP/1.1 413 Too Large\r\ncontent-length: 2\r\n\r\nno")
+            gevent.sleep(0.2)
+
+        self.upstream.script = script
+        with mock.patch("tests.path_fakes._read_body", lambda sock, head, data: (b"", b"")):
+            for node in self.both():
+                # Slower than the upstream's answer, and more than the kernel's buffers hold.
+                with open_connection(node.address) as sock:
+                    data = request("POST", body=b"x" * 20 * MB)
+                    sock.sendall(data[:MB])
+                    gevent.sleep(0.05)
+                    sender = gevent.spawn(sock.sendall, data[MB:])
+                    self.assertEqual(reason_of(sock.recv(1000)), (413, "", ""))
+                    sender.kill()
+
     def test_streamed_body_is_not_sent_again(self):
         """Guards against a retry with a body that is gone, even for a repeatable method."""
         self.upstream.script = lambda sock, run: None
@@ -368,6 +387,44 @@
                 size += len(part)
         self.assertGreater(size, 64 * MB)
 
+    def test_slow_heads_and_idle_connections_end(self):
+        """Guards against callers that hold connections for ever without a whole request."""
+        server = "auburnsail._http_server"
+        with (
+            mock.patch(f"{server}.HEAD_TIMEOUT_MS", 50),
+            mock.patch(f"{server}.IDLE_TIMEOUT_MS", 50),
+            mock.patch(f"{server}.CONNECTION_SWEEP_MS", 10),
+        ):
+            # The sweep for connections that is already scheduled uses the period of before.
+            gevent.sleep(0.6)
+            answer = exchange(self.owner.address, b"GET /catalogue/k1 HTTP/1.1\r\nhost:", 0.5)
+            self.assertEqual(reason_of(answer), (408, "refused", "head-timeout"))
+            self.assertEqual(exchange(self.owner.address, b"", 0.5), b"")
+
+    def test_stalled_answers_end(self):
+        """Guards against exchanges that neither side goes on with."""
+        closed = []
+
+        def script(sock, run):
+            sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % (64 * MB))
+            try:
+                while run.head.startswith("POST"):
+                    sock.sendall(b"x" * MB)
+                sock.recv(1)
+            except OSError:
+                pass
+            closed.append(run.head[:4])
+
+        self.upstream.script = script
+        with mock.patch("auburnsail._relay.STALL_TIMEOUT_NS", 100_000_000):
+            for method in ("GET", "POST"):
+                with open_connection(self.owner.address) as sock:
+                    sock.sendall(request(method))
+                    self.assertTrue(wait_for(lambda m=method: closed[-1:] == [m[:4].ljust(4)]))
+                    with self.assertRaises(ConnectionResetError):
+                        while sock.recv(MB):
+                            pass
+
     def test_violation_refuses_all_further_requests(self):
         """Guards against guards that a fault in the retry or outcome rules passes (P4, P5)."""
         self.upstream.script = lambda sock, run: None
