--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -272,12 +272,15 @@
 
         return self._rows.update(proposal_id, self._event("rebase", note=f"onto {head}"), change)
 
-    def revert(self, version: int, title: str, *, whole: bool = False) -> Proposal:
+    def revert(
+        self, version: int, title: str, proposal_id: str = "", *, whole: bool = False
+    ) -> Proposal:
         """Proposes to undo one change, or to return to a whole earlier version.
 
         Args:
             version: The change to undo, or the version to return to.
             title: Why.
+            proposal_id: Id to use for the proposal.
             whole: Return to the version, undoing everything after it.
 
         Raises:
@@ -290,7 +293,7 @@
         title = title or f"{'return to' if whole else 'revert'} version {version}"
         source = f"revert of version {version}"
         if whole:
-            return self.propose(title, record.text, source, head)
+            return self.propose(title, record.text, source, head, proposal_id)
         if version == 1:
             raise refusal("the first version cannot be undone", "revert")
         undone = tuple(Edit(edit.path, edit.new, edit.old) for edit in record.edits)
@@ -301,7 +304,7 @@
             detail = f"values of version {version} were changed again since"
             raise SettingsConflictError(detail, since, overlapping)
         text = apply_edits(current.text, undone, self._history.record(version - 1).text)
-        return self.propose(title, text, source, head)
+        return self.propose(title, text, source, head, proposal_id)
 
     def _accepted_or_conflict(self, proposal_id: str) -> Proposal:
         head, head_text, proposal = self._newest(proposal_id)
--- a/src/auburnsail/_cli_settings.py
+++ b/src/auburnsail/_cli_settings.py
@@ -153,12 +153,13 @@
 @click.argument("version", type=int)
 @click.option("--whole", is_flag=True, help="Return to VERSION, undoing all that came after it.")
 @click.option("--title", default="", help="Why.")
+@click.option("--id", "proposal_id", default="", help="Id to use, to repeat a lost command.")
 @store_options
 @common_options
-def revert(version, whole, title, store, operator, timeout_s, output) -> None:
+def revert(version, whole, title, proposal_id, store, operator, timeout_s, output) -> None:
     """Proposes to undo the change that made VERSION; it is reviewed like any other."""
     changes = changes_of(store, operator, timeout_s, acts=True)
-    found = changes.revert(version, title, whole=whole)
+    found = changes.revert(version, title, proposal_id, whole=whole)
     output.show(proposal_facts(found), _proposal_lines(found))
 
 
--- a/src/auburnsail/_proposals.py
+++ b/src/auburnsail/_proposals.py
@@ -221,7 +221,8 @@
         if self._write(proposal, 0):
             return proposal
         existing = self.read(proposal.id)
-        if existing.events[0].id != proposal.events[0].id:
+        # A repeated command has a new event, but writes the same content.
+        if (existing.authors[:1], existing.text) != (proposal.authors, proposal.text):
             raise ConflictError(f"proposal {proposal.id} exists", step="settings.propose")
         return existing
 
