--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench
+.PHONY: test unit check format reference bench recovery control-cost
 
 .venv: .venv/.installed
 
@@ -29,5 +29,11 @@
 
 test: check unit
 
+recovery: .venv
+	$(PY) -m tools.recovery
+
+control-cost: .venv
+	$(PY) -m tools.control_cost
+
 bench: .venv
 	$(PY) -m tools.bench
