Read histories by origin, and show the fleet from checkpoint and log

Change: each record keeps the version that touched a value last, also for values that are no longer stated, so a history costs two reads per edit. The fleet is restored from its newest checkpoint.

Before: the history of a value ended where it was inherited for a while.

Conclusion: no command reads the whole log.

--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -342,10 +342,8 @@
         head = self._history.log_record(proposal.base)
         version = proposal.base + 1
         origins = dict(decode_settings(head.version, head.data).origins)
-        for edit in proposal.edits:
-            origins.pop(path_text(edit.path), None)
-            if edit.new is not msgspec.UNSET:
-                origins[path_text(edit.path)] = version
+        # Values that are no longer stated stay listed, so that their history can be followed.
+        origins |= {path_text(edit.path): version for edit in proposal.edits}
         return Intent(
             append_id=f"{proposal.id}-{new_id()}",
             base=proposal.base,
--- a/src/auburnsail/_cli_settings_read.py
+++ b/src/auburnsail/_cli_settings_read.py
@@ -8,7 +8,7 @@
 from ._changes import SettingsChanges
 from ._cli_common import changes_of, common_options, print_table, store_options
 from ._cli_settings import VERSION_LINE, proposal_facts
-from ._edits import format_value, path_text
+from ._edits import Edit, format_value, path_text
 from ._explain import Explained, explain
 from ._settings_log import SettingsRecord
 from ._tree import parse_tree
@@ -71,49 +71,45 @@
 
 @click.command()
 @click.argument("path", default="")
+@click.option("--limit", type=click.IntRange(1), default=50, show_default=True, help="Edits shown.")
 @store_options
 @common_options
-def history(path, store, operator, timeout_s, output) -> None:
+def history(path, limit, store, operator, timeout_s, output) -> None:
     """Shows how the values at or below PATH of the document changed, newest first."""
     changes = changes_of(store, operator, timeout_s, acts=False)
-    prefix = tuple(path.split(".")) if path else ()
-    rows = [
-        (version, record.accepted_at, path_text(edit.path), edit, record)
-        for version, record in reversed(changes.history.records_after(0))
-        for edit in record.edits
-        if edit.path[: len(prefix)] == prefix
-    ]
-    if not rows:
+    found = list(changes.history.edits_of(path, limit))
+    if not found:
         raise SettingsError(f"{path or 'the tree'} was never stated", step="settings.history")
     header = ("version", "accepted at", "path", "old", "new", "authors", "reviewers", "title")
-    table = (
-        (version, at, name, format_value(edit.old), format_value(edit.new), *_reviewed(record))
-        for version, at, name, edit, record in rows
-    )
+    rows = [
+        (version, record.accepted_at, *_edit_cells(edit), *_reviewed(record))
+        for version, record, edit in found
+    ]
     content = [
-        {"version": version, "at": at, "edit": edit, **_people(record)}
-        for version, at, _, edit, record in rows
+        {"version": version, "at": record.accepted_at, "edit": edit, **_people(record)}
+        for version, record, edit in found
     ]
-    output.show(content, print_table(header, table))
+    output.show(content, print_table(header, rows))
 
 
 @click.command()
 @click.option("--proposals", is_flag=True, help="List proposals instead of accepted versions.")
 @click.option("--open", "only_open", is_flag=True, help="List open proposals only.")
-@click.option("--after", type=int, default=0, help="Leave out versions up to this one.")
+@click.option("--days", type=click.IntRange(0), default=7, show_default=True, help="Their age.")
+@click.option("--limit", type=click.IntRange(1), default=20, show_default=True, help="Versions.")
 @store_options
 @common_options
-def log(proposals, only_open, after, store, operator, timeout_s, output) -> None:
-    """Lists accepted versions, or proposals with what they lack."""
+def log(proposals, only_open, days, limit, store, operator, timeout_s, output) -> None:
+    """Lists the newest accepted versions, or proposals with what they lack."""
     changes = changes_of(store, operator, timeout_s, acts=False)
     if proposals or only_open:
-        facts = [proposal_facts(proposal) for proposal in changes.proposals.all()]
+        facts = [proposal_facts(proposal) for proposal in changes.proposals.newest(days)]
         facts = [row for row in facts if not only_open or row["state"] in ("open", "accepting")]
         columns = ("id", "state", "base", "version", "authors", "approved_by", "lacks", "title")
         rows = [[row[name] for name in columns] for row in facts]
         output.show(facts, print_table([name.replace("_", " ") for name in columns], rows))
         return
-    records = changes.history.records_after(after)
+    records = changes.history.records_after(max(0, changes.history.head() - limit))
     header = ("version", "accepted at", "proposal", "values", "authors", "reviewers", "title")
     rows = [
         (version, record.accepted_at, record.proposal, len(record.edits), *_reviewed(record))
@@ -163,6 +159,10 @@
         }
 
 
+def _edit_cells(edit: Edit) -> tuple[str, str, str]:
+    return path_text(edit.path), format_value(edit.old), format_value(edit.new)
+
+
 def _reviewed(record: SettingsRecord) -> tuple:
     return record.authors, record.reviewers, record.title
 
--- a/src/auburnsail/_cli_status.py
+++ b/src/auburnsail/_cli_status.py
@@ -14,7 +14,7 @@
 from ._settings_log import tree_of
 from ._settle import Patience, until_definite
 from ._shards import shard_of
-from ._store import HttpTableStore
+from ._store import HttpObjectStore, HttpTableStore
 from .exceptions import AuburnsailError, ConflictError, RefusedError, SettingsError
 
 __all__ = ["COMMANDS"]
@@ -24,14 +24,20 @@
     envvar="AUBURNSAIL_NODE",
     help="ip:port of a node's control server; or AUBURNSAIL_NODE.",
 )
+OBJECTS_OPTION = click.option(
+    "--objects",
+    envvar="AUBURNSAIL_OBJECTS",
+    help="Base URL of the object store if it differs from --store; or AUBURNSAIL_OBJECTS.",
+)
 VERSIONS = ("settings_version", "fleet_version")
 
 
 @click.command()
 @NODE_OPTION
+@OBJECTS_OPTION
 @store_options
 @common_options
-def status(node, store, operator, timeout_s, output) -> None:
+def status(node, objects, store, operator, timeout_s, output) -> None:
     """Shows all sessions, their shards, and the versions that each node has.
 
     With --node, shows that node's own view of itself, without the store.
@@ -40,8 +46,9 @@
         content = ask_node(node, "/v1/status")
         output.show(content, _content_lines(content))
         return
-    changes, tree, fleet = _fleet_of(store, timeout_s)
-    sessions = [row.session for row in fleet.sessions.values()]
+    changes, tree, fleet = _fleet_of(store, objects, timeout_s)
+    rows = sorted(fleet.sessions.values(), key=lambda row: row.session.id)
+    sessions = [row.session for row in rows]
     answers = ask_nodes([session.control_address for session in sessions], "/v1/status")
     rows = [
         _session_facts(fleet, session) | _node_facts(answer.content, answer.error)
@@ -53,7 +60,7 @@
         "sessions": rows,
         "unowned_shards": _unowned(tree, fleet),
     }
-    lines = [f"{name}: {value}" for name, value in content.items() if name != "sessions"]
+    lines = _content_lines({name: content[name] for name in content if name != "sessions"})
     header = ("session", "region", "domain", "service", "shards", *VERSIONS, "state")
     output.show(
         content, [*lines, "", *print_table(header, ([r[name] for name in header] for r in rows))]
@@ -64,9 +71,10 @@
 @click.argument("key")
 @click.option("--service", required=True, help="Keyed service that the key belongs to.")
 @NODE_OPTION
+@OBJECTS_OPTION
 @store_options
 @common_options
-def explain_key(key, service, node, store, operator, timeout_s, output) -> None:
+def explain_key(key, service, node, objects, store, operator, timeout_s, output) -> None:
     """Shows the shard and owner of KEY and the decisions that led there.
 
     With --node, that node explains; else the store's log does, and the owner is asked too.
@@ -75,7 +83,7 @@
         content = ask_node(node, target("/v1/explain", service=service, key=key))
         output.show(content, _content_lines(content))
         return
-    _, tree, fleet = _fleet_of(store, timeout_s)
+    _, tree, fleet = _fleet_of(store, objects, timeout_s)
     settings = tree.services.get(service)
     if settings is None or not settings.keyed:
         known = ", ".join(name for name, value in tree.services.items() if value.keyed)
@@ -120,16 +128,17 @@
 @click.command(name="declare-lost")
 @click.argument("node")
 @click.option("--force", is_flag=True, help="Declare it even though it still answers.")
+@OBJECTS_OPTION
 @store_options
 @common_options
-def declare_lost(node, force, store, operator, timeout_s, output) -> None:
+def declare_lost(node, force, objects, store, operator, timeout_s, output) -> None:
     """Ends the session of NODE, which lost two watchers too and so cannot be sealed.
 
     Only declare a node whose VM is certainly gone: nothing else keeps it from serving until its
     lease ends.
     """
     changes_of(store, operator, timeout_s, acts=True)
-    *_, fleet = _fleet_of(store, timeout_s)
+    *_, fleet = _fleet_of(store, objects, timeout_s)
     session = _open_session(fleet, node)
     if not force:
         _require_silent(session)
@@ -182,22 +191,23 @@
     )
 
 
-def _fleet_of(store: str, timeout_s: float) -> tuple[SettingsChanges, TreeSettings, FleetState]:
+def _fleet_of(
+    store: str, objects: str | None, timeout_s: float
+) -> tuple[SettingsChanges, TreeSettings, FleetState]:
     changes = changes_of(store, "", timeout_s, acts=False)
     head = changes.history.head()
     tree = tree_of(head, changes.history.log_record(head).data)
-    return changes, tree, read_fleet(HttpTableStore(store), tree, Patience(timeout_s))
+    stores = HttpTableStore(store), HttpObjectStore(objects or store)
+    return changes, tree, read_fleet(*stores, tree, Patience(timeout_s))
 
 
 def _session_facts(fleet: FleetState, session: Session) -> dict:
-    table = fleet.tables.get(session.service)
-    index = fleet.sessions[session.id].index
     return {
         "session": str(session.id),
         "region": session.region,
         "domain": session.domain,
         "service": session.service,
-        "shards": len(table.owned_by(index)) if table else None,
+        "shards": fleet.shard_count(fleet.sessions[session.id]),
         "control_address": session.control_address,
     }
 
@@ -222,12 +232,12 @@
         return _rows_lines(content)
     if not isinstance(content, dict):
         return [str(content)]
-    tables = {name: value for name, value in content.items() if _is_table(value)}
-    plain = {name: value for name, value in content.items() if name not in tables}
+    sections = {name: value for name, value in content.items() if _is_section(value)}
+    plain = {name: value for name, value in content.items() if name not in sections}
     width = max(map(len, plain), default=0)
     lines = [f"{name.ljust(width)}  {_text(value)}" for name, value in plain.items()]
-    for name, value in tables.items():
-        lines += ["", f"{name}:", *_rows_lines(value)]
+    for name, value in sections.items():
+        lines += ["", f"{name}:", *_content_lines(value)]
     return lines
 
 
@@ -238,13 +248,19 @@
     return print_table(columns, ([_text(row.get(name, "")) for name in columns] for row in rows))
 
 
+def _is_section(value: object) -> bool:
+    if isinstance(value, dict):
+        return any(isinstance(inner, list | dict) for inner in value.values())
+    return _is_table(value)
+
+
 def _is_table(value: object) -> bool:
     return isinstance(value, list) and bool(value) and all(isinstance(row, dict) for row in value)
 
 
 def _text(value: object) -> str:
     if isinstance(value, dict):
-        return " ".join(f"{name}={_text(inner)}" for name, inner in value.items())
+        return " ".join(f"{name}={_text(inner)}" for name, inner in value.items()) or "-"
     if isinstance(value, str):
-        return value
+        return value or "-"
     return msgspec.json.encode(value).decode()
--- a/src/auburnsail/_fleet_view.py
+++ b/src/auburnsail/_fleet_view.py
@@ -7,13 +7,14 @@
 import gevent.pool
 import msgspec
 
+from ._checkpoint import CHECKPOINT_PREFIX, restore_fleet
 from ._fleet import FleetState
 from ._log import VersionedLog
 from ._model import decode_entry
 from ._pool import HttpPeer
 from ._settings import TreeSettings
 from ._settle import Patience, until_definite
-from ._store import TableStore
+from ._store import ObjectStore, TableStore
 from .exceptions import AuburnsailError, RefusedError, StoreUnavailableError
 
 __all__ = ["FLEET_LOG", "NodeAnswer", "ask_node", "ask_nodes", "read_fleet", "target"]
@@ -74,14 +75,29 @@
     return gevent.pool.Pool(ASKED_AT_ONCE).map(ask, addresses)
 
 
-def read_fleet(store: TableStore, tree: TreeSettings, patience: Patience) -> FleetState:
-    """Returns the state of the fleet, folded from its log in the store."""
+def read_fleet(
+    store: TableStore, objects: ObjectStore, tree: TreeSettings, patience: Patience
+) -> FleetState:
+    """Returns the state of the fleet: the newest checkpoint and the log after it."""
     fleet = FleetState()
     for name, service in tree.services.items():
         if service.keyed:
             fleet.add_service(name, service.shards)
+    try:
+        keys = objects.keys(CHECKPOINT_PREFIX)
+        data = objects.get(keys[-1]) if keys else None
+    except StoreUnavailableError:
+        # A short log can be read from its start.
+        data = None
+    if data is not None:
+        restore_fleet(fleet, data)
     log = VersionedLog(store, FLEET_LOG)
     while records := until_definite(lambda: log.read_after(fleet.version), patience):
+        if records[0].version != fleet.version + 1:
+            raise StoreUnavailableError(
+                f"the log starts at version {records[0].version} and there is no checkpoint",
+                step="fleet.read",
+            )
         for record in records:
             fleet.apply(decode_entry(record.data))
     return fleet
--- a/src/auburnsail/_proposals.py
+++ b/src/auburnsail/_proposals.py
@@ -5,6 +5,7 @@
 import secrets
 from collections import Counter
 from collections.abc import Callable, Iterator
+from datetime import UTC, datetime, timedelta
 from difflib import unified_diff
 from typing import Literal
 
@@ -137,8 +138,15 @@
 
 
 def new_id() -> str:
-    """Returns an id for a proposal or an event."""
-    return secrets.token_hex(ID_BYTES)
+    """Returns an id for a proposal or an event.
+
+    It starts with the date, so that the newest proposals can be listed without reading all.
+    """
+    return f"{_date_text(0)}-{secrets.token_hex(ID_BYTES)}"
+
+
+def _date_text(days_ago: int) -> str:
+    return (datetime.now(UTC) - timedelta(days=days_ago)).strftime("%Y%m%d")
 
 
 def text_diff(old: str, new: str, old_name: str = "old", new_name: str = "new") -> list[str]:
@@ -199,9 +207,9 @@
         """
         return self._read(proposal_id)[1]
 
-    def all(self) -> Iterator[Proposal]:
-        """Yields all proposals."""
-        after = ""
+    def newest(self, days: int) -> Iterator[Proposal]:
+        """Yields the proposals of the last days, and those with an id of their own."""
+        after = PREFIX + _date_text(days) if days else ""
         while True:
             rows = until_definite(
                 lambda after=after: self._store.scan(PREFIX, after, SCAN_LIMIT), self._patience
--- a/src/auburnsail/_settings_log.py
+++ b/src/auburnsail/_settings_log.py
@@ -1,10 +1,12 @@
 """Records of the settings log."""
 
 import hashlib
+import heapq
+from collections.abc import Iterator
 
 import msgspec
 
-from ._edits import Edit
+from ._edits import Edit, path_text
 from ._log import LogRecord, VersionedLog
 from ._settings import TreeSettings
 from ._settle import Patience, until_definite
@@ -23,6 +25,7 @@
 
 SETTINGS_LOG = "settings"
 DIGEST_BYTES = 16
+MOST_EDITS = 10_000
 
 
 class SettingsRecord(msgspec.Struct, frozen=True):
@@ -37,7 +40,7 @@
         accepted_by: Who accepted it.
         accepted_at: Time of the acceptance in UTC, ISO 8601.
         edits: Values that the change touched.
-        origins: Version that last touched each stated value, by path.
+        origins: Version that last touched each value that was ever stated, by path.
         text: The tree, JSON with comments.
     """
 
@@ -128,6 +131,35 @@
         """
         return decode_settings(version, self.log_record(version).data)
 
+    def edits_of(self, prefix: str, limit: int) -> Iterator[tuple[int, SettingsRecord, Edit]]:
+        """Yields the newest edits at or below a path, the newest first.
+
+        Each record names the version that touched a value last, so that this reads two records
+        per edit and not the whole log.
+
+        Args:
+            prefix: Path in the document, empty for all.
+            limit: Number of edits.
+        """
+        head = self.head()
+        origins = self.record(head).origins
+        pending = [(-v, path) for path, v in origins.items() if _is_below(path, prefix)]
+        heapq.heapify(pending)
+        cache: dict[int, SettingsRecord] = {}
+        for _ in range(min(limit, MOST_EDITS)):
+            if not pending:
+                return
+            negative, path = heapq.heappop(pending)
+            version = -negative
+            for wanted in (version, version - 1):
+                if wanted and wanted not in cache:
+                    cache[wanted] = self.record(wanted)
+            edit = next(e for e in cache[version].edits if path_text(e.path) == path)
+            yield version, cache[version], edit
+            earlier = cache[version - 1].origins.get(path) if version > 1 else None
+            if earlier:
+                heapq.heappush(pending, (-earlier, path))
+
     def records_after(self, version: int) -> list[tuple[int, SettingsRecord]]:
         """Returns all versions that follow one."""
         found: list[tuple[int, SettingsRecord]] = []
@@ -141,3 +173,7 @@
             found += [
                 (record.version, decode_settings(record.version, record.data)) for record in records
             ]
+
+
+def _is_below(path: str, prefix: str) -> bool:
+    return not prefix or f"{path}.".startswith(f"{prefix}.")
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -5,6 +5,7 @@
 import gevent
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from msgspec import UNSET
 
 from auburnsail import parse_tree
 from auburnsail._changes import SettingsChanges
@@ -148,6 +149,21 @@
         whole = self.operators["ann"].revert(1, "", whole=True)
         self.assertEqual(whole.edits, (Edit(REQUESTS, 21, 20),))
 
+    def test_history_of_a_value_survives_its_removal(self):
+        """Guards against a history that ends where a value was inherited for a while."""
+        level = ("logging", "level")
+        for value in ("debug", UNSET, "error"):
+            change = self.operators.proposed("ann", level, value)
+            self.operators["bob"].review(change, "approve", "")
+            self.operators["bob"].accept(change)
+        found = self.operators["eve"].history.edits_of("logging", 10)
+        self.assertEqual(
+            [(version, edit.old, edit.new) for version, _, edit in found],
+            [(4, UNSET, "error"), (3, "debug", UNSET), (2, UNSET, "debug")],
+        )
+        newest = list(self.operators["eve"].history.edits_of("", 2))
+        self.assertEqual([version for version, *_ in newest], [4, 3])
+
     def test_fixed_values_change_only_before_the_fleet_starts(self):
         """Guards against shards that keys of a running fleet no longer belong to."""
         shards = ("services", "catalogue", "shards")
--- /dev/null
+++ b/tests/test_status_commands.py
@@ -0,0 +1,105 @@
+"""Commands that show the fleet, against nodes of their own."""
+
+import os
+import subprocess
+import sys
+import unittest
+
+import msgspec
+
+from tests.fleet import ROOT, LocalFleet, free_port, wait_until
+
+TREE = {"services": {"catalogue": {"keyed": True, "shards": 8}, "pledge": {}}}
+REFUSED, INPUT, UNAVAILABLE = 1, 2, 3
+
+
+class FleetCase(unittest.TestCase):
+    """A fleet per class."""
+
+    nodes: tuple[str, ...] = ()
+
+    @classmethod
+    def setUpClass(cls):
+        """Starts the fleet."""
+        cls.fleet = LocalFleet(TREE, quiet=True)
+        cls.addClassCleanup(cls.fleet.stop)
+        for name in cls.nodes:
+            cls.fleet.add_node(name, "wien", f"{name}-domain", "catalogue")
+        if cls.nodes:
+            cls.fleet.wait_settled(len(cls.nodes))
+
+    def auburnsail(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Runs the operators' program."""
+        environ = dict(
+            os.environ,
+            PYTHONPATH=f"{ROOT / 'src'}:{ROOT}",
+            AUBURNSAIL_STORE=self.fleet.store_url,
+            AUBURNSAIL_OPERATOR="ann",
+        )
+        command = [sys.executable, "-m", "auburnsail._cli_operator", *arguments]
+        return subprocess.run(command, env=environ, capture_output=True, text=True, check=False)
+
+    def json(self, *arguments: str) -> dict:
+        """Returns what a command prints with ``--json``."""
+        return msgspec.json.decode(self.auburnsail(*arguments, "--json").stdout)
+
+
+class StatusTest(FleetCase):
+    """Two nodes that serve."""
+
+    nodes = ("wien-a", "wien-b")
+
+    def test_status_shows_owners_and_versions(self):
+        """Guards against a view of the fleet that misses shards, sessions or versions."""
+        content = self.json("status")
+        self.assertEqual(content["settings_version"], 1)
+        self.assertEqual(content["unowned_shards"], {"catalogue": 0})
+        self.assertEqual([row["shards"] for row in content["sessions"]], [4, 4])
+        for name in ("settings_version", "fleet_version"):
+            self.assertEqual({row[name] for row in content["sessions"]}, {content[name]})
+        self.assertIn("wien-a#", self.auburnsail("status").stdout)
+        node = self.fleet.members["wien-b"].control
+        self.assertTrue(self.json("status", "--node", node)["session"].startswith("wien-b#"))
+        self.assertIn("Join", self.auburnsail("journal", "--node", node).stdout)
+
+    def test_explain_key_names_the_owner_that_serves_it(self):
+        """Guards against an explanation that differs from what requests meet."""
+        content = self.json("explain-key", "basket-1", "--service", "catalogue")
+        answer = self.fleet.request(content["address"], "GET", "/catalogue/basket-1", "r")
+        owner = msgspec.json.decode(answer.body)["upstream"]
+        self.assertEqual(content["owner"].split("#")[0], owner)
+        self.assertTrue(content["owner_says"]["served_here"])
+        wrong = self.auburnsail("explain-key", "k", "--service", "pledge")
+        self.assertEqual(wrong.returncode, INPUT)
+        self.assertIn("known: catalogue", wrong.stderr)
+
+    def test_declare_lost_refuses_a_node_that_answers(self):
+        """Guards against ending the session of a node that still serves."""
+        refused = self.auburnsail("declare-lost", "wien-a")
+        self.assertEqual(refused.returncode, REFUSED)
+        self.assertIn("still answers", refused.stderr)
+        self.assertEqual(self.auburnsail("declare-lost", "nobody").returncode, REFUSED)
+        self.assertEqual(len(self.json("status")["sessions"]), 2)
+
+    def test_silent_node_is_named(self):
+        """Guards against a command that hides the address that did not answer."""
+        address = f"127.0.0.1:{free_port()}"
+        result = self.auburnsail("status", "--node", address)
+        self.assertEqual(result.returncode, UNAVAILABLE)
+        self.assertIn(address, result.stderr)
+
+
+class DeclareLostTest(FleetCase):
+    """A node without watchers, which only an operator can end."""
+
+    nodes = ("wien-a",)
+
+    def test_session_of_a_lost_node_ends_once(self):
+        """Guards against a declaration that does not end the session, or that repeats."""
+        self.fleet.kill("wien-a")
+        wait_until(lambda: "refused" in self.json("status")["sessions"][0]["state"], "silence")
+        declared = self.auburnsail("declare-lost", "wien-a")
+        self.assertEqual((declared.returncode, declared.stderr), (0, ""))
+        content = self.json("status")
+        self.assertEqual((content["sessions"], content["unowned_shards"]), ([], {"catalogue": 8}))
+        self.assertEqual(self.auburnsail("declare-lost", "wien-a").returncode, REFUSED)
