Check each distinct set of statements once, and name known names in hints

Change: combinations with the same stating scopes are checked once. A hint lists the known names if none is near.

--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -124,7 +124,9 @@
         event = self._event("propose", content=proposal.content, note=title)
         return self._rows.create(msgspec.structs.replace(proposal, events=(event,)))
 
-    def amend(self, proposal_id: str, text: str, source: str, base: int | None) -> Proposal:
+    def amend(
+        self, proposal_id: str, text: str, source: str, base: int | None, title: str = ""
+    ) -> Proposal:
         """Replaces the content of an open proposal; approvals of other content lapse."""
         current = self.settle(proposal_id)
         base = current.base if base is None else base
@@ -135,7 +137,13 @@
             _require_open(proposal, "amend")
             authors = tuple(dict.fromkeys((*proposal.authors, self._operator)))
             return msgspec.structs.replace(
-                proposal, authors=authors, base=base, base_text=base_text, text=text, edits=edits
+                proposal,
+                title=title or proposal.title,
+                authors=authors,
+                base=base,
+                base_text=base_text,
+                text=text,
+                edits=edits,
             )
 
         return self._rows.update(proposal_id, self._event("amend"), change)
--- a/src/auburnsail/_cli_settings.py
+++ b/src/auburnsail/_cli_settings.py
@@ -28,7 +28,7 @@
     """Puts FILE into force as the first version of the settings tree."""
     changes = changes_of(store, operator or "setup", timeout_s, acts=True)
     version = changes.initialise(read_file(file), str(file))
-    output.show({"version": version}, [f"settings version {version} is in force"])
+    output.show({"version": version}, [f"{file} is settings version {version}"])
 
 
 @click.command()
@@ -62,7 +62,7 @@
         base, text = _edited(changes, sets, unsets, amend)
         source = "edited tree"
     if amend:
-        proposal = changes.amend(amend, text, source, base)
+        proposal = changes.amend(amend, text, source, base, title)
     else:
         proposal = changes.propose(title, text, source, base, proposal_id)
     output.show(proposal_facts(proposal), _proposal_lines(proposal))
--- a/src/auburnsail/_explain.py
+++ b/src/auburnsail/_explain.py
@@ -116,7 +116,4 @@
 
 def _require_known(kind: str, name: str, known) -> None:
     if name and name not in known:
-        raise SettingsError(
-            f"no {kind} {name!r}{nearest(name, known)}; known: {', '.join(known) or 'none'}",
-            step="settings.explain",
-        )
+        raise SettingsError(f"no {kind} {name!r}{nearest(name, known)}", step="settings.explain")
--- a/src/auburnsail/_problems.py
+++ b/src/auburnsail/_problems.py
@@ -13,6 +13,9 @@
 
 Locate = Callable[[str, tuple[str, ...]], int | None]
 
+# More names than this hide the message.
+MOST_NAMES = 20
+
 _KIND_NAMES = {int: "integer", float: "number", str: "text", bool: "true or false"}
 
 
@@ -25,9 +28,12 @@
 
 
 def nearest(name: str, known: Iterable[str]) -> str:
-    """Returns a hint that names the known name most like an unknown one, or nothing."""
-    matches = difflib.get_close_matches(name, list(known), n=1, cutoff=0.5)
-    return f"; did you mean {matches[0]!r}?" if matches else ""
+    """Returns a hint: the known name most like an unknown one, or else the known names."""
+    names = list(known)
+    matches = difflib.get_close_matches(name, names, n=1, cutoff=0.5)
+    if matches:
+        return f"; did you mean {matches[0]!r}?"
+    return f"; known: {', '.join(names)}" if 0 < len(names) <= MOST_NAMES else ""
 
 
 def allowed_values(kind: Any) -> str:
--- a/src/auburnsail/_tree.py
+++ b/src/auburnsail/_tree.py
@@ -129,12 +129,18 @@
     if store_region and store_region not in tree.regions:
         hint = nearest(store_region, tree.regions)
         problems[Problem(("fleet", "store_region"), f"no region {store_region!r}{hint}")] = None
+    checked: set[tuple[Scope, ...]] = set()
     for service, region, domain in scopes_in_use(tree):
+        scopes = dict.fromkeys(precedence(service, region, domain))
+        stating = tuple(scope for scope in scopes if scope in tree.statements)
+        if stating in checked:
+            # The same statements give the same values.
+            continue
+        checked.add(stating)
         settings = effective(tree, service, region, domain)
         for path, message in check_effective(settings):
-            scopes = reversed(precedence(service, region, domain))
-            stating = (scope for scope in scopes if path in tree.statements.get(scope, {}))
-            where = (*next(stating, Scope()).path, *path.split("."))
+            deciding = [scope for scope in stating if path in tree.statements[scope]]
+            where = (*(deciding or [Scope()])[-1].path, *path.split("."))
             problems[Problem(where, message)] = None
     return list(problems)
 
