--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench recovery control-cost silent-connections
+.PHONY: test unit check format reference bench recovery control-cost silent-connections settings-spread
 
 .venv: .venv/.installed
 
@@ -40,3 +40,6 @@
 
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
+
+settings-spread: .venv
+	$(PY) -m tools.settings_spread
--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -27,7 +27,7 @@
 from ._store import Check, TableStore
 from .exceptions import AuburnsailError, ConflictError, RefusedError
 
-__all__ = ["SettingsChanges"]
+__all__ = ["SettingsChanges", "record_data"]
 
 FLEET_HEAD = "fleet/head"
 INIT_PREFIX = "init-"
@@ -228,7 +228,7 @@
         intent = proposal.intent
         if proposal.state != "accepting":
             return proposal
-        data = msgspec.msgpack.encode(_record_of(proposal, intent))
+        data = record_data(proposal)
         checks = (Check(FLEET_HEAD, 0),) if intent.fixed else ()
         try:
             version = self._append(intent.base, intent.append_id, data, checks)
@@ -379,8 +379,10 @@
         raise RefusedError(f"{proposal.id} is {proposal.state}{where}", step=f"settings.{step}")
 
 
-def _record_of(proposal: Proposal, intent: Intent) -> SettingsRecord:
-    return SettingsRecord(
+def record_data(proposal: Proposal) -> bytes:
+    """Returns the settings record of a proposal whose acceptance has begun, as it is stored."""
+    intent = proposal.intent
+    record = SettingsRecord(
         parent=intent.parent,
         proposal=proposal.id,
         title=proposal.title,
@@ -392,3 +394,4 @@
         origins=intent.origins,
         text=proposal.text,
     )
+    return msgspec.msgpack.encode(record)
--- a/src/auburnsail/_cli_settings.py
+++ b/src/auburnsail/_cli_settings.py
@@ -5,9 +5,10 @@
 
 import click
 
-from ._changes import SettingsChanges
+from ._changes import SettingsChanges, record_data
 from ._cli_common import changes_of, common_options, print_table, read_file, store_options
 from ._edits import Edit, edits_between, set_edits, unset_edits
+from ._fleet_view import node_per_region, push_record
 from ._proposals import Proposal, review_problem, text_diff
 from ._settings import decode_jsonc
 from .exceptions import SettingsError
@@ -111,16 +112,41 @@
 @click.command()
 @click.argument("proposal", metavar="ID")
 @click.option("--base", type=int, help="Version that you expect the change to build on.")
+@click.option(
+    "--push",
+    multiple=True,
+    metavar="IP:PORT",
+    envvar="AUBURNSAIL_PUSH",
+    help="Control server of a node to push to, instead of one per region; may be repeated.",
+)
+@click.option(
+    "--secret-file",
+    type=FILE,
+    envvar="AUBURNSAIL_SECRET_FILE",
+    help="File with the fleet secret; pushes the change to nodes. Or AUBURNSAIL_SECRET_FILE.",
+)
 @store_options
 @common_options
-def accept(proposal, base, store, operator, timeout_s, output) -> None:
+def accept(proposal, base, push, secret_file, store, operator, timeout_s, output) -> None:
     """Puts an approved proposal into force as the version after the one it builds on.
 
-    If the outcome is not settled, the same command settles it later.
+    Nodes read it from the store within seconds. With --secret-file it is pushed to some as well, so
+    that it spreads even if the store fails right after. If the outcome is not settled, the same
+    command settles it later.
     """
+    if push and not secret_file:
+        raise click.UsageError("--push needs --secret-file")
+    secret = read_file(secret_file).strip() if secret_file else ""
     changes = changes_of(store, operator, timeout_s, acts=True)
+    if secret and not push:
+        # The store may be gone after the acceptance.
+        push = node_per_region(store, changes)
     found = changes.accept(proposal, base)
-    output.show(proposal_facts(found), [f"{found.id} is settings version {found.version}"])
+    pushed = push_record(push, found.version, record_data(found), secret)
+    failed = [f"{answer.address} did not take it: {answer.error}" for answer in pushed]
+    lines = [f"{found.id} is settings version {found.version}", *failed]
+    facts = {"pushed_to": push, "not_pushed": [answer.address for answer in pushed]}
+    output.show(proposal_facts(found) | facts, lines)
 
 
 @click.command()
--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -16,6 +16,7 @@
 STATUS_LINES = {
     200: "200 OK",
     400: "400 Bad Request",
+    403: "403 Forbidden",
     404: "404 Not Found",
     405: "405 Method Not Allowed",
     410: "410 Gone",
@@ -67,6 +68,9 @@
     def on_message(self, data: bytes, address: str) -> None:
         """Handles a message that was too large for a datagram."""
 
+    def take_settings(self, records: list[tuple[int, bytes]]) -> None:
+        """Takes over a settings record that an operator's program pushed."""
+
     def drain(self, reason: str) -> None:
         """Moves everything away and ends the session."""
 
@@ -94,6 +98,7 @@
         self._routes: dict[tuple[str, str], Callable[[dict, bytes], Answer]] = {
             ("POST", "/v1/announce"): self._announce,
             ("POST", "/v1/message"): self._message,
+            ("POST", "/v1/settings"): self._settings,
             ("POST", "/v1/drain"): self._drain,
             ("GET", "/v1/status"): lambda query, body: _json(node.status()),
             ("GET", "/v1/health"): self._health,
@@ -131,6 +136,13 @@
         self._node.on_message(body, "")
         return 200, b"{}"
 
+    def _settings(self, query: dict, body: bytes) -> Answer:
+        content = self._codec.unseal(body)
+        if content is None:
+            return 403, b"wrong tag"
+        self._node.take_settings(msgspec.msgpack.decode(content, type=LogRecords).records)
+        return 200, b"{}"
+
     def _drain(self, query: dict, body: bytes) -> Answer:
         self._node.drain(query.get("reason", "operator"))
         return 200, b"{}"
--- a/src/auburnsail/_fleet_view.py
+++ b/src/auburnsail/_fleet_view.py
@@ -1,5 +1,6 @@
 """The fleet as operators' programs see it: folded from the store, and asked of its nodes."""
 
+import random
 from collections.abc import Iterable
 from dataclasses import dataclass
 from urllib.parse import quote
@@ -7,17 +8,30 @@
 import gevent.pool
 import msgspec
 
+from ._changes import SettingsChanges
 from ._checkpoint import CHECKPOINT_PREFIX, restore_fleet
 from ._fleet import FleetState
+from ._io import LogRecords
 from ._log import VersionedLog
+from ._messages import Codec
 from ._model import decode_entry
 from ._pool import HttpPeer
 from ._settings import TreeSettings
+from ._settings_log import tree_of
 from ._settle import Patience, until_definite
-from ._store import ObjectStore, TableStore
+from ._store import HttpObjectStore, HttpTableStore, ObjectStore, TableStore
 from .exceptions import AuburnsailError, RefusedError, StoreUnavailableError
 
-__all__ = ["FLEET_LOG", "NodeAnswer", "ask_node", "ask_nodes", "read_fleet", "target"]
+__all__ = [
+    "FLEET_LOG",
+    "NodeAnswer",
+    "ask_node",
+    "ask_nodes",
+    "node_per_region",
+    "push_record",
+    "read_fleet",
+    "target",
+]
 
 FLEET_LOG = "fleet"
 ASK_TIMEOUT_S = 1.0
@@ -46,12 +60,15 @@
         StoreUnavailableError: The node did not answer.
         RefusedError: The node answered with an error.
     """
+    peer = HttpPeer(address)
     try:
-        answer = HttpPeer(address).fetch("GET", request_target, timeout_s=timeout_s)
+        answer = peer.fetch("GET", request_target, timeout_s=timeout_s)
     except AuburnsailError as error:
         raise StoreUnavailableError(
             f"the node does not answer: {error.detail}", step="node.ask", peer=address
         ) from error
+    finally:
+        peer.drop_idle()
     if answer.status != 200:
         detail = (
             f"status {answer.status} for {request_target}: {answer.body.decode(errors='replace')}"
@@ -75,6 +92,51 @@
     return gevent.pool.Pool(ASKED_AT_ONCE).map(ask, addresses)
 
 
+def push_record(
+    addresses: Iterable[str], version: int, data: bytes, secret: str
+) -> list[NodeAnswer]:
+    """Sends an accepted settings record to nodes, which pass its version on to their peers.
+
+    Args:
+        addresses: Control servers.
+        version: Version of the record.
+        data: The record as stored.
+        secret: The fleet's secret.
+
+    Returns:
+        The nodes that did not take it.
+    """
+    records = msgspec.msgpack.encode(LogRecords([(version, data)]))
+    body = Codec(secret, 0).seal(records)
+
+    def push(address: str) -> NodeAnswer:
+        peer = HttpPeer(address)
+        try:
+            answer = peer.fetch("POST", "/v1/settings", body, timeout_s=ASK_TIMEOUT_S)
+        except AuburnsailError as error:
+            return NodeAnswer(address, {}, error.detail)
+        finally:
+            peer.drop_idle()
+        return NodeAnswer(address, {}, "" if answer.status == 200 else f"status {answer.status}")
+
+    answers = gevent.pool.Pool(ASKED_AT_ONCE).map(push, addresses)
+    return [answer for answer in answers if answer.error]
+
+
+def node_per_region(store_url: str, changes: SettingsChanges) -> tuple[str, ...]:
+    """Returns the control server of a random node of each region; none if the store has none."""
+    try:
+        head = changes.history.head()
+        tree = tree_of(head, changes.history.log_record(head).data)
+        stores = HttpTableStore(store_url), HttpObjectStore(store_url)
+        fleet = read_fleet(*stores, tree, Patience(0.0))
+    except AuburnsailError:
+        return ()
+    rows = list(fleet.sessions.values())
+    random.shuffle(rows)
+    return tuple({row.session.region: row.session.control_address for row in rows}.values())
+
+
 def read_fleet(
     store: TableStore, objects: ObjectStore, tree: TreeSettings, patience: Patience
 ) -> FleetState:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -186,6 +186,10 @@
         """See `ControlledNode.on_message`."""
         self._on_datagram(data, address)
 
+    def take_settings(self, records: Records) -> None:
+        """See `ControlledNode.take_settings`."""
+        self._on_records(LogName.SETTINGS, records, "operator")
+
     def drain(self, reason: str) -> None:
         """See `ControlledNode.drain`."""
         self._mover.drain(reason, stopping=False)
--- a/tests/test_status_commands.py
+++ b/tests/test_status_commands.py
@@ -3,11 +3,16 @@
 import os
 import subprocess
 import sys
+import tempfile
 import unittest
 
 import msgspec
 
-from tests.fleet import ROOT, LocalFleet, free_port, wait_until
+from auburnsail._changes import SettingsChanges
+from auburnsail._fleet_view import push_record
+from auburnsail._settle import Patience
+from auburnsail._store import HttpTableStore
+from tests.fleet import ROOT, SECRET, LocalFleet, free_port, wait_until
 
 TREE = {"services": {"catalogue": {"keyed": True, "shards": 8}, "pledge": {}}}
 REFUSED, INPUT, UNAVAILABLE = 1, 2, 3
@@ -103,3 +108,30 @@
         content = self.json("status")
         self.assertEqual((content["sessions"], content["unowned_shards"]), ([], {"catalogue": 8}))
         self.assertEqual(self.auburnsail("declare-lost", "wien-a").returncode, REFUSED)
+
+
+class PushTest(FleetCase):
+    """A settings record that reaches a node before the store does."""
+
+    nodes = ("wien-a",)
+
+    def test_record_is_taken_with_the_secret_only(self):
+        """Guards against settings that wait for the store, or that anybody may set."""
+        member = self.fleet.members["wien-a"]
+        changes = SettingsChanges(HttpTableStore(self.fleet.store_url), "ann", Patience(5.0))
+        data = changes.history.log_record(1).data
+        for secret, error, version in (("w" * 32, "status 403", 1), (SECRET, None, 2)):
+            answers = push_record([member.control], 2, data, secret)
+            self.assertEqual([answer.error for answer in answers], [error] if error else [])
+            self.assertEqual(member.get("/v1/status")["settings_version"], version)
+        proposal = self.auburnsail(
+            *("settings", "propose", "--id", "p", "--title", "t", "--set", "queue.max_wait_ms=9")
+        )
+        self.assertEqual((proposal.returncode, proposal.stderr), (0, ""))
+        self.auburnsail("settings", "review", "p", "--approve", "--as", "bob")
+        with tempfile.NamedTemporaryFile("w") as file:
+            file.write(SECRET)
+            file.flush()
+            accepted = self.json("settings", "accept", "p", "--secret-file", file.name)
+        self.assertEqual((accepted["version"], accepted["pushed_to"]), (2, [member.control]))
+        self.assertEqual(accepted["not_pushed"], [])
