--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench recovery control-cost silent-connections settings-spread
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections settings-spread
 
 .venv: .venv/.installed
 
@@ -43,3 +43,6 @@
 
 settings-spread: .venv
 	$(PY) -m tools.settings_spread
+
+demo: .venv
+	$(PY) -m tools.demo
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -98,6 +98,41 @@
     return data
 
 
+class FakeGate:
+    """Admits everything that the fleet's state allows while the lease lasts."""
+
+    def __init__(self, fleet: FleetState, own_id: SessionId) -> None:
+        self._fleet = fleet
+        self._own_id = own_id
+        self.has_lease = True
+        self.in_flight = 0
+
+    def enter(self, service: str, shard: int) -> str:
+        """See `Gate.enter`."""
+        if not self.has_lease:
+            return "no-lease"
+        self.in_flight += 1
+        return ""
+
+    def confirm(self, service: str, shard: int, epoch: int) -> str:
+        """See `Gate.confirm`."""
+        if not self.has_lease:
+            return "no-lease"
+        if shard < 0:
+            return ""
+        row = self._fleet.owner(service, shard)
+        is_own = row is not None and row.session.id == self._own_id
+        return "" if is_own and self._fleet.epoch(service, shard) == epoch else "not-owner"
+
+    def leave(self, service: str, shard: int) -> None:
+        """See `Gate.leave`."""
+        self.in_flight -= 1
+
+    def expires_ns(self) -> int:
+        """See `Gate.expires_ns`."""
+        return 1
+
+
 class PathNode:
     """A node's request path without membership."""
 
@@ -107,7 +142,7 @@
         self.router = Router(self.fleet, TREE)
         self.router.own_id = SessionId(name, 1)
         self.upstream = upstream
-        self.has_lease = True
+        self.gate = FakeGate(self.fleet, self.router.own_id)
         listener = socket.socket()
         listener.bind(("127.0.0.1", 0))
         listener.listen()
@@ -115,7 +150,7 @@
         self.application = ProxyApplication(
             self.router,
             lambda: self.upstream and self.upstream.address,
-            self._confirm,
+            self.gate,
             signer=HopSigner(SECRET),
             own_address=self.address,
             **options,
@@ -126,11 +161,6 @@
             self.router.own_id, "wien", "wien-1", self.address, self.address, service, 4
         )
 
-    def _confirm(self, target) -> str:
-        if not self.has_lease:
-            return "no-lease"
-        return "" if self.router.is_still_local(target) else "not-owner"
-
     def learn(self, *commands) -> None:
         """Applies the next entry of the log."""
         fleet = self.fleet
