--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 
 .venv: .venv/.installed
 
@@ -41,6 +41,9 @@
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
 
+settings-spread: .venv
+	$(PY) -m tools.settings_spread
+
 demo: .venv
 	$(PY) -m tools.demo
 
