--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench recovery control-cost
+.PHONY: test unit check format reference bench recovery control-cost silent-connections
 
 .venv: .venv/.installed
 
@@ -37,3 +37,6 @@
 
 bench: .venv
 	$(PY) -m tools.bench
+
+silent-connections: .venv
+	$(PY) -m tools.silent_connections
--- a/src/auburnsail/_clock.py
+++ b/src/auburnsail/_clock.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-__all__ = ["NS_PER_MS", "BootClock", "Clock", "ManualClock", "Timers"]
+__all__ = ["NS_PER_MS", "NS_PER_S", "BootClock", "Clock", "ManualClock", "Timers"]
 
 NS_PER_MS = 1_000_000
+NS_PER_S = 1_000_000_000
 
 
 class Clock(Protocol):
