Move the shards of a lost upstream and follow the settings tree

Cause: an upstream that refused connections kept its shards until its announcements had been missing for three seconds, and settings of the tree had no effect on ownership. Change: a failed attempt makes the node probe its upstream; a refused connection counts as lost at once. lost_after_ms, hold_ms and store_region follow the tree without a restart. POST /v1/poll makes a node read both logs soon.

--- a/src/auburnsail/_admission.py
+++ b/src/auburnsail/_admission.py
@@ -3,7 +3,7 @@
 The defaults here limit nothing and rotate; limits and load balancing plug in behind the protocols.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import Protocol
 
@@ -14,6 +14,7 @@
     "Admission",
     "Chooser",
     "CountingAdmission",
+    "ObservedAdmission",
     "Result",
     "RotatingChooser",
     "Ticket",
@@ -96,6 +97,37 @@
             del admission.by_shard[self.place]
 
 
+class ObservedAdmission:
+    """Reports attempts at the upstream that got no answer.
+
+    Args:
+        inner: Decides on admission.
+        on_failure: Called after each attempt that was not run or whose outcome is unknown.
+    """
+
+    def __init__(self, inner: Admission, on_failure: Callable[[], None]) -> None:
+        self._inner = inner
+        self._on_failure = on_failure
+
+    def enter(self, target: Target, deadline_ns: int) -> "_ObservedTicket":
+        """See `Admission.enter`."""
+        return _ObservedTicket(self._inner.enter(target, deadline_ns), self._on_failure)
+
+
+class _ObservedTicket:
+    __slots__ = ("_inner", "_on_failure")
+
+    def __init__(self, inner: Ticket, on_failure: Callable[[], None]) -> None:
+        self._inner = inner
+        self._on_failure = on_failure
+
+    def leave(self, result: Result) -> None:
+        """See `Ticket.leave`."""
+        self._inner.leave(result)
+        if result in (Result.NOT_RUN, Result.UNKNOWN):
+            self._on_failure()
+
+
 class RotatingChooser:
     """Takes the candidates of the nearest tier in turn: own domain, own region, elsewhere.
 
--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -67,6 +67,9 @@
     def on_message(self, data: bytes, address: str) -> None:
         """Handles a message that was too large for a datagram."""
 
+    def poll(self) -> None:
+        """Fetches both logs from the store soon, for example after an operator's change."""
+
     def drain(self, reason: str) -> None:
         """Moves everything away and ends the session."""
 
@@ -95,6 +98,7 @@
             ("POST", "/v1/announce"): self._announce,
             ("POST", "/v1/message"): self._message,
             ("POST", "/v1/drain"): self._drain,
+            ("POST", "/v1/poll"): self._poll,
             ("GET", "/v1/status"): lambda query, body: _json(node.status()),
             ("GET", "/v1/health"): self._health,
             ("GET", "/v1/log/fleet"): lambda query, body: self._log("fleet", query),
@@ -135,6 +139,10 @@
         self._node.drain(query.get("reason", "operator"))
         return 200, b"{}"
 
+    def _poll(self, query: dict, body: bytes) -> Answer:
+        self._node.poll()
+        return 200, b"{}"
+
     def _health(self, query: dict, body: bytes) -> Answer:
         violation = self._node.violation()
         return (503 if violation else 200), msgspec.json.encode({"violation": violation})
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 
-from ._admission import RotatingChooser
+from ._admission import CountingAdmission, ObservedAdmission, RotatingChooser
 from ._attempt import Gate
 from ._clock import Clock
 from ._forward import ProxyApplication
@@ -25,6 +25,7 @@
         gate: Knows whether this node may serve.
         clock: Source of time.
         on_violation: Called once when a guarantee was found broken.
+        on_failed_attempt: Called after each attempt at the upstream that got no answer.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         gate: Gate,
         clock: Clock,
         on_violation: Callable[[InvariantViolation], None],
+        on_failed_attempt: Callable[[], None],
     ) -> None:
         self._application = ProxyApplication(
             router,
@@ -42,6 +44,7 @@
             gate,
             signer=HopSigner(settings.fleet_secret),
             own_address=settings.data_address,
+            admission=ObservedAdmission(CountingAdmission(), on_failed_attempt),
             chooser=RotatingChooser(settings.region, settings.domain),
             clock=clock,
             on_violation=on_violation,
--- a/src/auburnsail/_moves.py
+++ b/src/auburnsail/_moves.py
@@ -16,7 +16,7 @@
 __all__ = ["Admission", "Mover"]
 
 # New requests wait this long for a shard that is being released, then they are refused.
-HOLD_MS = 200
+MAX_HOLD_MS = 200
 MAX_SHARDS_PER_TRANSFER = 512
 RETRY_DRAIN_MS = 500
 
@@ -60,6 +60,7 @@
         self._left = False
         self._stuck = False
         self.notes: list[Note] = []
+        self.hold_ms = MAX_HOLD_MS
 
     @property
     def in_flight(self) -> int:
@@ -101,7 +102,7 @@
                 return Admission.NOT_OWNER
             release = self._releases.get((service, shard))
             if release is not None:
-                held = now_ns - release.since_ns < HOLD_MS * NS_PER_MS
+                held = now_ns - release.since_ns < self.hold_ms * NS_PER_MS
                 return Admission.HOLD if held else Admission.MOVING
         if self._draining and (shard < 0 or self._left or self._stuck):
             return Admission.DRAINING
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -8,6 +8,7 @@
 import structlog
 from gevent.event import Event
 
+from ._beside import UpstreamBeside
 from ._checkpoint import dump_fleet
 from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
@@ -28,14 +29,11 @@
 from ._settings_log import tree_of
 from ._shards import shard_of
 from ._store import HttpObjectStore, HttpTableStore
+from ._tree import effective
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
 
-# An upstream announces itself every second.
-UPSTREAM_LOST_AFTER_MS = 3000
-# A node joins without an upstream if none has announced itself for this long after the start.
-ROUTE_ONLY_AFTER_MS = 2000
 WAITING_LOG_MS = 5000
 STOP_LIMIT_MS = 60_000
 CLOSE_WAIT_MS = 100
@@ -62,6 +60,9 @@
             _facts(settings), self._fleet, self._codec, random.Random(_RANDOM.getrandbits(64))
         )
         self._mover = Mover(self._membership, self._fleet)
+        self._upstream = UpstreamBeside(
+            self._membership, self._mover, self._fleet, self._journal, self._clock
+        )
         self._router = Router(self._fleet, TreeSettings({}))
         self._gate = RequestGate(self._mover, self._membership, self._clock)
         self._udp = UdpSocket(settings.control_address, self._on_datagram)
@@ -74,17 +75,16 @@
             Callbacks(self._on_store_reply, self._on_records, self._on_restored, self._on_failure),
         )
         self._violation = ""
-        self._announcement: Announcement | None = None
-        self._announced_ns = 0
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
         self._data = DataPath(
             settings,
             self._router,
-            self._upstream_address,
+            self._upstream.address,
             self._gate,
             self._clock,
             lambda error: self._violate(str(error)),
+            self._upstream.on_failed_attempt,
         )
         self._control_server: ControlServer | None = None
         self._stopped = Event()
@@ -118,10 +118,7 @@
 
     def announce(self, announcement: Announcement) -> None:
         """See `ControlledNode.announce`."""
-        self._announcement = announcement
-        self._announced_ns = self._clock.now_ns()
-        if announcement.state == "draining":
-            self._mover.drain("upstream announced a drain", stopping=False)
+        self._upstream.announce(announcement)
 
     def status(self) -> dict:
         """See `ControlledNode.status`."""
@@ -174,6 +171,10 @@
         """See `ControlledNode.on_message`."""
         self._on_datagram(data, address)
 
+    def poll(self) -> None:
+        """See `ControlledNode.poll`."""
+        self._membership.replica.poll_now()
+
     def drain(self, reason: str) -> None:
         """See `ControlledNode.drain`."""
         self._mover.drain(reason, stopping=False)
@@ -214,24 +215,8 @@
         self._take_notes()
 
     def _follow_upstream(self, now_ns: int) -> None:
-        if not self._fleet_loaded or not self._membership.replica.settings_version:
-            return
-        announcement = self._announcement
-        silent_ns = now_ns - self._announced_ns
-        if announcement is not None and silent_ns > UPSTREAM_LOST_AFTER_MS * NS_PER_MS:
-            self._lose_upstream("upstream does not announce itself")
-            announcement = None
-        if announcement is not None and announcement.state != "draining":
-            self._membership.session.want(announcement.service, announcement.slots)
-        elif now_ns - self._started_ns > ROUTE_ONLY_AFTER_MS * NS_PER_MS:
-            self._membership.session.want("", 0)
-        if self._membership.session.differs(self._fleet):
-            self._mover.drain("the upstream's service changed", stopping=False)
-
-    def _lose_upstream(self, reason: str) -> None:
-        self._announcement = None
-        self._journal.record("upstream", reason)
-        self._log.warning(reason)
+        if self._fleet_loaded and self._membership.replica.settings_version:
+            self._upstream.follow(now_ns)
 
     def _report_waiting(self, now_ns: int) -> None:
         if self._fleet_loaded and self._membership.replica.settings_version:
@@ -303,12 +288,24 @@
             self._log.error("settings not readable", version=changed.version, error=str(error))
             return
         self._router.tree = tree
+        self._apply_sections(tree)
         for name, service in tree.services.items():
             if service.keyed:
                 self._fleet.add_service(name, service.shards)
         self._journal.record("settings", "in force", version=changed.version)
         self._log.info("settings in force", version=changed.version)
 
+    def _apply_sections(self, tree: TreeSettings) -> None:
+        announcement = self._upstream.announcement
+        service = announcement.service if announcement else next(iter(tree.services), "")
+        if service not in tree.services:
+            return
+        values = effective(tree, service, self._settings.region, self._settings.domain)
+        self._upstream.lost_after_ms = values.upstream.lost_after_ms
+        self._mover.hold_ms = values.drain.hold_ms
+        store_region = values.fleet.store_region or self._settings.store_region
+        self._membership.recording.store_region = store_region
+
     def _on_note(self, note: Note) -> None:
         self._journal.record(note.kind, note.reason, **note.facts)
         if note.kind not in QUIET_KINDS:
@@ -339,9 +336,6 @@
     def _may_serve(self) -> bool:
         return not self._violation and self._membership.may_serve(self._clock.now_ns())
 
-    def _upstream_address(self) -> str | None:
-        return self._announcement.address if self._announcement else None
-
     # Start and stop.
 
     def _start_servers(self) -> None:
--- a/src/auburnsail/_recording.py
+++ b/src/auburnsail/_recording.py
@@ -43,7 +43,7 @@
         successors: SuccessorChoice,
     ) -> None:
         self._address = address
-        self._store_region = store_region
+        self.store_region = store_region
         self._fleet = fleet
         self._outbox = outbox
         self._proposer = Proposer()
@@ -134,7 +134,7 @@
 
     def _ranked(self, now_ns: int) -> list[SessionId]:
         if self._ranking[0] != self._fleet.version:
-            ranked = rank_recorders(self._fleet, self._store_region, RECORDERS_KEPT)
+            ranked = rank_recorders(self._fleet, self.store_region, RECORDERS_KEPT)
             self._ranking = (self._fleet.version, ranked)
         ranked = self._ranking[1]
         return [s for s in ranked if self._suspects.get(s, 0) <= now_ns] or ranked
--- a/src/auburnsail/_replica.py
+++ b/src/auburnsail/_replica.py
@@ -81,6 +81,10 @@
         _finish(self._settings.fetcher, records, address, self._settings.version, now_ns)
         return any(changed)
 
+    def poll_now(self) -> None:
+        """Makes the next poll due at once."""
+        self._next_poll_ns = 0
+
     def poll_due(self, now_ns: int) -> bool:
         """Whether a poll is due."""
         return now_ns >= self._next_poll_ns
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -7,7 +7,10 @@
 import msgspec
 from gevent import socket
 
+from auburnsail._log import VersionedLog
 from auburnsail._pool import Answer, HttpPeer
+from auburnsail._settings_log import decode_settings
+from auburnsail._store import HttpTableStore
 from tests.fleet import LocalFleet, wait_until
 
 TREE = {"services": {"catalogue": {"keyed": True, "shards": 64}}}
@@ -86,6 +89,33 @@
         self.assertNotEqual(frozen.get("/v1/status")["session"], before)
         self.assertEqual(frozen.get("/v1/health"), {"violation": ""})
 
+    def test_keys_of_a_crashed_upstream_are_served_by_another(self):
+        """Guards against shards that stay with a node whose upstream refuses connections."""
+        lost = next(key for key in KEYS if self.owner(key, "node-0") == "node-3")
+        start = time.monotonic()
+        self.fleet.members["node-3"].processes[1].kill()
+        wait_until(lambda: self.served_by("node-0", lost) not in ("", "node-3"), lost, 5)
+        self.assertLess(time.monotonic() - start, 2.0)
+        status = self.fleet.members["node-3"].get
+        wait_until(lambda: status("/v1/status")["service"] == "", "routing without an upstream", 5)
+        self.assertEqual(self.served_by("node-3", lost), self.owner(lost, "node-0"))
+
+    def test_a_settings_change_is_in_force_everywhere(self):
+        """Guards against nodes that keep old settings or need a restart for new ones."""
+        log = VersionedLog(HttpTableStore(self.fleet.store_url), "settings")
+        record = decode_settings(1, log.read(1).data)
+        text = '{"services": {"catalogue": {"keyed": true, "shards": 64}, "pledge": {}}}'
+        data = msgspec.msgpack.encode(msgspec.structs.replace(record, text=text))
+        nodes = self.fleet.members.values()
+        self.assertEqual({node.get("/v1/status")["settings_version"] for node in nodes}, {1})
+        start = time.monotonic()
+        log.append(1, "test", data)
+        for node in nodes:
+            wait_until(lambda n=node: n.get("/v1/status")["settings_version"] == 2, node.name, 7)
+            answer = self.fleet.request(node.data, "GET", "/pledge/1", "r")
+            self.assertEqual(answer.status, 503)
+        self.assertLess(time.monotonic() - start, 7.0)
+
     def test_service_goes_on_while_the_store_is_down(self):
         """Guards against leases or routing that need the store."""
         owners = {key: self.owner(key, "node-0") for key in KEYS}
