Require the expiry in grants that upstreams check

Cause: the stand-in accepted grants without an expiry, because nodes sent none before leases existed, and such a grant could never lapse.

Change: a grant has four fields; another form is refused as malformed.

--- a/standins/grants.py
+++ b/standins/grants.py
@@ -2,8 +2,6 @@
 
 from dataclasses import dataclass
 
-GRANT_FIELDS = 4
-
 
 @dataclass(frozen=True, slots=True)
 class FencedGrant:
@@ -21,11 +19,7 @@
     Raises:
         ValueError: The value is not a grant.
     """
-    fields = text.split(";")
-    if len(fields) == GRANT_FIELDS - 1:
-        # Nodes before leases were added send no expiry.
-        fields.append("0")
-    service, shard, epoch, expires_ns = fields
+    service, shard, epoch, expires_ns = text.split(";")
     return FencedGrant(service, int(shard), int(epoch), int(expires_ns))
 
 
@@ -52,5 +46,5 @@
 
 
 def is_expired(grant: FencedGrant, now_ns: int) -> bool:
-    """Returns whether a grant's time has passed; an expiry of 0 means that it has none."""
-    return 0 < grant.expires_ns <= now_ns
+    """Returns whether a grant's time has passed."""
+    return grant.expires_ns <= now_ns
--- a/tests/test_upstream_standin.py
+++ b/tests/test_upstream_standin.py
@@ -51,6 +51,7 @@
             (f"s;2;4;{later}", 200, None),
             (f"s;1;6;{now_ns() - 1}", 503, "grant-expired"),
             (f"s;1;5;{later}", 200, None),
+            ("s;1;7", 503, "grant-malformed"),
         ):
             answer = self.call(peer, "r", auburnsail_grant=grant)
             self.assertEqual(
--- a/tools/ledger_checks.py
+++ b/tools/ledger_checks.py
@@ -56,7 +56,7 @@
 def _end_ns(execution: Execution, grant: FencedGrant, gone_ns: dict[str, int]) -> int:
     if execution.outcome == RUNNING:
         return gone_ns.get(execution.upstream, NEVER_NS)
-    if execution.outcome == COMPLETED or not grant.expires_ns:
+    if execution.outcome == COMPLETED:
         return execution.finished_ns
     # Work that the upstream gave up has no effect after the end of its grant, even if the process
     # was frozen when that passed and noticed later.
