--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format bench demo recovery control-cost silent-connections
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
 
 .venv: .venv/.installed
 
@@ -19,6 +19,10 @@
 check: .venv
 	$(PY) -m black --check --quiet src standins tools tests
 	$(PY) -m ruff check --quiet src standins tools tests
+	$(PY) -m tools.reference --check
+
+reference: .venv
+	$(PY) -m tools.reference
 
 unit: .venv
 	$(PY) -m unittest discover -s tests -t .
@@ -34,8 +38,8 @@
 bench: .venv
 	$(PY) -m tools.bench
 
-demo: .venv
-	$(PY) -m tools.demo
-
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
+
+demo: .venv
+	$(PY) -m tools.demo
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,6 +1,7 @@
 """Starts a small fleet of real processes on loopback for tests."""
 
 import os
+import random
 import signal
 import subprocess
 import sys
@@ -17,15 +18,26 @@
 from auburnsail.exceptions import AuburnsailError
 
 ROOT = Path(__file__).parent.parent
+PORT_RANGE = (10_000, 32_000)
 START_TIMEOUT_S = 20.0
 SECRET = "0123456789abcdef0123456789abcdef"
 
 
 def free_port() -> int:
-    """Returns a port that was free on loopback a moment ago."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+    """Returns a free port on loopback.
+
+    Ports come from below the range that the system gives to outgoing connections: one of those, or
+    another test run, can take a port between this call and the start of the process that uses it.
+    """
+    while True:
+        port = random.randrange(*PORT_RANGE)
+        try:
+            with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+                tcp.bind(("127.0.0.1", port))
+                udp.bind(("127.0.0.1", port))
+        except OSError:
+            continue
+        return port
 
 
 def wait_until(condition: Callable[[], bool], what: str, timeout_s: float = START_TIMEOUT_S):
