Let links between regions stand between nodes

Cause: nodes address each other by ip:port, so a relay could stand between a node and its upstream or store, but not between two nodes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
 
 .venv: .venv/.installed
 
@@ -43,3 +43,6 @@
 
 demo: .venv
 	$(PY) -m tools.demo
+
+region-cut: .venv
+	$(PY) -m tools.region_cut
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -100,6 +100,7 @@
         budget: Retries that are allowed now.
         clock: Source of time.
         counters: Counts of the request path.
+        reach: Returns where to connect for an address.
     """
 
     def __init__(
@@ -112,6 +113,7 @@
         budget: RetryBudget,
         clock: Clock,
         counters: Counters,
+        reach: Callable[[str], str],
     ) -> None:
         self._router = router
         self._ownership = ownership
@@ -121,6 +123,7 @@
         self._budget = budget
         self._clock = clock
         self._counters = counters
+        self._reach = reach
         self._peers: dict[str, HttpPeer] = {}
         self._id_prefix = os.urandom(6).hex()
 
@@ -158,7 +161,7 @@
         """Returns the connections to an address."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = HttpPeer(address, self._clock)
+            peer = self._peers[address] = HttpPeer(self._reach(address), self._clock)
         return peer
 
     def drop_idle(self) -> None:
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -42,6 +42,7 @@
             gate,
             signer=HopSigner(settings.fleet_secret),
             own_address=settings.data_address,
+            reach=settings.reach,
             chooser=RotatingChooser(settings.region, settings.domain),
             clock=clock,
             on_violation=on_violation,
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -53,6 +53,7 @@
         clock: Source of time.
         jitter: Returns random numbers in [0, 1).
         on_violation: Called once when a guarantee was found broken.
+        reach: Returns where to connect for the address of an upstream or a node.
     """
 
     def __init__(
@@ -69,6 +70,7 @@
         clock: Clock | None = None,
         jitter: Callable[[], float] = random.random,
         on_violation: Callable[[InvariantViolation], None] | None = None,
+        reach: Callable[[str], str] = str,
     ) -> None:
         self._router = router
         self._signer = signer
@@ -91,6 +93,7 @@
             self._budget,
             self._clock,
             self.counters,
+            reach,
         )
         self.violation: InvariantViolation | None = None
 
--- a/src/auburnsail/_io.py
+++ b/src/auburnsail/_io.py
@@ -65,9 +65,15 @@
     Args:
         address: ``ip:port`` to bind.
         on_datagram: Called with data and sender address from the hub; it must not block.
+        reach: Returns where to send for an address.
     """
 
-    def __init__(self, address: str, on_datagram: Callable[[bytes, str], None]) -> None:
+    def __init__(
+        self,
+        address: str,
+        on_datagram: Callable[[bytes, str], None],
+        reach: Callable[[str], str],
+    ) -> None:
         host, _, port = address.rpartition(":")
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
@@ -75,6 +81,7 @@
         self._socket.setblocking(False)
         self._socket.bind((host, int(port)))
         self._on_datagram = on_datagram
+        self._reach = reach
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), 1)
         self.traffic = Traffic()
 
@@ -95,7 +102,7 @@
 
     def send(self, address: str, data: bytes) -> None:
         """Sends a datagram; one that the system refuses is lost like any other."""
-        host, _, port = address.rpartition(":")
+        host, _, port = self._reach(address).rpartition(":")
         try:
             self._socket.sendto(data, (host, int(port)))
         except OSError:
@@ -138,6 +145,7 @@
         codec: Checks what peers send.
         udp: The datagram socket.
         callbacks: Where results go.
+        reach: Returns where to connect for the address of a peer.
     """
 
     def __init__(
@@ -148,6 +156,7 @@
         codec: Codec,
         udp: UdpSocket,
         callbacks: Callbacks,
+        reach: Callable[[str], str],
     ) -> None:
         self._logs = {name: VersionedLog(table, name) for name in (LogName.FLEET, LogName.SETTINGS)}
         self._objects = objects
@@ -155,6 +164,7 @@
         self._codec = codec
         self._udp = udp
         self._callbacks = callbacks
+        self._reach = reach
         self._tried_checkpoint = False
         self.http_bytes = 0
 
@@ -243,7 +253,7 @@
         return msgspec.msgpack.decode(body, type=LogRecords).records
 
     def _get(self, address: str, target: str) -> tuple[int, bytes]:
-        peer = HttpPeer(address)
+        peer = HttpPeer(self._reach(address))
         try:
             answer = peer.fetch("GET", target, timeout_s=PEER_TIMEOUT_S)
         finally:
@@ -257,7 +267,7 @@
         return answer.status, body
 
     def _post(self, post: Post) -> None:
-        peer = HttpPeer(post.address)
+        peer = HttpPeer(self._reach(post.address))
         try:
             peer.fetch("POST", "/v1/message", post.data, timeout_s=PEER_TIMEOUT_S)
         except AuburnsailError as error:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -64,7 +64,7 @@
         self._mover = Mover(self._membership, self._fleet)
         self._router = Router(self._fleet, TreeSettings({}))
         self._gate = RequestGate(self._mover, self._membership, self._clock)
-        self._udp = UdpSocket(settings.control_address, self._on_datagram)
+        self._udp = UdpSocket(settings.control_address, self._on_datagram, settings.reach)
         self._io = NodeIo(
             HttpTableStore(settings.store_url),
             HttpObjectStore(settings.objects_url),
@@ -72,6 +72,7 @@
             self._codec,
             self._udp,
             Callbacks(self._on_store_reply, self._on_records, self._on_restored, self._on_failure),
+            settings.reach,
         )
         self._violation = ""
         self._announcement: Announcement | None = None
--- a/src/auburnsail/_settings.py
+++ b/src/auburnsail/_settings.py
@@ -57,6 +57,8 @@
         log_format: ``console`` or ``json``.
         store_region: Region of the store; its nodes record proposals. Empty for any node.
         peers: Control addresses of other nodes, asked for the logs while the store is down.
+        address_overrides: Where to connect instead of an address that a session names, for
+            example through the relay that stands for a link between regions.
     """
 
     node: Name
@@ -70,6 +72,11 @@
     log_format: Annotated[str, msgspec.Meta(pattern="^(console|json)$")] = "console"
     store_region: Annotated[str, msgspec.Meta(pattern=r"^[a-z0-9-]{0,63}$")] = ""
     peers: tuple[Address, ...] = ()
+    address_overrides: dict[Address, Address] = {}
+
+    def reach(self, address: str) -> str:
+        """Returns where to connect for an address."""
+        return self.address_overrides.get(address, address)
 
 
 class ServiceSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/tools/demo_fleet.py
+++ b/tools/demo_fleet.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from standins.ledger import Execution, read_ledger
+from standins.link_model import Conditions
 
 from .processes import FLEET_SECRET, Processes, free_addresses
 
@@ -89,13 +90,19 @@
     Args:
         processes: Starts the processes.
         folder: Receives settings and ledgers.
+        links: Conditions of the links between regions, by `link_name`; without any, nodes of
+            different regions reach each other directly.
     """
 
-    def __init__(self, processes: Processes, folder: Path) -> None:
+    def __init__(
+        self, processes: Processes, folder: Path, links: dict[str, Conditions] | None = None
+    ) -> None:
         self._processes = processes
         self._folder = folder
-        self._platform = free_addresses(1)[0]
+        self._platform, self._link_admin = free_addresses(2)
         self.vms = _plan_vms()
+        self._relays: dict[tuple[str, str], str] = {}
+        self._links = links or {}
         self.killed: set[str] = set()
 
     @property
@@ -115,6 +122,8 @@
         """
         self._processes.start("platform", "standins.platform", "--listen", self._platform)
         self._await("the platform", lambda: call(self._platform, "GET", "/admin/faults"))
+        if self._links:
+            self._start_links()
         tree = self._processes.write_settings("tree", TREE)
         arguments = ("settings", "init", "--store", self.store_url, tree)
         self._processes.start("settings", "auburnsail._cli_operator", *arguments)
@@ -162,6 +171,32 @@
         """Returns every execution of all upstreams."""
         return [run for vm in self.vms for run in read_ledger(self._ledger(vm))]
 
+    def change_link(self, name: str, conditions: Conditions) -> None:
+        """Changes the conditions of a link in both directions."""
+        change = {"link": name, "conditions": conditions}
+        call(self._link_admin, "POST", "/admin/links", change)
+
+    def link_traffic(self) -> dict:
+        """Returns conditions and traffic of each link."""
+        return call(self._link_admin, "GET", "/admin/links")
+
+    def _start_links(self) -> None:
+        """Starts one relay port per region and per address of a node in another region."""
+        pairs = [
+            (region, address, link_name(region, vm.region))
+            for vm in self.vms
+            for address in (vm.data, vm.control)
+            for region in REGIONS
+            if region != vm.region
+        ]
+        relays = []
+        for (region, address, link), listen in zip(pairs, free_addresses(len(pairs)), strict=True):
+            self._relays[region, address] = listen
+            relays.append({"listen": listen, "target": address, "link": link})
+        settings = self._processes.write_settings("links", {"relays": relays, "links": self._links})
+        self._processes.start("links", "standins.link", settings, "--admin", self._link_admin)
+        self._await("the links", self.link_traffic)
+
     def _start_vm(self, vm: Vm) -> None:
         content = {
             "node": vm.name,
@@ -173,6 +208,11 @@
             "objects_url": self.store_url,
             "store_region": STORE_REGION,
             "fleet_secret": FLEET_SECRET,
+            "address_overrides": {
+                address: relay
+                for (region, address), relay in self._relays.items()
+                if region == vm.region
+            },
             "peers": [peer.control for peer in self.vms[:KNOWN_PEERS] if peer is not vm],
         }
         settings = self._processes.write_settings(vm.name, content)
@@ -206,6 +246,11 @@
         raise FleetError(f"{what} did not come within {START_LIMIT_S:.0f} s: {self.statuses()}")
 
 
+def link_name(one: str, other: str) -> str:
+    """Returns the name of the link between two regions."""
+    return "-".join(sorted((one, other)))
+
+
 def _plan_vms() -> list[Vm]:
     places = [
         (region, f"{region}-{number + 1}", service)
