--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 export PYTHONPATH := src:.
 
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 
 .venv: .venv/.installed
 
@@ -41,8 +42,19 @@
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
 
+settings-spread: .venv
+	$(PY) -m tools.settings_spread
+
 demo: .venv
 	$(PY) -m tools.demo
 
 region-cut: .venv
 	$(PY) -m tools.region_cut
+overload: .venv
+	$(PY) -m tools.overload
+
+poison: .venv
+	$(PY) -m tools.poison
+
+balance: .venv
+	$(PY) -m tools.balance
