--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 
 .venv: .venv/.installed
@@ -47,6 +48,8 @@
 demo: .venv
 	$(PY) -m tools.demo
 
+region-cut: .venv
+	$(PY) -m tools.region_cut
 overload: .venv
 	$(PY) -m tools.overload
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -69,6 +69,7 @@
             signer=HopSigner(settings.fleet_secret),
             own_address=settings.data_address,
             admission=ObservedAdmission(self._admission, on_failed_attempt),
+            reach=settings.reach,
             chooser=self._chooser,
             crashes=self._crashes,
             clock=clock,
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -57,6 +57,7 @@
         clock: Source of time.
         jitter: Returns random numbers in [0, 1).
         on_violation: Called once when a guarantee was found broken.
+        reach: Returns where to connect for the address of an upstream or a node.
     """
 
     def __init__(
@@ -73,6 +74,7 @@
         clock: Clock | None = None,
         jitter: Callable[[], float] = random.random,
         on_violation: Callable[[InvariantViolation], None] | None = None,
+        reach: Callable[[str], str] = str,
     ) -> None:
         self._router = router
         self._signer = signer
@@ -82,7 +84,7 @@
         self._policies: dict[str, RequestPolicy] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._flights = FlightTable()
-        self._peers = PeerTable(self._clock)
+        self._peers = PeerTable(self._clock, reach=reach)
         self._next_expiry_ns = 0
         self._log = structlog.get_logger(address=own_address)
         self._next_log_ns = 0
