--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -97,6 +97,20 @@
         with self.assertRaisesRegex(RefusedError, "no approval"):
             self.operators["eve"].accept(change)
 
+    def test_approval_lapses_with_the_content_or_with_authorship(self):
+        """Guards against approvals of older content, and of people who turned into authors."""
+        change = self.operators.proposed("ann", WAIT, 11)
+        self.operators["bob"].review(change, "approve", "")
+        text = self.operators["bob"].proposals.read(change).text
+        self.operators["ann"].amend(change, text.replace("11", "12"), "test", None)
+        with self.assertRaisesRegex(RefusedError, "no approval"):
+            self.operators["ann"].accept(change)
+        self.operators["bob"].review(change, "approve", "")
+        same_values = text.replace("11", "12") + "\n"
+        self.operators["bob"].amend(change, same_values, "test", None)
+        with self.assertRaisesRegex(RefusedError, "no approval"):
+            self.operators["ann"].accept(change)
+
     def test_objection_blocks_until_it_is_withdrawn(self):
         """Guards against an acceptance over a standing objection."""
         change = self.operators.proposed("ann", WAIT, 11)
