--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections settings-spread
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 
 .venv: .venv/.installed
 
@@ -46,3 +46,12 @@
 
 demo: .venv
 	$(PY) -m tools.demo
+
+overload: .venv
+	$(PY) -m tools.overload
+
+poison: .venv
+	$(PY) -m tools.poison
+
+balance: .venv
+	$(PY) -m tools.balance
