Test the drain of an upstream and the join from a checkpoint

An upstream that announced its drain got no new work after two seconds; a state restored from a checkpoint reaches the same bytes as the original.

--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,8 +4,10 @@
 from unittest import mock
 
 from auburnsail import _rules
+from auburnsail._checkpoint import dump_fleet, restore_fleet
+from auburnsail._fleet import FleetState
 from auburnsail._messages import Codec, Taken
-from auburnsail._model import Transfer
+from auburnsail._model import Transfer, decode_entry
 from auburnsail._moves import Admission
 from auburnsail.exceptions import InvariantViolation
 from tests.sim import SECRET, SERVICE, SHARDS, DoubleOwnershipError, Sim
@@ -97,6 +99,20 @@
         self.assertTrue(other.membership.recording.is_settled("copy"))
         self.assertEqual(fleet.owner(SERVICE, shard).session.id, ids[0])
 
+    def test_a_checkpoint_continues_the_log(self):
+        """Guards against a node that joins from a checkpoint and reaches another state."""
+        fleet = self.sim.nodes[0].fleet
+        copy = FleetState()
+        self.assertTrue(restore_fleet(copy, dump_fleet(fleet)))
+        self.assertFalse(restore_fleet(copy, dump_fleet(fleet)))
+        version = fleet.version
+        self.sim.kill(5)
+        self.sim.run(2000)
+        self.assertGreater(fleet.version, version)
+        for data in self.sim.log[version : fleet.version]:
+            copy.apply(decode_entry(data))
+        self.assertEqual(dump_fleet(copy), dump_fleet(fleet))
+
     def test_drain_waits_for_requests_in_flight(self):
         """Guards against a shard that moves while its owner runs a request for it."""
         node = self.sim.nodes[0]
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -114,6 +114,19 @@
         wrong = control.fetch("POST", "/v1/move?target=nobody&shards=1", timeout_s=2.0)
         self.assertEqual(wrong.status, 400)
 
+    def test_a_draining_upstream_gets_no_new_work_after_two_seconds(self):
+        """Guards against new work for an upstream that announced that it leaves."""
+        upstream = self.fleet.members["node-3"].processes[1]
+        upstream.send_signal(signal.SIGTERM)
+        start = time.time()
+        while time.time() < start + 2.5 and upstream.poll() is None:
+            for key in KEYS[:20]:
+                answer = self.get("node-1", key)
+                self.assertIn(answer.status, (200, 503))
+                last = msgspec.json.decode(answer.body).get("upstream")
+                self.assertFalse(last == "node-3" and time.time() > start + 2)
+        self.assertNotIn("node-3", {self.served_by("node-1", key) for key in KEYS})
+
     def test_a_settings_change_is_in_force_everywhere(self):
         """Guards against nodes that keep old settings or need a restart for new ones."""
         log = VersionedLog(HttpTableStore(self.fleet.store_url), "settings")
