Choose successors with the placement policy's choose_successors

The recorder and the drain spread shards with a function of their own; they now use the pure choose_successors, which also keeps shards out of a failing domain. The log shows numbers of shards and no load, so each shard counts as an equal part of half the service's slots.

--- a/src/auburnsail/_grants.py
+++ b/src/auburnsail/_grants.py
@@ -1,12 +1,35 @@
-"""Chooses new owners for shards without one."""
+"""New owners for shards that a command frees or assigns, from what the fleet's state shows."""
 
-import heapq
-from collections.abc import Mapping, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ._fleet import FleetState, SessionRow
 from ._model import Grant, SessionId
+from ._placement_model import ClosedSession, ServerLoad
+from ._successors import choose_successors
 
-__all__ = ["Candidate", "spread_shards"]
+__all__ = ["Candidate", "Lost", "candidate_of", "spread_shards"]
+
+# The log tells how many shards a session owns and not how busy they are. All shards together
+# count as half of the service's slots, so that sessions with fewer shards are filled first.
+ASSUMED_UTILISATION = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class Lost:
+    """Shards that need new owners.
+
+    Attributes:
+        command: Id of the command that frees or assigns them.
+        session: The session that loses them, an empty name for none.
+        domain: Its failure domain.
+        shards: The shards.
+    """
+
+    command: str
+    session: SessionId
+    domain: str
+    shards: tuple[int, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,30 +37,41 @@
     """A session that can take shards."""
 
     session: SessionId
+    region: str
+    domain: str
     slots: int
     shards: int
 
 
+def candidate_of(fleet: FleetState, row: SessionRow) -> Candidate:
+    """Returns an open session as a candidate."""
+    session = row.session
+    shards = fleet.shard_count(row)
+    return Candidate(session.id, session.region, session.domain, session.slots, shards)
+
+
 def spread_shards(
-    lost: Mapping[str, Sequence[int]], candidates: Sequence[Candidate]
+    lost: Sequence[Lost], candidates: Sequence[Candidate]
 ) -> dict[str, tuple[Grant, ...]]:
-    """Gives each shard to the session with the fewest shards per slot.
+    """Gives shards to the sessions with the fewest shards per slot, outside failing domains.
 
     Args:
-        lost: Shards to give away, by the id of the command that frees them.
+        lost: Shards to give away; each session at most once.
         candidates: Open sessions of the service that stay.
 
     Returns:
         The grants of each command; empty if there is no candidate.
     """
-    heap = [(item.shards / item.slots, item.session, item) for item in candidates if item.slots > 0]
-    heapq.heapify(heap)
-    grants: dict[str, tuple[Grant, ...]] = {}
-    for command_id in sorted(lost):
-        taken: dict[SessionId, list[int]] = {}
-        for shard in lost[command_id] if heap else ():
-            load, session, item = heap[0]
-            heapq.heapreplace(heap, (load + 1 / item.slots, session, item))
-            taken.setdefault(session, []).append(shard)
-        grants[command_id] = tuple(Grant(to, tuple(taken[to])) for to in sorted(taken))
-    return grants
+    shards = sum(len(item.shards) for item in lost) + sum(item.shards for item in candidates)
+    slots = sum(item.slots for item in candidates)
+    load = ASSUMED_UTILISATION * slots / max(1, shards)
+    closed = [
+        ClosedSession(item.session, item.domain, item.shards, load * len(item.shards))
+        for item in lost
+    ]
+    servers = [
+        ServerLoad(item.session, item.region, item.domain, item.slots, load * item.shards)
+        for item in candidates
+    ]
+    grants = choose_successors(closed, servers)
+    return {item.command: grants[item.session] for item in lost}
--- a/src/auburnsail/_moves.py
+++ b/src/auburnsail/_moves.py
@@ -8,7 +8,7 @@
 from ._clock import NS_PER_MS
 from ._effects import Note
 from ._fleet import FleetState, Verdict
-from ._grants import Candidate, spread_shards
+from ._grants import Candidate, Lost, candidate_of, spread_shards
 from ._membership import Membership
 from ._model import SessionId, Transfer
 from .exceptions import InvariantViolation
@@ -249,12 +249,13 @@
         candidates = self._candidates(service)
         if not shards or not candidates:
             return
-        for grant in spread_shards({"drain": shards}, candidates)["drain"]:
+        lost = Lost("drain", row.session.id, row.session.domain, tuple(shards))
+        for grant in spread_shards([lost], candidates)["drain"]:
             self.move(service, list(grant.shards), grant.to, now_ns)
 
     def _candidates(self, service: str) -> list[Candidate]:
         return [
-            Candidate(session_id, row.session.slots, self._fleet.shard_count(row))
+            candidate_of(self._fleet, row)
             for session_id, row in self._fleet.sessions.items()
             if row.session.service == service and session_id != self._membership.own_id
         ]
--- a/src/auburnsail/_recorder.py
+++ b/src/auburnsail/_recorder.py
@@ -2,7 +2,7 @@
 
 import heapq
 import random
-from collections.abc import Callable, Mapping, Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 
 from . import _rules
@@ -10,7 +10,7 @@
 from ._digest import blake2s
 from ._effects import Appended, NotWritten, StoreReply, StoreRequest, Superseded
 from ._fleet import FleetState
-from ._grants import Candidate, spread_shards
+from ._grants import Candidate, Lost, candidate_of, spread_shards
 from ._model import (
     Assign,
     Close,
@@ -30,10 +30,9 @@
 MAX_COMMANDS_PER_ENTRY = 2048
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 1000
+NOBODY = SessionId("", 0)
 
-SuccessorChoice = Callable[
-    [Mapping[str, Sequence[int]], Sequence[Candidate]], dict[str, tuple[Grant, ...]]
-]
+SuccessorChoice = Callable[[Sequence[Lost], Sequence[Candidate]], dict[str, tuple[Grant, ...]]]
 
 
 def rank_recorders(fleet: FleetState, region: str, count: int) -> list[SessionId]:
@@ -182,28 +181,29 @@
 ) -> tuple[Command, ...]:
     """Fills in the new owners of shards that the commands free or assign."""
     ending = {_ends(command) for command in commands}
-    lost: dict[str, dict[str, list[int]]] = {}
+    lost: dict[str, dict[SessionId, Lost]] = {}
     for command in commands:
-        row = fleet.sessions.get(_ends(command)) if _ends(command) else None
+        ended = _ends(command)
+        row = fleet.sessions.get(ended) if ended else None
         if isinstance(command, Assign) and not command.grants and command.service in fleet.tables:
-            unowned = fleet.tables[command.service].owned_by(NO_OWNER)
-            lost.setdefault(command.service, {})[command.id] = unowned
+            unowned = tuple(fleet.tables[command.service].owned_by(NO_OWNER))
+            item = Lost(command.id, NOBODY, "", unowned)
+            lost.setdefault(command.service, {})[NOBODY] = item
         elif row is not None and not isinstance(command, Leave) and not command.grants:
-            lost.setdefault(row.session.service, {})[command.id] = fleet.shards_of(row)
+            shards = tuple(fleet.shards_of(row))
+            item = Lost(command.id, ended, row.session.domain, shards)
+            lost.setdefault(row.session.service, {}).setdefault(ended, item)
     grants: dict[str, tuple[Grant, ...]] = {}
-    for service, shards in lost.items():
-        grants.update(successors(shards, _candidates(fleet, service, ending)))
+    for service, items in lost.items():
+        candidates = [
+            candidate_of(fleet, row)
+            for session_id, row in fleet.sessions.items()
+            if row.session.service == service and session_id not in ending
+        ]
+        grants.update(successors(list(items.values()), candidates))
     return tuple(_with_grants(command, grants.get(command.id)) for command in commands)
 
 
-def _candidates(fleet: FleetState, service: str, ending: set) -> list[Candidate]:
-    return [
-        Candidate(session_id, row.session.slots, fleet.shard_count(row))
-        for session_id, row in fleet.sessions.items()
-        if row.session.service == service and session_id not in ending
-    ]
-
-
 def _ends(command: Command) -> SessionId | None:
     match command:
         case Close(session=session) | Leave(session=session) | DeclareLost(session=session):
