State a seal again until the log ends the session

Cause: watchers sent the notice of a seal once. If both notices were lost, neither watcher had two seals and the session stayed open. Found while measuring the loss of a failure domain in the simulated fleet with 1 % of the datagrams lost. Change: the notice is repeated every 100 ms. A first test that lost everything for half a second passed without the change, because the nodes sealed one another; the test now drives one watcher.

--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -227,9 +227,10 @@
             match action:
                 case Ask(holder=holder):
                     self._outbox.send_to(others, Query(holder, own_id))
-                case Seal(holder=holder, silent_ms=silent_ms):
-                    facts = {"session": str(holder), "silent_ms": silent_ms}
-                    self._outbox.note("seal", "full silence", **facts)
+                case Seal(holder=holder, silent_ms=silent_ms, is_new=is_new):
+                    if is_new:
+                        facts = {"session": str(holder), "silent_ms": silent_ms}
+                        self._outbox.note("seal", "full silence", **facts)
                     self._outbox.send_to(others, SealNotice(holder, own_id, silent_ms))
                     self._recording.suspect(holder, now_ns)
         for holder in self._watcher.holders:
--- a/src/auburnsail/_watch.py
+++ b/src/auburnsail/_watch.py
@@ -13,6 +13,8 @@
 # A watcher that heard the holder within two renewal intervals vouches for it.
 HEARD_WITHIN_MS = 400
 ASK_AGAIN_MS = 200
+# A session whose watchers miss each other's only notice would stay open for ever.
+SEAL_AGAIN_MS = 100
 # A holder that proposes this watcher renews with it before the log names it.
 UNNAMED_KEPT_MS = 10_000
 
@@ -26,10 +28,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Seal:
-    """A session was sealed by this watcher."""
+    """A session was sealed by this watcher; stated again until the log ends the session."""
 
     holder: SessionId
     silent_ms: int
+    is_new: bool
 
 
 @dataclass(slots=True)
@@ -132,9 +135,12 @@
                 if silent_ns > UNNAMED_KEPT_MS * NS_PER_MS:
                     del self._rows[holder]
                 continue
-            if holder in self._sealed or silent_ns < _rules.full_silence_ns():
+            if holder in self._sealed:
+                action = self._repeat_seal(holder, row, now_ns)
+            elif silent_ns < _rules.full_silence_ns():
                 continue
-            action = self._judge(holder, row, now_ns)
+            else:
+                action = self._judge(holder, row, now_ns)
             if action is not None:
                 actions.append(action)
         return actions
@@ -156,8 +162,15 @@
             return self._seal(holder, row, now_ns)
         return None
 
+    def _repeat_seal(self, holder: SessionId, row: _Row, now_ns: int) -> Seal | None:
+        if now_ns < row.next_ask_ns:
+            return None
+        row.next_ask_ns = now_ns + SEAL_AGAIN_MS * NS_PER_MS
+        return Seal(holder, self._sealed[holder], False)
+
     def _seal(self, holder: SessionId, row: _Row, now_ns: int) -> Seal:
         silent_ms = (now_ns - row.heard_ns) // NS_PER_MS
         self._sealed[holder] = silent_ms
         self.on_seal(holder, Evidence(self._session, silent_ms))
-        return Seal(holder, silent_ms)
+        row.next_ask_ns = now_ns + SEAL_AGAIN_MS * NS_PER_MS
+        return Seal(holder, silent_ms, True)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,9 @@
 from auburnsail._checkpoint import dump_fleet, restore_fleet
 from auburnsail._fleet import FleetState
 from auburnsail._messages import Codec, Taken
-from auburnsail._model import Transfer, decode_entry
+from auburnsail._model import SessionId, Transfer, decode_entry
 from auburnsail._moves import Admission
+from auburnsail._watch import Seal, Watcher
 from auburnsail.exceptions import InvariantViolation
 from tests.sim import SECRET, SERVICE, SHARDS, DoubleOwnershipError, Sim
 
@@ -129,6 +130,24 @@
         self.assertEqual(self.sim.served(), SHARDS)
 
 
+class WatcherTest(unittest.TestCase):
+    """One watcher on its own."""
+
+    def test_a_seal_is_stated_until_the_log_ends_the_session(self):
+        """Guards against a session that stays open because its watchers missed one notice."""
+        holder = SessionId("holder", 1)
+        watcher = Watcher(SessionId("watcher", 1))
+        watcher.name(holder, 1, 0)
+        seals = []
+        for now_ns in range(0, 1_200_000_000, 50_000_000):
+            seals += [action for action in watcher.tick(now_ns) if isinstance(action, Seal)]
+        self.assertEqual([seal.is_new for seal in seals[:3]], [True, False, False])
+        self.assertFalse(watcher.on_renewal(holder, 1_200_000_000))
+        watcher.forget(holder)
+        self.assertEqual(watcher.tick(2_000_000_000), [])
+        self.assertFalse(watcher.on_renewal(holder, 2_000_000_000))
+
+
 class CodecTest(unittest.TestCase):
     """Datagrams from outside the fleet and repeated ones."""
 
