--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -100,6 +100,33 @@
         wait_until(lambda: status("/v1/status")["service"] == "", "routing without an upstream", 5)
         self.assertEqual(self.served_by("node-3", lost), self.owner(lost, "node-0"))
 
+    def test_planned_moves_under_load_refuse_nothing_for_long(self):
+        """Guards against a move that loses requests or leaves two upstreams with one epoch."""
+        key = next(key for key in KEYS if self.owner(key, "node-0") == "node-3")
+        control = HttpPeer(self.fleet.members["node-3"].control)
+        moved = control.fetch("POST", "/v1/move?target=node-1&shards=64", timeout_s=2.0)
+        self.assertGreater(msgspec.json.decode(moved.body)["moving"], 0)
+        answers = [self.get("node-2", key) for _ in range(50)]
+        self.assertEqual({answer.status for answer in answers}, {200})
+        self.assertEqual(self.served_by("node-2", key), "node-1")
+        grants = [run["grant"].split(";")[2] for run in self.ledger("node-1") if run["grant"]]
+        self.assertTrue(set(grants) & {"2", "3"})
+        wrong = control.fetch("POST", "/v1/move?target=nobody&shards=1", timeout_s=2.0)
+        self.assertEqual(wrong.status, 400)
+
+    def test_a_draining_upstream_gets_no_new_work_after_two_seconds(self):
+        """Guards against new work for an upstream that announced that it leaves."""
+        upstream = self.fleet.members["node-3"].processes[1]
+        upstream.send_signal(signal.SIGTERM)
+        start = time.time()
+        while time.time() < start + 2.5 and upstream.poll() is None:
+            for key in KEYS[:20]:
+                answer = self.get("node-1", key)
+                self.assertIn(answer.status, (200, 503))
+                last = msgspec.json.decode(answer.body).get("upstream")
+                self.assertFalse(last == "node-3" and time.time() > start + 2)
+        self.assertNotIn("node-3", {self.served_by("node-1", key) for key in KEYS})
+
     def test_a_settings_change_is_in_force_everywhere(self):
         """Guards against nodes that keep old settings or need a restart for new ones."""
         log = VersionedLog(HttpTableStore(self.fleet.store_url), "settings")
