Keep the room of new servers for drains and weigh peaks

Cause: owners filled a restarted server at once, so the next server of a rolling restart drained to everywhere and most shards moved twice; and squared deviations spent moves on servers far from the peak. Change: a new server's room is kept for draining or overloaded owners for two minutes and its fill starts after that; the gain of a move uses the eighth power of the utilisation; a plan proposes no shard that its target would decline; a leaving owner samples the newest sessions too.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format
+.PHONY: test unit check format placement-experiments drain-experiment
 
 .venv: .venv/.installed
 
@@ -24,3 +24,11 @@
 	$(PY) -m unittest discover -s tests -t .
 
 test: check unit
+
+# Compares placement planners; prints one table and writes the plot of the design note.
+placement-experiments: .venv
+	$(PY) -m tools.placement_experiments --plot docs/notes/placement.png
+
+# Compares ways to order the moves of drains that compete for room.
+drain-experiment: .venv
+	$(PY) -m tools.placement_drains
--- a/src/auburnsail/_placement.py
+++ b/src/auburnsail/_placement.py
@@ -33,7 +33,11 @@
     MoveBudget,
     ReservationBook,
     decide_reservation,
+    fill_capacity,
+    is_kept_for_drains,
+    is_overloaded,
     ready_capacity,
+    sample_peers,
     trusted_load,
 )
 from ._successors import choose_successors
@@ -61,6 +65,7 @@
     "decide_reservation",
     "move_ms",
     "plan_moves",
+    "sample_peers",
     "transfer_batches",
 ]
 
@@ -70,9 +75,16 @@
 BUSY_MOVE_EXTRA_MS = 50.0
 AVERAGE_MOVE_MS = 75.0
 
-# Price of moving one average shard, in the unit of the imbalance term. With weights of 1 an
-# average shard moves when source and target differ by 10% of the mean (see _gain).
-MOVE_PRICE = 0.2
+# Price of moving one average shard, in units of squared deviation. With equal weights an average
+# shard moves when source and target differ by 40% of the mean; a shard with four times the average
+# load moves at 10%. docs/notes/placement.md weighs other values.
+MOVE_PRICE = 0.4
+
+# Users see max/mean and p99/mean, so a high power makes the busiest servers count most.
+STRAIN_POWER = 8
+
+# Above every shard number, so that a bisection finds the last shard of a load.
+MAX_SHARD = 1 << 32
 
 
 @dataclass(slots=True)
@@ -148,15 +160,20 @@
 ) -> Plan:
     fixed = view.in_transit | view.settling
     free = sorted((load, shard) for shard, load in view.shards.items() if shard not in fixed)
-    targets = _open_targets(view, limits.max_utilisation, limits)
+    kept, targets = [], []
+    for target in _open_targets(view):
+        target.room = fill_capacity(target.server, limits) * limits.max_utilisation - target.load
+        (kept if is_kept_for_drains(target.server, limits) else targets).append(target)
     moves: list[Move] = []
     while len(moves) < min(limits.moves_per_plan, view.moves_left):
         best = _best_move(view, own_load, mean, free, targets, weights)
+        if best is None and is_overloaded(own_load, view.own.capacity, limits):
+            best = _best_move(view, own_load, mean, free, kept, weights)
         if best is None:
             break
         index, target = best
         load, shard = free.pop(index)
-        filling = target.server.age_ms < limits.slow_start_ms
+        filling = target.server.age_ms < limits.fill_delay_ms + limits.slow_start_ms
         reason = MoveReason.FILL if filling else MoveReason.BALANCE
         moves.append(Move(shard, load, target.server.session, reason))
         own_load -= load
@@ -166,14 +183,13 @@
     return Plan(tuple(moves), (), mean, detail)
 
 
-def _open_targets(view: OwnerView, share: float, limits: Limits) -> list[_Target]:
+def _open_targets(view: OwnerView) -> list[_Target]:
     targets = []
     for server in view.peers:
         if server.leaving or server.capacity <= 0 or server.session == view.own.session:
             continue
         load = trusted_load(server) + server.reserved
-        room = ready_capacity(server, limits) * share - load
-        targets.append(_Target(server, load, room))
+        targets.append(_Target(server, load, server.capacity - load))
     return sorted(targets, key=lambda target: target.server.session)
 
 
@@ -185,7 +201,9 @@
     targets: list[_Target],
     weights: Weights,
 ) -> tuple[int, _Target] | None:
-    if own_load <= mean * view.own.capacity:
+    load = own_load + sum(target.load for target in targets)
+    capacity = view.own.capacity + sum(target.server.capacity for target in targets)
+    if own_load / view.own.capacity <= load / capacity:
         return None
     best_gain = 0.0
     best = None
@@ -195,44 +213,51 @@
             continue
         ideal = excess / (1 / view.own.capacity + 1 / target.server.capacity)
         limit = min(ideal, target.room)
-        # The gain grows up to the ideal load, so only the shards next to it can be the best.
-        position = bisect_left(free, (limit, -1))
-        for index in (position - 1, position):
-            if not 0 <= index < len(free) or free[index][0] > target.room:
-                continue
-            gain = _gain(view, own_load, target, mean, free[index][0], weights)
-            if gain > best_gain:
-                best_gain = gain
-                best = (index, target)
+        # The gain grows up to the ideal load; a larger shard would make the target the busier one,
+        # and the target would decline it.
+        index = bisect_left(free, (limit, MAX_SHARD)) - 1
+        if index < 0:
+            continue
+        gain = _gain(view, own_load, target, mean, free[index][0], weights)
+        if gain > best_gain:
+            best_gain = gain
+            best = (index, target)
     return best
 
 
 def _gain(
     view: OwnerView, own_load: float, target: _Target, mean: float, load: float, weights: Weights
 ) -> float:
-    """Returns the worth of a move: less squared deviation from the mean, minus its price.
-
-    Deviations are in units of the mean. An average shard has the share ``1 / fair_shards`` of a
-    server's load, so its move between servers that differ by d gains about
-    ``2 * d / fair_shards``; the price has the same divisor.
-    """
+    """Returns the worth of a move: less imbalance, minus its price."""
     own, peer = view.own.capacity, target.server.capacity
-    unit = (own + peer) / 2 * mean
-    spread = own_load / own - target.load / peer
-    less_deviation = (2 * load * spread - load * load * (1 / own + 1 / peer)) / (unit * mean)
+    before = own * _strain(own_load / own / mean) + peer * _strain(target.load / peer / mean)
+    own_after = _strain((own_load - load) / own / mean)
+    peer_after = _strain((target.load + load) / peer / mean)
+    relief = (before - own * own_after - peer * peer_after) * 2 / (own + peer)
     cost = weights.churn + weights.unavailable * move_ms(load) / AVERAGE_MOVE_MS
-    price = MOVE_PRICE * cost / weights.imbalance / max(1.0, view.fair_shards)
-    return less_deviation - price
+    return relief - MOVE_PRICE * cost / weights.imbalance / max(1.0, view.fair_shards)
+
+
+def _strain(utilisation: float) -> float:
+    """Returns the imbalance that a server adds, from its utilisation in units of the mean.
+
+    Users see max/mean and p99/mean. A high power makes the busiest servers count most; the divisor
+    makes it equal to the squared deviation near the mean, whatever the power.
+    """
+    return utilisation**STRAIN_POWER * 2 / (STRAIN_POWER * (STRAIN_POWER - 1))
 
 
 def _plan_drain(view: OwnerView, mean: float, limits: Limits) -> Plan:
     """Assigns every shard of a leaving owner, largest first, to the least utilised target.
 
     Targets in a domain that another server is leaving come last, because the whole domain may be
-    about to leave and the shards would move twice. So does room beyond a cold server's share.
+    about to leave and the shards would move twice.
     """
     leaving_domains = {server.domain for server in view.peers if server.leaving}
-    targets = _open_targets(view, limits.max_drain_utilisation, limits)
+    targets = _open_targets(view)
+    for target in targets:
+        ready = ready_capacity(target.server, limits)
+        target.room = ready * limits.max_drain_utilisation - target.load
     preferred = [target for target in targets if target.server.domain not in leaving_domains]
     loads = [(load, shard) for shard, load in view.shards.items() if shard not in view.in_transit]
     loads.sort(key=lambda item: (-item[0], item[1]))
@@ -240,12 +265,6 @@
     if rest:
         more, rest = _fill_least_utilised(rest, targets)
         moves += more
-    if rest:
-        for target in targets:
-            cold = target.server.capacity - ready_capacity(target.server, limits)
-            target.room += cold * limits.max_drain_utilisation
-        more, rest = _fill_least_utilised(rest, targets)
-        moves += more
     moves.sort(key=lambda move: (move.load, move.shard))
     detail = f"drain of {len(loads)} shards, {len(rest)} without room"
     return Plan(tuple(moves), tuple(shard for _, shard in rest), mean, detail)
--- a/src/auburnsail/_placement_model.py
+++ b/src/auburnsail/_placement_model.py
@@ -65,17 +65,21 @@
             leaving shards is unavailable at the same moment.
         max_utilisation: A target accepts no balance move beyond this share of its capacity.
         max_drain_utilisation: The same for the shards of a draining owner.
-        slow_start_ms: Time over which a joining server is filled.
+        slow_start_ms: Time over which a joining server becomes ready for its full capacity.
+        fill_delay_ms: A joining server's room is kept for draining owners for this long. In a
+            rolling restart the next server then drains into the one restarted before, so that
+            most shards move once and not twice.
         settle_ms: A shard that has just moved stays for this long.
         reservation_ms: A target keeps a reservation for this long.
     """
 
-    moves_per_minute: int = 60
+    moves_per_minute: int = 30
     moves_per_plan: int = 8
     drain_batches: int = 8
     max_utilisation: float = 0.85
     max_drain_utilisation: float = 1.0
     slow_start_ms: int = 60_000
+    fill_delay_ms: int = 120_000
     settle_ms: int = 60_000
     reservation_ms: int = 5_000
 
@@ -89,8 +93,9 @@
     imbalance: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 2.0
     churn: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
     unavailable: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
-    moves_per_minute: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 60
+    moves_per_minute: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 30
     slow_start_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 60_000
+    fill_delay_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 120_000
 
     def weights(self) -> Weights:
         """Returns the weights that these settings state."""
@@ -98,7 +103,11 @@
 
     def limits(self) -> Limits:
         """Returns the limits that these settings state."""
-        return Limits(moves_per_minute=self.moves_per_minute, slow_start_ms=self.slow_start_ms)
+        return Limits(
+            moves_per_minute=self.moves_per_minute,
+            slow_start_ms=self.slow_start_ms,
+            fill_delay_ms=self.fill_delay_ms,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,7 +157,7 @@
     fair_shards: float
     in_transit: frozenset[int] = frozenset()
     settling: frozenset[int] = frozenset()
-    moves_left: int = 60
+    moves_left: int = 30
 
 
 class MoveReason(Enum):
@@ -182,7 +191,9 @@
 
     Attributes:
         moves: The moves; no shard occurs twice.
-        stranded: Shards that have to leave but that no sampled peer has room for.
+        stranded: Shards that have to leave but that no sampled peer has room for. The owner plans
+            again with another sample, and transfers what is left at the end of its drain to the
+            targets that `choose_successors` names.
         mean_utilisation: Load over capacity of the sample.
         detail: One sentence for the journal.
     """
--- a/src/auburnsail/_reserve.py
+++ b/src/auburnsail/_reserve.py
@@ -3,11 +3,14 @@
 Load that a node counted itself outranks what its upstream reports: reports lag or mislead.
 """
 
+from collections.abc import Sequence
 from dataclasses import dataclass
+from random import Random
 
 from ._model import SessionId
 from ._placement_model import (
     DEFAULT_LIMITS,
+    MAX_PEERS_IN_SAMPLE,
     Limits,
     ReservationReply,
     ReservationRequest,
@@ -18,7 +21,11 @@
     "MoveBudget",
     "ReservationBook",
     "decide_reservation",
+    "fill_capacity",
+    "is_kept_for_drains",
+    "is_overloaded",
     "ready_capacity",
+    "sample_peers",
     "trusted_load",
     "warmth",
 ]
@@ -56,10 +63,49 @@
 
 
 def ready_capacity(server: ServerLoad, limits: Limits = DEFAULT_LIMITS) -> float:
-    """Returns the slots that a server is ready for at its age."""
+    """Returns the slots that a server is ready for at its age, for shards that have to move."""
     return server.capacity * warmth(server.age_ms, limits)
 
 
+def fill_capacity(server: ServerLoad, limits: Limits = DEFAULT_LIMITS) -> float:
+    """Returns the slots that balance moves may fill at a server's age.
+
+    While its room is kept for draining owners this is what the server is ready for, which only an
+    overloaded owner uses. After that the fill starts from the cold share.
+    """
+    if server.age_ms < limits.fill_delay_ms:
+        return ready_capacity(server, limits)
+    return server.capacity * warmth(server.age_ms - limits.fill_delay_ms, limits)
+
+
+def is_kept_for_drains(server: ServerLoad, limits: Limits = DEFAULT_LIMITS) -> bool:
+    """Returns whether only leaving or overloaded owners may move shards to a server."""
+    return server.age_ms < limits.fill_delay_ms
+
+
+def is_overloaded(load: float, capacity: float, limits: Limits = DEFAULT_LIMITS) -> bool:
+    """Returns whether an owner has to move load away at any price."""
+    return load > limits.max_utilisation * capacity
+
+
+def sample_peers(newest_first: Sequence[SessionId], leaving: bool, rng: Random) -> list[SessionId]:
+    """Draws the peers whose loads an owner asks for; in a small fleet all.
+
+    A leaving owner asks the newest sessions too. They are the emptiest, and in a rolling restart
+    they are those that do not leave again soon, so shards that go there move only once.
+
+    Args:
+        newest_first: Open sessions of the service without the owner, as the fleet log orders them.
+        leaving: The owner is draining.
+        rng: Source of randomness.
+    """
+    if len(newest_first) <= MAX_PEERS_IN_SAMPLE:
+        return list(newest_first)
+    newest = MAX_PEERS_IN_SAMPLE // 2 if leaving else 0
+    drawn = rng.sample(newest_first[newest:], MAX_PEERS_IN_SAMPLE - newest)
+    return [*newest_first[:newest], *drawn]
+
+
 def decide_reservation(
     target: ServerLoad,
     mean_utilisation: float,
@@ -79,16 +125,19 @@
     """
     if target.leaving or target.capacity <= 0:
         return ReservationReply(detail="target is leaving or has no capacity")
-    ready = ready_capacity(target, limits)
-    share = limits.max_drain_utilisation if request.drain else limits.max_utilisation
+    if request.drain:
+        room = ready_capacity(target, limits) * limits.max_drain_utilisation
+    else:
+        room = fill_capacity(target, limits) * limits.max_utilisation
     projected = trusted_load(target) + target.reserved
-    source_load = request.source_load
+    source_load, source_capacity = request.source_load, request.source_capacity
+    kept = is_kept_for_drains(target, limits) and not request.drain
     accepted = []
     for shard in request.shards:
         after = projected + shard.load
-        if after > ready * share:
+        if after > room or (kept and not is_overloaded(source_load, source_capacity, limits)):
             continue
-        source_after = (source_load - shard.load) / max(request.source_capacity, MIN_CAPACITY)
+        source_after = (source_load - shard.load) / max(source_capacity, MIN_CAPACITY)
         bound = max(mean_utilisation, source_after) * (1 + RESERVATION_SLACK)
         if not request.drain and after / target.capacity > bound:
             continue
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -205,6 +205,18 @@
                 self.assertLessEqual(base.load + promised, 1.0 + 1e-9)
         self.assertEqual(book.reserved(7 * NS_PER_S), 0)
 
+    def test_room_of_a_new_server_is_kept_for_drains(self):
+        """Guards against owners that fill a restarted server with shards, so that the next server
+        of a rolling restart has to drain everywhere and most shards move twice."""
+        target = server(0, 0.0, age_ms=60_000)
+        shards = (ShardLoad(1, 0.5),)
+        for load, drain, accepted in ((7.0, False, ()), (9.0, False, (1,)), (7.0, True, (1,))):
+            request = ReservationRequest(SessionId("o", 1), load, 10.0, shards, drain)
+            self.assertEqual(decide_reservation(target, 0.6, request).accepted, accepted)
+        peers = (target, server(1, 7.0))
+        own = OwnerView(server(100, 7.0), {1: 0.5, 2: 6.5}, peers, fair_shards=2)
+        self.assertEqual(plan_moves(own, CHURN_FIRST).moves, ())
+
     def test_moves_per_minute_are_bounded(self):
         """Guards against a budget that saves up more than a minute's moves."""
         budget = MoveBudget(per_minute=60)
--- /dev/null
+++ b/tools/placement_experiments.py
@@ -0,0 +1,285 @@
+"""Compares placement planners on one script of events and prints one table.
+
+Usage: ``python -m tools.placement_experiments [--seeds N] [--plot PATH]``
+"""
+
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+import click
+import numpy as np
+
+from auburnsail._placement import CHURN_FIRST, UNAVAILABLE_FIRST
+from tools.placement_planners import GreedyPlanner, OwnerPlanner, Planner, RendezvousPlanner
+from tools.placement_world import Case, Metrics, Server, World
+
+__all__ = ["main"]
+
+AMPELKORB_DOMAINS = tuple(
+    (region, f"{region}-{number}")
+    for region in ("steiermark", "wien", "tirol")
+    for number in (1, 2)
+)
+SAHEL_DOMAINS = tuple(
+    (region, f"{region}-{number}") for region in ("nord", "sahel", "sud") for number in (1, 2)
+)
+CASES = (
+    Case("Ampelkorb", AMPELKORB_DOMAINS, per_domain=1, slots=12),
+    Case("Sahel", SAHEL_DOMAINS, per_domain=1, slots=6),
+    # A flatter popularity, because the hottest key has to fit on one of many servers.
+    Case("60 servers", AMPELKORB_DOMAINS, per_domain=10, slots=12, shards=16_384, zipf=0.7),
+)
+PLANNERS: dict[str, Callable[[World, int], Planner]] = {
+    "rendezvous": RendezvousPlanner,
+    "greedy": lambda world, seed: GreedyPlanner(world),
+    "greedy, only fitting": lambda world, seed: GreedyPlanner(world, only_fitting=True),
+    "ours, Ampelkorb": lambda world, seed: OwnerPlanner(world, UNAVAILABLE_FIRST, seed),
+    "ours, Sahel": lambda world, seed: OwnerPlanner(world, CHURN_FIRST, seed),
+}
+BASELINES = ("rendezvous", "greedy")
+# The deployment, its planner and its first measure; the others may be worse by this factor.
+TARGETS = (
+    ("Ampelkorb", "ours, Ampelkorb", "unavailable"),
+    ("Sahel", "ours, Sahel", "churn"),
+)
+MAX_LOSS_FACTOR = 1.05
+
+PHASES = ("hot keys", "join", "leave", "domain lost", "restarts", "misreports")
+HOT_S = 900
+EVENT_S = 600
+DOMAIN_BACK_S = 300
+RESTART_EVERY_S = 90
+RESTART_TAKES_S = 20
+RESTART_BATCHES = 12
+SETTLE_S = 300
+# Misleading reports: one upstream hides most of its load, another one exaggerates.
+REPORT_FACTORS = (0.2, 3.0)
+
+
+@dataclass
+class Result:
+    """One run: its metrics per tick and the first tick of each phase."""
+
+    case: str
+    planner: str
+    seed: int
+    metrics: Metrics
+    starts: list[int]
+    least_moved: float
+
+
+def _ticks(world: World, planner: Planner, seconds: int) -> Iterator[int]:
+    for second in range(seconds):
+        planner.tick()
+        world.tick()
+        yield second
+
+
+def _run_for(world: World, planner: Planner, seconds: int) -> None:
+    for _ in _ticks(world, planner, seconds):
+        pass
+
+
+def _leave(planner: Planner, servers: list[Server]) -> None:
+    for server in servers:
+        server.leaving = True
+    planner.leave(servers)
+    for server in servers:
+        server.open = False
+
+
+def _join(world: World, planner: Planner, servers: list[Server]) -> None:
+    for server in servers:
+        world.join(server)
+    planner.join(servers)
+
+
+def _lose_domain(world: World, planner: Planner) -> list[Server]:
+    lost = [server for server in world.open_servers if server.domain == world.case.domains[-1][1]]
+    for server in lost:
+        server.open = False
+    planner.lose(lost)
+    return lost
+
+
+def _restart_all(world: World, planner: Planner, every_s: int) -> None:
+    servers = world.open_servers
+    batch = max(1, len(servers) // RESTART_BATCHES)
+    for start in range(0, len(servers), batch):
+        group = servers[start : start + batch]
+        _leave(planner, group)
+        _run_for(world, planner, RESTART_TAKES_S)
+        _join(world, planner, group)
+        _run_for(world, planner, every_s - RESTART_TAKES_S)
+    _run_for(world, planner, SETTLE_S)
+
+
+def _misreport(world: World) -> None:
+    for server, factor in zip(world.open_servers, REPORT_FACTORS, strict=False):
+        server.report_factor = factor
+
+
+def run(case: Case, name: str, seed: int, restart_every_s: int = RESTART_EVERY_S) -> Result:
+    """Runs the whole script of events with one planner."""
+    seed = seed * len(CASES) + CASES.index(case)
+    world = World(case, seed)
+    world.owner = RendezvousPlanner(world, seed).place()
+    planner = PLANNERS[name](world, seed)
+    starts = [0]
+    _run_for(world, planner, HOT_S)
+    starts.append(int(world.now_s))
+    _join(world, planner, [world.add_server(case.domains[0])])
+    _run_for(world, planner, EVENT_S)
+    starts.append(int(world.now_s))
+    _leave(planner, [world.servers[2]])
+    _run_for(world, planner, EVENT_S)
+    starts.append(int(world.now_s))
+    lost = _lose_domain(world, planner)
+    _run_for(world, planner, DOMAIN_BACK_S)
+    _join(world, planner, lost)
+    _run_for(world, planner, EVENT_S - DOMAIN_BACK_S)
+    starts.append(int(world.now_s))
+    _restart_all(world, planner, restart_every_s)
+    starts.append(int(world.now_s))
+    _misreport(world)
+    _run_for(world, planner, EVENT_S)
+    # The joined server takes an equal share, a leaving, lost or restarting one gives up its own.
+    servers = case.servers
+    least = 1 / (servers + 1) + 1 / (servers + 1) + len(lost) / servers + 1
+    return Result(case.name, name, seed, world.metrics, starts, least * case.shards)
+
+
+def _phase(values: list[float], result: Result, phase: int) -> np.ndarray:
+    ends = [*result.starts[1:], len(values)]
+    return np.array(values[result.starts[phase] : ends[phase]])
+
+
+def _spent(values: list[float], result: Result, phase: int) -> float:
+    """Returns what a cumulated metric grew by in a phase, with the event that starts it."""
+    ends = [*result.starts[1:], len(values)]
+    start = result.starts[phase]
+    return values[ends[phase] - 1] - (values[start - 1] if start else 0)
+
+
+def _summary(results: list[Result]) -> dict[str, float]:
+    """Returns the means over seeds of the whole run."""
+    return {
+        "peak": float(np.mean([np.mean(r.metrics.peak) for r in results])),
+        "p99": float(np.mean([np.mean(r.metrics.p99) for r in results])),
+        "churn": float(np.mean([r.metrics.moved[-1] / r.least_moved for r in results])),
+        "unavailable": float(np.mean([r.metrics.unavailable[-1] for r in results])),
+        "overload": float(np.mean([np.mean(r.metrics.overload) for r in results])),
+    }
+
+
+def _table(results: dict[tuple[str, str], list[Result]]) -> Iterator[str]:
+    yield (
+        f"{'case':<11}{'planner':<22}{'phase':<13}{'max/mean':>9}{'p99/mean':>9}"
+        f"{'moved %':>9}{'churn':>7}{'unavailable key-s':>19}{'overload %':>11}"
+    )
+    for (case, name), runs in results.items():
+        shards = next(item.shards for item in CASES if item.name == case)
+        for phase, label in enumerate(PHASES):
+            cells = [
+                np.mean([np.mean(_phase(r.metrics.peak, r, phase)) for r in runs]),
+                np.mean([np.mean(_phase(r.metrics.p99, r, phase)) for r in runs]),
+                np.mean([_spent(r.metrics.moved, r, phase) for r in runs]) / shards * 100,
+                np.mean([_spent(r.metrics.unavailable, r, phase) for r in runs]),
+                np.mean([np.mean(_phase(r.metrics.overload, r, phase)) for r in runs]) * 100,
+            ]
+            yield (
+                f"{case:<11}{name:<22}{label:<13}{cells[0]:>9.3f}{cells[1]:>9.3f}"
+                f"{cells[2]:>9.1f}{'':>7}{cells[3]:>19.0f}{cells[4]:>11.2f}"
+            )
+        whole = _summary(runs)
+        moved = np.mean([r.metrics.moved[-1] for r in runs]) / shards * 100
+        yield (
+            f"{case:<11}{name:<22}{'whole run':<13}{whole['peak']:>9.3f}{whole['p99']:>9.3f}"
+            f"{moved:>9.1f}{whole['churn']:>7.2f}{whole['unavailable']:>19.0f}"
+            f"{whole['overload'] * 100:>11.2f}"
+        )
+
+
+def _verdicts(results: dict[tuple[str, str], list[Result]]) -> Iterator[tuple[bool, str]]:
+    """Compares the planner of each deployment with each baseline on the whole run."""
+    for case, name, first in TARGETS:
+        ours = _summary(results[case, name])
+        for baseline in BASELINES:
+            theirs = _summary(results[case, baseline])
+            for metric in ("unavailable", "churn", "peak", "p99"):
+                factor = ours[metric] / theirs[metric]
+                bound = 1.0 if metric == first else MAX_LOSS_FACTOR
+                met = factor < bound if metric == first else factor <= bound
+                kind = "first, below" if metric == first else "at most"
+                yield (
+                    met,
+                    f"{'met   ' if met else 'MISSED'} {case}: {metric} is {factor:.3f} of "
+                    f"{baseline}'s ({kind} {bound:.2f})",
+                )
+
+
+def _plot(results: dict[tuple[str, str], list[Result]], path: Path) -> None:
+    import matplotlib
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, axes = pyplot.subplots(len(CASES), 3, figsize=(17, 4 * len(CASES)), sharex="row")
+    for row, case in zip(axes, CASES, strict=True):
+        for name in PLANNERS:
+            result = results[case.name, name][0]
+            metrics = result.metrics
+            minutes = np.arange(len(metrics.peak)) / 60
+            row[0].plot(minutes, metrics.peak, label=name, linewidth=0.9)
+            row[1].plot(minutes, np.array(metrics.moved) / case.shards, label=name)
+            row[2].plot(minutes, np.array(metrics.unavailable) / 1000, label=name)
+        titles = ("max/mean", "moved share of shards", "unavailable, 1,000 key-seconds")
+        for axis, title in zip(row, titles, strict=True):
+            axis.set_title(f"{case.name}: {title}")
+            axis.set_xlabel("minutes")
+            for start in result.starts[1:]:
+                axis.axvline(start / 60, color="0.85", linewidth=0.8, zorder=0)
+    axes[0][0].legend(fontsize=8)
+    figure.suptitle(f"Phases, divided by grey lines: {', '.join(PHASES)}")
+    figure.tight_layout()
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(path, dpi=70)
+
+
+@click.command()
+@click.option("--seeds", default=3, show_default=True, help="Runs per case and planner.")
+@click.option("--jobs", default=4, show_default=True, help="Processes.")
+@click.option(
+    "--restart-every",
+    type=click.IntRange(min=RESTART_TAKES_S),
+    default=RESTART_EVERY_S,
+    show_default=True,
+    help="Seconds between batches of the rolling restart.",
+)
+@click.option("--plot", type=click.Path(path_type=Path), help="Writes the plot to this file.")
+def main(seeds: int, jobs: int, restart_every: int, plot: Path | None) -> None:
+    """Runs all cases and planners; exits with 1 if a target is missed."""
+    keys = [(case, name) for case in CASES for name in PLANNERS]
+    with ProcessPoolExecutor(jobs) as pool:
+        futures = {
+            (case.name, name): [
+                pool.submit(run, case, name, seed, restart_every) for seed in range(seeds)
+            ]
+            for case, name in keys
+        }
+        results = {key: [future.result() for future in runs] for key, runs in futures.items()}
+    for line in _table(results):
+        click.echo(line)
+    click.echo(f"seeds 0 to {seeds - 1}; 'greedy, only fitting' is no target, for information")
+    verdicts = list(_verdicts(results))
+    for _, line in verdicts:
+        click.echo(line)
+    if plot is not None:
+        _plot(results, plot)
+    raise SystemExit(0 if all(met for met, _ in verdicts) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/placement_world.py
@@ -0,0 +1,234 @@
+"""A tick-based fake of one keyed service: servers, shards, skewed keys and what moves cost.
+
+It holds no policy: planners move shards through `World.move` and `World.lose`.
+"""
+
+from dataclasses import dataclass, field
+
+import numpy as np
+
+from auburnsail._model import SessionId
+from auburnsail._placement import ServerLoad, move_ms
+
+__all__ = ["HOT_KEYS", "TICK_S", "Case", "Metrics", "Server", "World"]
+
+TICK_S = 1.0
+HOT_KEYS = 57
+LOSS_S = 0.8
+REQUESTS_PER_SLOT_S = 50.0
+COLD_CAPACITY_SHARE = 0.3
+COLD_S = 60.0
+MEASURE_HALF_LIFE_S = 20.0
+ANNOUNCE_EVERY_S = 5.0
+UNOWNED = -1
+
+
+@dataclass(frozen=True)
+class Case:
+    """Size of one deployment.
+
+    Attributes:
+        name: Shown in the table.
+        domains: Failure domains as region and domain.
+        per_domain: Servers in each domain.
+        slots: Of each server.
+        shards: Of the service.
+        keys: In use.
+        zipf: Exponent of the popularity of keys.
+        hot_change_s: The hottest keys are replaced this often.
+        utilisation: Load over capacity of the whole fleet at the start.
+    """
+
+    name: str
+    domains: tuple[tuple[str, str], ...]
+    per_domain: int
+    slots: float
+    shards: int = 4096
+    keys: int = 100_000
+    zipf: float = 1.0
+    hot_change_s: int = 300
+    utilisation: float = 0.6
+
+    @property
+    def servers(self) -> int:
+        """Returns the number of servers at the start."""
+        return len(self.domains) * self.per_domain
+
+
+@dataclass
+class Server:
+    """One server; a restart gives it a new incarnation."""
+
+    number: int
+    region: str
+    domain: str
+    capacity: float
+    incarnation: int = 1
+    open: bool = True
+    leaving: bool = False
+    opened_s: float = -1e6
+    report_factor: float = 1.0
+
+    @property
+    def session(self) -> SessionId:
+        """Returns the current session."""
+        return SessionId(f"n{self.number:04}", self.incarnation)
+
+
+@dataclass
+class Metrics:
+    """What one planner cost, per tick or cumulated."""
+
+    peak: list[float] = field(default_factory=list)
+    p99: list[float] = field(default_factory=list)
+    moved: list[int] = field(default_factory=list)
+    unavailable: list[float] = field(default_factory=list)
+    overload: list[float] = field(default_factory=list)
+
+
+class World:
+    """State of the fake service.
+
+    Args:
+        case: Sizes.
+        seed: Of keys, noise and hot sets; two worlds with one seed see the same load.
+    """
+
+    def __init__(self, case: Case, seed: int) -> None:
+        self.case = case
+        self.now_s = 0.0
+        self.metrics = Metrics()
+        self.servers = [
+            Server(number, *case.domains[number // case.per_domain], case.slots)
+            for number in range(case.servers)
+        ]
+        self._keys_rng = np.random.default_rng([seed, 1])
+        self._noise_rng = np.random.default_rng([seed, 2])
+        self._key_shard = self._keys_rng.integers(0, case.shards, case.keys)
+        self._weights = 1.0 / np.arange(1, case.keys + 1) ** case.zipf
+        self._weights *= case.utilisation * case.servers * case.slots / self._weights.sum()
+        self._key_rank = self._keys_rng.permutation(case.keys)
+        self.keys_of_shard = np.bincount(self._key_shard, minlength=case.shards)
+        self.owner = np.full(case.shards, UNOWNED)
+        self.moved_s = np.full(case.shards, -1e6)
+        self._moved = 0
+        self._unavailable = 0.0
+        self._change_loads()
+        self.measured = self.loads.copy()
+        self._announced: dict[int, ServerLoad] = {}
+
+    @property
+    def open_servers(self) -> list[Server]:
+        """Returns the servers that may own shards."""
+        return [server for server in self.servers if server.open and not server.leaving]
+
+    def owned(self, server: Server) -> np.ndarray:
+        """Returns the shards of a server."""
+        return np.flatnonzero(self.owner == server.number)
+
+    def measured_load(self, server: Server) -> float:
+        """Returns a server's load as its node counts it now."""
+        return float(self.measured[self.owner == server.number].sum())
+
+    def state(self, server: Server) -> ServerLoad:
+        """Returns a server's own current state."""
+        load = self.measured_load(server)
+        return ServerLoad(
+            session=server.session,
+            region=server.region,
+            domain=server.domain,
+            capacity=server.capacity,
+            load=load,
+            reported=load * server.report_factor,
+            leaving=server.leaving,
+            age_ms=int((self.now_s - server.opened_s) * 1000),
+        )
+
+    def announced(self) -> list[ServerLoad]:
+        """Returns the last announcement of every open server, up to 5 s old."""
+        rows = []
+        for server in self.servers:
+            row = self._announced.get(server.number)
+            if not server.open:
+                continue
+            if row is None or row.session != server.session or row.leaving != server.leaving:
+                row = self._announced[server.number] = self.state(server)
+            rows.append(row)
+        return rows
+
+    def join(self, server: Server) -> None:
+        """Opens a new session of a server."""
+        server.open, server.leaving = True, False
+        server.incarnation += 1
+        server.opened_s = self.now_s
+
+    def add_server(self, domain: tuple[str, str]) -> Server:
+        """Adds a server that has not been part of the fleet before."""
+        server = Server(len(self.servers), *domain, self.case.slots, open=False)
+        self.servers.append(server)
+        return server
+
+    def move(self, shards, target: Server) -> None:
+        """Carries out planned moves to one target and charges their drain and commit."""
+        shards = np.atleast_1d(np.asarray(shards, dtype=int))
+        assert target.open and not target.leaving, "target must be open"
+        for shard in shards:
+            assert self.owner[shard] != target.number, "shard is at its target already"
+            duration_s = move_ms(float(self.loads[shard])) / 1000
+            self._unavailable += float(self.keys_of_shard[shard]) * duration_s
+        self._assign(shards, target)
+
+    def lose(self, shards, target: Server) -> None:
+        """Gives shards of a lost server to another one and charges detection and commit."""
+        shards = np.atleast_1d(np.asarray(shards, dtype=int))
+        assert target.open and not target.leaving, "target must be open"
+        self._unavailable += float(self.keys_of_shard[shards].sum()) * LOSS_S
+        self._assign(shards, target)
+
+    def tick(self) -> None:
+        """Records the metrics, then advances the time and the load."""
+        self._record()
+        self.now_s += TICK_S
+        if self.now_s % self.case.hot_change_s == 0:
+            self._replace_hot_keys()
+        kept = 0.5 ** (TICK_S / MEASURE_HALF_LIFE_S)
+        requests = self._noise_rng.poisson(self.loads * REQUESTS_PER_SLOT_S * TICK_S)
+        sample = requests / (REQUESTS_PER_SLOT_S * TICK_S)
+        self.measured = self.measured * kept + sample * (1 - kept)
+        if self.now_s % ANNOUNCE_EVERY_S == 0:
+            self._announced.clear()
+
+    def _assign(self, shards: np.ndarray, target: Server) -> None:
+        self.owner[shards] = target.number
+        self.moved_s[shards] = self.now_s
+        self._moved += len(shards)
+
+    def _replace_hot_keys(self) -> None:
+        """Swaps the hottest keys with randomly drawn ones."""
+        hot = np.argsort(self._key_rank)[:HOT_KEYS]
+        others = self._keys_rng.choice(self.case.keys, HOT_KEYS, replace=False)
+        for key, other in zip(hot, others, strict=True):
+            ranks = self._key_rank
+            ranks[key], ranks[other] = ranks[other], ranks[key]
+        self._change_loads()
+
+    def _change_loads(self) -> None:
+        self.loads = np.bincount(
+            self._key_shard, self._weights[self._key_rank], minlength=self.case.shards
+        )
+
+    def _record(self) -> None:
+        assert (self.owner != UNOWNED).all(), "every shard has an owner"
+        servers = self.open_servers
+        sums = np.bincount(self.owner, self.loads, minlength=len(self.servers))
+        loads = np.array([sums[server.number] for server in servers])
+        assert abs(loads.sum() - self.loads.sum()) < 1e-6, "only open servers own shards"
+        ages = np.array([self.now_s - server.opened_s for server in servers])
+        ready = np.minimum(1.0, COLD_CAPACITY_SHARE + (1 - COLD_CAPACITY_SHARE) * ages / COLD_S)
+        excess = np.maximum(0, loads - self.case.slots * ready).sum()
+        metrics = self.metrics
+        metrics.peak.append(loads.max() / loads.mean())
+        metrics.p99.append(np.percentile(loads, 99) / loads.mean())
+        metrics.overload.append(excess / loads.sum())
+        metrics.moved.append(self._moved)
+        metrics.unavailable.append(self._unavailable)
