--- a/src/auburnsail/_placement.py
+++ b/src/auburnsail/_placement.py
@@ -75,10 +75,9 @@
 BUSY_MOVE_EXTRA_MS = 50.0
 AVERAGE_MOVE_MS = 75.0
 
-# Price of moving one average shard, in units of squared deviation. With equal weights an average
-# shard moves when source and target differ by 40% of the mean; a shard with four times the average
-# load moves at 10%. docs/notes/placement.md weighs other values.
-MOVE_PRICE = 0.4
+# Price of moving one average shard, in units of squared deviation from the mean; the weights
+# multiply it. docs/notes/placement.md weighs other values.
+MOVE_PRICE = 1.0
 
 # Users see max/mean and p99/mean, so a high power makes the busiest servers count most.
 STRAIN_POWER = 8
@@ -107,7 +106,7 @@
     """Plans moves for one owner.
 
     An owner that is leaving, or whose upstream has no capacity, moves all its shards. Another one moves shards as long as the gain in balance
-    exceeds the price of the move. A shard whose hot key makes it larger than the difference
+    exceeds the price of the move; an overloaded one ignores the price. A shard whose hot key makes it larger than the difference
     between source and target is never worth moving; its smaller neighbours move instead.
 
     Args:
@@ -166,9 +165,11 @@
         (kept if is_kept_for_drains(target.server, limits) else targets).append(target)
     moves: list[Move] = []
     while len(moves) < min(limits.moves_per_plan, view.moves_left):
-        best = _best_move(view, own_load, mean, free, targets, weights)
-        if best is None and is_overloaded(own_load, view.own.capacity, limits):
-            best = _best_move(view, own_load, mean, free, kept, weights)
+        overloaded = is_overloaded(own_load, view.own.capacity, limits)
+        price = 0.0 if overloaded else MOVE_PRICE / weights.imbalance / max(1.0, view.fair_shards)
+        best = _best_move(view, own_load, mean, free, targets, weights, price)
+        if best is None and overloaded:
+            best = _best_move(view, own_load, mean, free, kept, weights, price)
         if best is None:
             break
         index, target = best
@@ -200,10 +201,11 @@
     free: list[tuple[float, int]],
     targets: list[_Target],
     weights: Weights,
+    price: float,
 ) -> tuple[int, _Target] | None:
-    load = own_load + sum(target.load for target in targets)
+    total = own_load + sum(target.load for target in targets)
     capacity = view.own.capacity + sum(target.server.capacity for target in targets)
-    if own_load / view.own.capacity <= load / capacity:
+    if own_load / view.own.capacity <= total / capacity:
         return None
     best_gain = 0.0
     best = None
@@ -218,24 +220,22 @@
         index = bisect_left(free, (limit, MAX_SHARD)) - 1
         if index < 0:
             continue
-        gain = _gain(view, own_load, target, mean, free[index][0], weights)
+        load = free[index][0]
+        cost = weights.churn + weights.unavailable * move_ms(load) / AVERAGE_MOVE_MS
+        gain = _relief(view, own_load, target, mean, load) - price * cost
         if gain > best_gain:
             best_gain = gain
             best = (index, target)
     return best
 
 
-def _gain(
-    view: OwnerView, own_load: float, target: _Target, mean: float, load: float, weights: Weights
-) -> float:
-    """Returns the worth of a move: less imbalance, minus its price."""
+def _relief(view: OwnerView, own_load: float, target: _Target, mean: float, load: float) -> float:
+    """Returns how much less imbalance source and target add after a move."""
     own, peer = view.own.capacity, target.server.capacity
     before = own * _strain(own_load / own / mean) + peer * _strain(target.load / peer / mean)
     own_after = _strain((own_load - load) / own / mean)
     peer_after = _strain((target.load + load) / peer / mean)
-    relief = (before - own * own_after - peer * peer_after) * 2 / (own + peer)
-    cost = weights.churn + weights.unavailable * move_ms(load) / AVERAGE_MOVE_MS
-    return relief - MOVE_PRICE * cost / weights.imbalance / max(1.0, view.fair_shards)
+    return (before - own * own_after - peer * peer_after) * 2 / (own + peer)
 
 
 def _strain(utilisation: float) -> float:
--- /dev/null
+++ b/tests/test_drain_guard.py
@@ -0,0 +1,56 @@
+"""The feasibility guard of drains."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from auburnsail._drain_guard import Demand, PlannedDrain, plan_all
+from auburnsail._model import SessionId
+
+A, B, C = (SessionId(name, 1) for name in "abc")
+GROUPS = st.sampled_from([frozenset({A}), frozenset({A, B}), frozenset({A, B, C})])
+# Whole numbers, so that sums are exact.
+DEMANDS = st.lists(st.tuples(st.integers(1, 9), GROUPS), min_size=1, max_size=14)
+STEPS = st.lists(st.tuples(st.sampled_from([A, B, C]), st.integers(1, 9)), max_size=8)
+
+
+class PlannedDrainTest(unittest.TestCase):
+    """Ready moves, other moves and the rest of the plan."""
+
+    @settings(max_examples=300)
+    @given(DEMANDS, st.integers(0, 20), STEPS, st.randoms(use_true_random=False))
+    def test_a_feasible_drain_is_completed_without_overfilling(self, items, spare, others, rng):
+        """Guards against an early move, or one of another owner, that strands a shard."""
+        demands = [Demand(shard, load, group) for shard, (load, group) in enumerate(items)]
+        room = {A: spare, B: spare, C: spare}
+        while plan_all(demands, room) is None:
+            room = {target: size + 1 for target, size in room.items()}
+        drain = PlannedDrain(demands, room)
+        waiting = {demand.shard: demand for demand in demands}
+        for step in range(len(others) + 1):
+            last = step == len(others)
+            ready = {
+                target: size if last else rng.randint(0, size) for target, size in room.items()
+            }
+            for move in drain.select(ready):
+                demand = waiting.pop(move.shard)
+                self.assertIn(move.target, demand.targets)
+                ready[move.target] -= demand.load
+                room[move.target] -= demand.load
+                self.assertGreaterEqual(ready[move.target], 0)
+            if not last and drain.allows(others[step][1], others[step][0]):
+                room[others[step][0]] -= others[step][1]
+                drain.change_room(others[step][0], room[others[step][0]])
+        self.assertEqual(waiting, {})
+        self.assertEqual(drain.outstanding, [])
+
+    def test_room_that_only_one_shard_can_use_is_kept(self):
+        """Guards against a shard with a choice taking the only target of another one."""
+        demands = [Demand(1, 4, frozenset({A, B})), Demand(2, 4, frozenset({A}))]
+        drain = PlannedDrain(demands, {A: 5, B: 4})
+        self.assertEqual(drain.select({A: 3, B: 0}), [])
+        self.assertFalse(drain.allows(2, A))
+        moves = {move.shard: move.target for move in drain.select({A: 5, B: 0})}
+        self.assertEqual(moves, {2: A})
+        self.assertEqual({m.shard: m.target for m in drain.select({A: 1, B: 4})}, {1: B})
