Use the planned guard in the drain of an owner

Change: plan_moves lets PlannedDrain select the moves of a leaving owner; what no target is ready for is reported and planned again. One selection makes at most 8 new plans. Idle shards of a draining owner are spread.

--- a/src/auburnsail/_drain_guard.py
+++ b/src/auburnsail/_drain_guard.py
@@ -59,6 +59,11 @@
     return plan
 
 
+# Plans that one selection makes anew when a shard does not go where the plan says; a bound on the
+# processor time of a tick. Beyond it shards only go to their planned targets.
+MAX_PLANS_PER_SELECTION = 8
+
+
 class PlannedDrain:
     """A drain with a plan for all its shards, of which ready moves run early.
 
@@ -73,19 +78,28 @@
     def __init__(self, outstanding: Sequence[Demand], room: Mapping[SessionId, float]) -> None:
         self._outstanding = {demand.shard: demand for demand in outstanding}
         self._room = dict(room)
-        self._plan = plan_all(outstanding, room)
+        self._plan: dict[int, SessionId] | None = None
+        self._planned: dict[SessionId, float] = {}
+        self._plans_left = 0
+        self._adopt(plan_all(outstanding, room))
 
     @property
     def outstanding(self) -> list[Demand]:
         """Returns the shards that have not moved."""
         return list(self._outstanding.values())
 
+    @property
+    def is_planned(self) -> bool:
+        """Returns whether every shard that has not moved has a target."""
+        return self._plan is not None
+
     def select(self, ready: Mapping[SessionId, float]) -> list[ReadyMove]:
         """Starts the moves that may run now.
 
         Args:
             ready: Room that each server offers now.
         """
+        self._plans_left = MAX_PLANS_PER_SELECTION
         left = dict(ready)
         moves = []
         for demand in self.outstanding:
@@ -97,52 +111,56 @@
 
     def allows(self, load: float, target: SessionId) -> bool:
         """Returns whether the drain still has a plan if something else takes room of a target."""
-        return self._plan_without(self._outstanding, load, target) is not None
+        room = self._room.get(target, 0.0) - load
+        if room < 0:
+            return False
+        if self._plan is not None and self._planned.get(target, 0.0) <= room:
+            return True
+        return plan_all(self._outstanding.values(), {**self._room, target: room}) is not None
 
     def change_room(self, target: SessionId, room: float) -> None:
         """Takes note of a target's room, and plans again if the plan does not fit any more."""
         self._room[target] = room
-        if self._plan is None or self._planned_load(target) > room:
-            self._plan = plan_all(self._outstanding.values(), self._room)
+        if self._plan is None or self._planned.get(target, 0.0) > room:
+            self._adopt(plan_all(self._outstanding.values(), self._room))
+
+    def _adopt(self, plan: dict[int, SessionId] | None) -> None:
+        self._plan = plan
+        self._planned = {}
+        for shard, target in (plan or {}).items():
+            load = self._outstanding[shard].load
+            self._planned[target] = self._planned.get(target, 0.0) + load
 
     def _start(self, demand: Demand, left: Mapping[SessionId, float]) -> SessionId | None:
         target = _roomiest(demand, left)
         if target is None:
             return None
-        rest = {shard: item for shard, item in self._outstanding.items() if shard != demand.shard}
-        plan = self._plan_without(rest, demand.load, target)
-        if plan is None and self._plan is not None:
+        if self._plan is not None and not self._keeps_plan(demand, target):
             target = self._plan[demand.shard]
             if left.get(target, 0.0) < demand.load:
                 return None
-            plan = {shard: self._plan[shard] for shard in rest}
-        self._outstanding = rest
-        self._plan = plan
         self._room[target] -= demand.load
+        del self._outstanding[demand.shard]
+        if self._plan is not None:
+            self._planned[self._plan.pop(demand.shard)] -= demand.load
         return target
 
-    def _plan_without(
-        self, outstanding: Mapping[int, Demand], load: float, target: SessionId
-    ) -> dict[int, SessionId] | None:
-        """Returns a plan for the shards that leaves out room of one target."""
-        room = {**self._room, target: self._room.get(target, 0.0) - load}
-        if room[target] < 0:
-            return None
-        if self._plan is not None:
-            planned = (
-                outstanding[shard].load
-                for shard, planned_target in self._plan.items()
-                if planned_target == target and shard in outstanding
-            )
-            if sum(planned) <= room[target]:
-                return {shard: self._plan[shard] for shard in outstanding}
-        return plan_all(outstanding.values(), room)
-
-    def _planned_load(self, target: SessionId) -> float:
-        plan = self._plan or {}
-        return sum(
-            self._outstanding[shard].load for shard, planned in plan.items() if planned == target
-        )
+    def _keeps_plan(self, demand: Demand, target: SessionId) -> bool:
+        """Returns whether the rest has a plan after a move, and adopts a new one if need be."""
+        own = demand.load if self._plan[demand.shard] == target else 0.0
+        room = self._room.get(target, 0.0) - demand.load
+        if self._planned.get(target, 0.0) - own <= room:
+            return True
+        if self._plans_left == 0:
+            return False
+        self._plans_left -= 1
+        rest = [item for item in self._outstanding.values() if item.shard != demand.shard]
+        plan = plan_all(rest, {**self._room, target: room})
+        if plan is None:
+            return False
+        # `_start` takes the moved shard out of the plan again.
+        self._adopt({**plan, demand.shard: target})
+        return True
 
 
 def _roomiest(demand: Demand, left: Mapping[SessionId, float]) -> SessionId | None:
--- a/src/auburnsail/_placement.py
+++ b/src/auburnsail/_placement.py
@@ -5,11 +5,11 @@
 or draws random numbers.
 """
 
-import heapq
 from bisect import bisect_left
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ._drain_guard import Demand, PlannedDrain
 from ._model import SessionId
 from ._placement_model import (
     CHURN_FIRST,
@@ -40,7 +40,7 @@
     sample_peers,
     trusted_load,
 )
-from ._successors import choose_successors
+from ._successors import IDLE_LOAD_SHARE, choose_successors
 
 __all__ = [
     "CHURN_FIRST",
@@ -48,6 +48,7 @@
     "MAX_PEERS_IN_SAMPLE",
     "UNAVAILABLE_FIRST",
     "ClosedSession",
+    "Demand",
     "Limits",
     "Move",
     "MoveBudget",
@@ -55,6 +56,7 @@
     "OwnerView",
     "PlacementSettings",
     "Plan",
+    "PlannedDrain",
     "ReservationBook",
     "ReservationReply",
     "ReservationRequest",
@@ -248,47 +250,49 @@
 
 
 def _plan_drain(view: OwnerView, mean: float, limits: Limits) -> Plan:
-    """Assigns every shard of a leaving owner, largest first, to the least utilised target.
+    """Moves the shards of a leaving owner, largest first, to the targets with most ready room.
 
-    Targets in a domain that another server is leaving come last, because the whole domain may be
-    about to leave and the shards would move twice.
+    What a cold target is not ready for waits for the next plan, and no shard takes room that only
+    another one could use. Targets in a domain that another server is leaving are used only if the
+    others do not suffice: the whole domain may be about to leave, and the shards would move twice.
     """
-    leaving_domains = {server.domain for server in view.peers if server.leaving}
+    floor = IDLE_LOAD_SHARE * view.own.capacity / max(1, len(view.shards))
+    loads = {
+        shard: max(load, floor)
+        for shard, load in view.shards.items()
+        if shard not in view.in_transit
+    }
+    order = sorted(loads, key=lambda shard: (-loads[shard], shard))
     targets = _open_targets(view)
-    for target in targets:
-        ready = ready_capacity(target.server, limits)
-        target.room = ready * limits.max_drain_utilisation - target.load
+    leaving_domains = {server.domain for server in view.peers if server.leaving}
     preferred = [target for target in targets if target.server.domain not in leaving_domains]
-    loads = [(load, shard) for shard, load in view.shards.items() if shard not in view.in_transit]
-    loads.sort(key=lambda item: (-item[0], item[1]))
-    moves, rest = _fill_least_utilised(loads, preferred or targets)
-    if rest:
-        more, rest = _fill_least_utilised(rest, targets)
-        moves += more
+    drain = _planned_drain(order, loads, preferred, limits)
+    if len(preferred) < len(targets) and not drain.is_planned:
+        drain = _planned_drain(order, loads, targets, limits)
+    ready = {
+        target.server.session: _drain_room(ready_capacity(target.server, limits), target, limits)
+        for target in targets
+    }
+    moves = [
+        Move(move.shard, loads[move.shard], move.target, MoveReason.DRAIN)
+        for move in drain.select(ready)
+    ]
     moves.sort(key=lambda move: (move.load, move.shard))
-    detail = f"drain of {len(loads)} shards, {len(rest)} without room"
-    return Plan(tuple(moves), tuple(shard for _, shard in rest), mean, detail)
+    stranded = tuple(sorted(demand.shard for demand in drain.outstanding))
+    detail = f"drain of {len(loads)} shards, {len(stranded)} without room"
+    return Plan(tuple(moves), stranded, mean, detail)
 
 
-def _fill_least_utilised(
-    loads: list[tuple[float, int]], targets: list[_Target]
-) -> tuple[list[Move], list[tuple[float, int]]]:
-    moves: list[Move] = []
-    rest: list[tuple[float, int]] = []
-    heap = [(target.load / target.server.capacity, number) for number, target in enumerate(targets)]
-    heapq.heapify(heap)
-    for load, shard in loads:
-        skipped = []
-        while heap and targets[heap[0][1]].room < load:
-            skipped.append(heapq.heappop(heap))
-        if not heap:
-            rest.append((load, shard))
-        else:
-            target = targets[heap[0][1]]
-            target.load += load
-            target.room -= load
-            moves.append(Move(shard, load, target.server.session, MoveReason.DRAIN))
-            heapq.heapreplace(heap, (target.load / target.server.capacity, heap[0][1]))
-        for item in skipped:
-            heapq.heappush(heap, item)
-    return moves, rest
+def _planned_drain(
+    order: list[int], loads: dict[int, float], targets: list[_Target], limits: Limits
+) -> PlannedDrain:
+    sessions = frozenset(target.server.session for target in targets)
+    room = {
+        target.server.session: _drain_room(target.server.capacity, target, limits)
+        for target in targets
+    }
+    return PlannedDrain([Demand(shard, loads[shard], sessions) for shard in order], room)
+
+
+def _drain_room(capacity: float, target: _Target, limits: Limits) -> float:
+    return capacity * limits.max_drain_utilisation - target.load
--- a/src/auburnsail/_placement_model.py
+++ b/src/auburnsail/_placement_model.py
@@ -191,7 +191,7 @@
 
     Attributes:
         moves: The moves; no shard occurs twice.
-        stranded: Shards that have to leave but that no sampled peer has room for. The owner plans
+        stranded: Shards that have to leave but for which no sampled peer is ready. The owner plans
             again with another sample, and transfers what is left at the end of its drain to the
             targets that `choose_successors` names.
         mean_utilisation: Load over capacity of the sample.
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -172,6 +172,14 @@
         moved = sum(move.load for move in plan_moves(liar, UNAVAILABLE_FIRST).moves)
         self.assertLess(moved, 1.0)
 
+    def test_an_idle_drain_spreads_its_shards(self):
+        """Guards against shards without load all going to one server, which they overload once
+        their requests come back."""
+        peers = tuple(server(number, 2.0) for number in range(4))
+        own = server(100, 0.0, leaving=True)
+        plan = plan_moves(OwnerView(own, dict.fromkeys(range(40), 0.0), peers, 8), Weights())
+        self.assertEqual(set(Counter(move.target for move in plan.moves).values()), {10})
+
 
 class ReservationTest(unittest.TestCase):
     """The target's side."""
