--- a/src/auburnsail/_placement.py
+++ b/src/auburnsail/_placement.py
@@ -5,6 +5,7 @@
 or draws random numbers.
 """
 
+import math
 from bisect import bisect_left
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -21,7 +22,6 @@
     Move,
     MoveReason,
     OwnerView,
-    PlacementSettings,
     Plan,
     ReservationReply,
     ReservationRequest,
@@ -54,7 +54,6 @@
     "MoveBudget",
     "MoveReason",
     "OwnerView",
-    "PlacementSettings",
     "Plan",
     "PlannedDrain",
     "ReservationBook",
@@ -168,7 +167,7 @@
     moves: list[Move] = []
     while len(moves) < min(limits.moves_per_plan, view.moves_left):
         overloaded = is_overloaded(own_load, view.own.capacity, limits)
-        price = 0.0 if overloaded else MOVE_PRICE / weights.imbalance / max(1.0, view.fair_shards)
+        price = 0.0 if overloaded else _price(view, weights)
         best = _best_move(view, own_load, mean, free, targets, weights, price)
         if best is None and overloaded:
             best = _best_move(view, own_load, mean, free, kept, weights, price)
@@ -231,6 +230,13 @@
     return best
 
 
+def _price(view: OwnerView, weights: Weights) -> float:
+    """Returns the price of a move for each unit of its weighted cost."""
+    if weights.imbalance <= 0:
+        return math.inf
+    return MOVE_PRICE / weights.imbalance / max(1.0, view.fair_shards)
+
+
 def _relief(view: OwnerView, own_load: float, target: _Target, mean: float, load: float) -> float:
     """Returns how much less imbalance source and target add after a move."""
     own, peer = view.own.capacity, target.server.capacity
--- a/src/auburnsail/_placement_model.py
+++ b/src/auburnsail/_placement_model.py
@@ -7,9 +7,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Annotated
-
-import msgspec
 
 from ._model import SessionId
 
@@ -23,7 +20,6 @@
     "Move",
     "MoveReason",
     "OwnerView",
-    "PlacementSettings",
     "Plan",
     "ReservationReply",
     "ReservationRequest",
@@ -50,8 +46,8 @@
     unavailable: float = 5.0
 
 
-UNAVAILABLE_FIRST = Weights(imbalance=1.0, churn=8.0, unavailable=40.0)
-CHURN_FIRST = Weights(imbalance=1.0, churn=40.0, unavailable=8.0)
+UNAVAILABLE_FIRST = Weights(imbalance=1.0, churn=2.0, unavailable=10.0)
+CHURN_FIRST = Weights(imbalance=1.0, churn=10.0, unavailable=2.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,29 +83,6 @@
 DEFAULT_LIMITS = Limits()
 
 
-class PlacementSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Placement part of a service's settings; the defaults are those of `Weights` and `Limits`."""
-
-    imbalance: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
-    churn: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 5.0
-    unavailable: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 5.0
-    moves_per_minute: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 30
-    slow_start_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 60_000
-    fill_delay_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 120_000
-
-    def weights(self) -> Weights:
-        """Returns the weights that these settings state."""
-        return Weights(self.imbalance, self.churn, self.unavailable)
-
-    def limits(self) -> Limits:
-        """Returns the limits that these settings state."""
-        return Limits(
-            moves_per_minute=self.moves_per_minute,
-            slow_start_ms=self.slow_start_ms,
-            fill_delay_ms=self.fill_delay_ms,
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
     """One server as its node announces it.
