--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,8 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format placement-experiments drain-experiment
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
+.PHONY: placement-experiments drain-experiment
 
 .venv: .venv/.installed
 
@@ -19,6 +20,10 @@
 check: .venv
 	$(PY) -m black --check --quiet src standins tools tests
 	$(PY) -m ruff check --quiet src standins tools tests
+	$(PY) -m tools.reference --check
+
+reference: .venv
+	$(PY) -m tools.reference
 
 unit: .venv
 	$(PY) -m unittest discover -s tests -t .
@@ -32,3 +37,18 @@
 # Compares ways to order the moves of drains that compete for room.
 drain-experiment: .venv
 	$(PY) -m tools.placement_drains
+
+recovery: .venv
+	$(PY) -m tools.recovery
+
+control-cost: .venv
+	$(PY) -m tools.control_cost
+
+bench: .venv
+	$(PY) -m tools.bench
+
+silent-connections: .venv
+	$(PY) -m tools.silent_connections
+
+demo: .venv
+	$(PY) -m tools.demo
--- /dev/null
+++ b/src/auburnsail/_gate.py
@@ -0,0 +1,59 @@
+"""Admits requests to the upstream beside this node, for the data path."""
+
+import gevent
+
+from . import _rules
+from ._clock import NS_PER_MS, Clock
+from ._membership import Membership
+from ._moves import Admission, Mover
+
+__all__ = ["RequestGate"]
+
+HOLD_POLL_MS = 10
+
+
+class RequestGate:
+    """What the data path asks before and after it uses the upstream.
+
+    Every request calls `enter` at admission, `confirm` right before bytes go to the upstream and,
+    if `enter` admitted it, `leave` at its end.
+
+    Args:
+        mover: Counts requests and knows which shards are being moved.
+        membership: Knows the lease.
+        clock: Source of time.
+    """
+
+    def __init__(self, mover: Mover, membership: Membership, clock: Clock) -> None:
+        self._mover = mover
+        self._membership = membership
+        self._clock = clock
+        self.violation = ""
+
+    def expires_ns(self) -> int:
+        """Returns when a grant that is given now ends, on the VM's boot clock."""
+        limit_ns = self._clock.now_ns() + _rules.LEASE_MS * NS_PER_MS
+        return min(self._membership.expires_ns(), limit_ns)
+
+    def enter(self, service: str, shard: int) -> str:
+        """Admits a request, after a short wait if its shard is being moved.
+
+        Returns:
+            An empty string, or the reason why the request was not run.
+        """
+        while not self.violation:
+            admission = self._mover.admit(service, shard, self._clock.now_ns())
+            if admission is not Admission.HOLD:
+                return admission.value
+            gevent.sleep(HOLD_POLL_MS / 1000)
+        return "violation"
+
+    def confirm(self, service: str, shard: int, epoch: int) -> str:
+        """Checks an admitted request again; returns the reason if it must not be sent."""
+        if self.violation:
+            return "violation"
+        return self._mover.confirm(service, shard, epoch, self._clock.now_ns()).value
+
+    def leave(self, service: str, shard: int) -> None:
+        """Notes that an admitted request has ended."""
+        self._mover.leave(service, shard)
