--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
+.PHONY: placement-experiments drain-experiment
 
 .venv: .venv/.installed
 
@@ -30,6 +32,14 @@
 
 test: check unit
 
+# Compares placement planners; prints one table and writes the plot of the design note.
+placement-experiments: .venv
+	$(PY) -m tools.placement_experiments --plot docs/notes/placement.png
+
+# Compares ways to order the moves of drains that compete for room.
+drain-experiment: .venv
+	$(PY) -m tools.placement_drains
+
 recovery: .venv
 	$(PY) -m tools.recovery
 
--- a/src/auburnsail/_placement.py
+++ b/src/auburnsail/_placement.py
@@ -5,11 +5,12 @@
 or draws random numbers.
 """
 
-import heapq
+import math
 from bisect import bisect_left
 from collections.abc import Sequence
 from dataclasses import dataclass
 
+from ._drain_guard import Demand, PlannedDrain
 from ._model import SessionId
 from ._placement_model import (
     CHURN_FIRST,
@@ -21,7 +22,6 @@
     Move,
     MoveReason,
     OwnerView,
-    PlacementSettings,
     Plan,
     ReservationReply,
     ReservationRequest,
@@ -33,10 +33,14 @@
     MoveBudget,
     ReservationBook,
     decide_reservation,
+    fill_capacity,
+    is_kept_for_drains,
+    is_overloaded,
     ready_capacity,
+    sample_peers,
     trusted_load,
 )
-from ._successors import choose_successors
+from ._successors import IDLE_LOAD_SHARE, choose_successors
 
 __all__ = [
     "CHURN_FIRST",
@@ -44,13 +48,14 @@
     "MAX_PEERS_IN_SAMPLE",
     "UNAVAILABLE_FIRST",
     "ClosedSession",
+    "Demand",
     "Limits",
     "Move",
     "MoveBudget",
     "MoveReason",
     "OwnerView",
-    "PlacementSettings",
     "Plan",
+    "PlannedDrain",
     "ReservationBook",
     "ReservationReply",
     "ReservationRequest",
@@ -61,6 +66,7 @@
     "decide_reservation",
     "move_ms",
     "plan_moves",
+    "sample_peers",
     "transfer_batches",
 ]
 
@@ -70,9 +76,15 @@
 BUSY_MOVE_EXTRA_MS = 50.0
 AVERAGE_MOVE_MS = 75.0
 
-# Price of moving one average shard, in the unit of the imbalance term. With weights of 1 an
-# average shard moves when source and target differ by 10% of the mean (see _gain).
-MOVE_PRICE = 0.2
+# Price of moving one average shard, in units of squared deviation from the mean; the weights
+# multiply it. docs/notes/placement.md weighs other values.
+MOVE_PRICE = 1.0
+
+# Users see max/mean and p99/mean, so a high power makes the busiest servers count most.
+STRAIN_POWER = 8
+
+# Above every shard number, so that a bisection finds the last shard of a load.
+MAX_SHARD = 1 << 32
 
 
 @dataclass(slots=True)
@@ -95,7 +107,7 @@
     """Plans moves for one owner.
 
     An owner that is leaving, or whose upstream has no capacity, moves all its shards. Another one moves shards as long as the gain in balance
-    exceeds the price of the move. A shard whose hot key makes it larger than the difference
+    exceeds the price of the move; an overloaded one ignores the price. A shard whose hot key makes it larger than the difference
     between source and target is never worth moving; its smaller neighbours move instead.
 
     Args:
@@ -148,15 +160,22 @@
 ) -> Plan:
     fixed = view.in_transit | view.settling
     free = sorted((load, shard) for shard, load in view.shards.items() if shard not in fixed)
-    targets = _open_targets(view, limits.max_utilisation, limits)
+    kept, targets = [], []
+    for target in _open_targets(view):
+        target.room = fill_capacity(target.server, limits) * limits.max_utilisation - target.load
+        (kept if is_kept_for_drains(target.server, limits) else targets).append(target)
     moves: list[Move] = []
     while len(moves) < min(limits.moves_per_plan, view.moves_left):
-        best = _best_move(view, own_load, mean, free, targets, weights)
+        overloaded = is_overloaded(own_load, view.own.capacity, limits)
+        price = 0.0 if overloaded else _price(view, weights)
+        best = _best_move(view, own_load, mean, free, targets, weights, price)
+        if best is None and overloaded:
+            best = _best_move(view, own_load, mean, free, kept, weights, price)
         if best is None:
             break
         index, target = best
         load, shard = free.pop(index)
-        filling = target.server.age_ms < limits.slow_start_ms
+        filling = target.server.age_ms < limits.fill_delay_ms + limits.slow_start_ms
         reason = MoveReason.FILL if filling else MoveReason.BALANCE
         moves.append(Move(shard, load, target.server.session, reason))
         own_load -= load
@@ -166,14 +185,13 @@
     return Plan(tuple(moves), (), mean, detail)
 
 
-def _open_targets(view: OwnerView, share: float, limits: Limits) -> list[_Target]:
+def _open_targets(view: OwnerView) -> list[_Target]:
     targets = []
     for server in view.peers:
         if server.leaving or server.capacity <= 0 or server.session == view.own.session:
             continue
         load = trusted_load(server) + server.reserved
-        room = ready_capacity(server, limits) * share - load
-        targets.append(_Target(server, load, room))
+        targets.append(_Target(server, load, server.capacity - load))
     return sorted(targets, key=lambda target: target.server.session)
 
 
@@ -184,8 +202,11 @@
     free: list[tuple[float, int]],
     targets: list[_Target],
     weights: Weights,
+    price: float,
 ) -> tuple[int, _Target] | None:
-    if own_load <= mean * view.own.capacity:
+    total = own_load + sum(target.load for target in targets)
+    capacity = view.own.capacity + sum(target.server.capacity for target in targets)
+    if own_load / view.own.capacity <= total / capacity:
         return None
     best_gain = 0.0
     best = None
@@ -195,81 +216,89 @@
             continue
         ideal = excess / (1 / view.own.capacity + 1 / target.server.capacity)
         limit = min(ideal, target.room)
-        # The gain grows up to the ideal load, so only the shards next to it can be the best.
-        position = bisect_left(free, (limit, -1))
-        for index in (position - 1, position):
-            if not 0 <= index < len(free) or free[index][0] > target.room:
-                continue
-            gain = _gain(view, own_load, target, mean, free[index][0], weights)
-            if gain > best_gain:
-                best_gain = gain
-                best = (index, target)
+        # The gain grows up to the ideal load; a larger shard would make the target the busier one,
+        # and the target would decline it.
+        index = bisect_left(free, (limit, MAX_SHARD)) - 1
+        if index < 0:
+            continue
+        load = free[index][0]
+        cost = weights.churn + weights.unavailable * move_ms(load) / AVERAGE_MOVE_MS
+        gain = _relief(view, own_load, target, mean, load) - price * cost
+        if gain > best_gain:
+            best_gain = gain
+            best = (index, target)
     return best
 
 
-def _gain(
-    view: OwnerView, own_load: float, target: _Target, mean: float, load: float, weights: Weights
-) -> float:
-    """Returns the worth of a move: less squared deviation from the mean, minus its price.
+def _price(view: OwnerView, weights: Weights) -> float:
+    """Returns the price of a move for each unit of its weighted cost."""
+    if weights.imbalance <= 0:
+        return math.inf
+    return MOVE_PRICE / weights.imbalance / max(1.0, view.fair_shards)
 
-    Deviations are in units of the mean. An average shard has the share ``1 / fair_shards`` of a
-    server's load, so its move between servers that differ by d gains about
-    ``2 * d / fair_shards``; the price has the same divisor.
-    """
+
+def _relief(view: OwnerView, own_load: float, target: _Target, mean: float, load: float) -> float:
+    """Returns how much less imbalance source and target add after a move."""
     own, peer = view.own.capacity, target.server.capacity
-    unit = (own + peer) / 2 * mean
-    spread = own_load / own - target.load / peer
-    less_deviation = (2 * load * spread - load * load * (1 / own + 1 / peer)) / (unit * mean)
-    cost = weights.churn + weights.unavailable * move_ms(load) / AVERAGE_MOVE_MS
-    price = MOVE_PRICE * cost / weights.imbalance / max(1.0, view.fair_shards)
-    return less_deviation - price
+    before = own * _strain(own_load / own / mean) + peer * _strain(target.load / peer / mean)
+    own_after = _strain((own_load - load) / own / mean)
+    peer_after = _strain((target.load + load) / peer / mean)
+    return (before - own * own_after - peer * peer_after) * 2 / (own + peer)
+
+
+def _strain(utilisation: float) -> float:
+    """Returns the imbalance that a server adds, from its utilisation in units of the mean.
+
+    Users see max/mean and p99/mean. A high power makes the busiest servers count most; the divisor
+    makes it equal to the squared deviation near the mean, whatever the power.
+    """
+    return utilisation**STRAIN_POWER * 2 / (STRAIN_POWER * (STRAIN_POWER - 1))
 
 
 def _plan_drain(view: OwnerView, mean: float, limits: Limits) -> Plan:
-    """Assigns every shard of a leaving owner, largest first, to the least utilised target.
+    """Moves the shards of a leaving owner, largest first, to the targets with most ready room.
 
-    Targets in a domain that another server is leaving come last, because the whole domain may be
-    about to leave and the shards would move twice. So does room beyond a cold server's share.
+    What a cold target is not ready for waits for the next plan, and no shard takes room that only
+    another one could use. Targets in a domain that another server is leaving are used only if the
+    others do not suffice: the whole domain may be about to leave, and the shards would move twice.
     """
+    floor = IDLE_LOAD_SHARE * view.own.capacity / max(1, len(view.shards))
+    loads = {
+        shard: max(load, floor)
+        for shard, load in view.shards.items()
+        if shard not in view.in_transit
+    }
+    order = sorted(loads, key=lambda shard: (-loads[shard], shard))
+    targets = _open_targets(view)
     leaving_domains = {server.domain for server in view.peers if server.leaving}
-    targets = _open_targets(view, limits.max_drain_utilisation, limits)
     preferred = [target for target in targets if target.server.domain not in leaving_domains]
-    loads = [(load, shard) for shard, load in view.shards.items() if shard not in view.in_transit]
-    loads.sort(key=lambda item: (-item[0], item[1]))
-    moves, rest = _fill_least_utilised(loads, preferred or targets)
-    if rest:
-        more, rest = _fill_least_utilised(rest, targets)
-        moves += more
-    if rest:
-        for target in targets:
-            cold = target.server.capacity - ready_capacity(target.server, limits)
-            target.room += cold * limits.max_drain_utilisation
-        more, rest = _fill_least_utilised(rest, targets)
-        moves += more
+    drain = _planned_drain(order, loads, preferred, limits)
+    if len(preferred) < len(targets) and not drain.is_planned:
+        drain = _planned_drain(order, loads, targets, limits)
+    ready = {
+        target.server.session: _drain_room(ready_capacity(target.server, limits), target, limits)
+        for target in targets
+    }
+    moves = [
+        Move(move.shard, loads[move.shard], move.target, MoveReason.DRAIN)
+        for move in drain.select(ready)
+    ]
     moves.sort(key=lambda move: (move.load, move.shard))
-    detail = f"drain of {len(loads)} shards, {len(rest)} without room"
-    return Plan(tuple(moves), tuple(shard for _, shard in rest), mean, detail)
+    stranded = tuple(sorted(demand.shard for demand in drain.outstanding))
+    detail = f"drain of {len(loads)} shards, {len(stranded)} without room"
+    return Plan(tuple(moves), stranded, mean, detail)
 
 
-def _fill_least_utilised(
-    loads: list[tuple[float, int]], targets: list[_Target]
-) -> tuple[list[Move], list[tuple[float, int]]]:
-    moves: list[Move] = []
-    rest: list[tuple[float, int]] = []
-    heap = [(target.load / target.server.capacity, number) for number, target in enumerate(targets)]
-    heapq.heapify(heap)
-    for load, shard in loads:
-        skipped = []
-        while heap and targets[heap[0][1]].room < load:
-            skipped.append(heapq.heappop(heap))
-        if not heap:
-            rest.append((load, shard))
-        else:
-            target = targets[heap[0][1]]
-            target.load += load
-            target.room -= load
-            moves.append(Move(shard, load, target.server.session, MoveReason.DRAIN))
-            heapq.heapreplace(heap, (target.load / target.server.capacity, heap[0][1]))
-        for item in skipped:
-            heapq.heappush(heap, item)
-    return moves, rest
+def _planned_drain(
+    order: list[int], loads: dict[int, float], targets: list[_Target], limits: Limits
+) -> PlannedDrain:
+    sessions = frozenset(target.server.session for target in targets)
+    room = {
+        target.server.session: _drain_room(target.server.capacity, target, limits)
+        for target in targets
+    }
+    return PlannedDrain([Demand(shard, loads[shard], sessions) for shard in order], room)
+
+
+def _drain_room(capacity: float, target: _Target, limits: Limits) -> float:
+    return capacity * limits.max_drain_utilisation - target.load
