Run the request path, settings and membership in simulated time (make soak)

Cause: only ownership was checked by randomised runs, and only in one test. Change: the fake of time, network and store moves to tools/; the shipped request path, its connections and the operators' settings commands run in the same simulated time; ledgers check P1 to P8 at every step.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
 
 .venv: .venv/.installed
 
@@ -43,3 +43,12 @@
 
 demo: .venv
 	$(PY) -m tools.demo
+
+SEED ?= 1
+DURATION_S ?= 60
+
+soak: .venv
+	$(PY) -m tools.soak --seed $(SEED) --duration-s $(DURATION_S) $(if $(SUB_SEED),--sub-seed $(SUB_SEED))
+
+soak-mutations: .venv
+	$(PY) -m tools.soak_mutations
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,7 +8,8 @@
 from auburnsail._model import Transfer
 from auburnsail._moves import Admission
 from auburnsail.exceptions import InvariantViolation
-from tests.sim import SECRET, SERVICE, SHARDS, DoubleOwnershipError, Sim
+from tools.soak_nodes import SECRET, SERVICE, SHARDS, DoubleOwnershipError
+from tools.soak_world import Sim
 
 FAULTS_MS = 15_000
 RULES = {
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,31 @@
+"""A fixed set of randomised runs; `make soak` and `make soak-mutations` run more."""
+
+import unittest
+
+from tools.soak import run_seed
+
+SUB_SEEDS = (1, 2, 3)
+
+
+class SoakTest(unittest.TestCase):
+    """The shipped decision code and request path in simulated time."""
+
+    @classmethod
+    def setUpClass(cls):
+        cls.results = {sub_seed: run_seed(sub_seed) for sub_seed in SUB_SEEDS}
+
+    def test_no_guarantee_is_violated(self):
+        """Guards against a violation of P1 to P8, and against a run that exercises nothing."""
+        for sub_seed, result in self.results.items():
+            with self.subTest(sub_seed=sub_seed):
+                self.assertEqual(result.guarantee, "", (result.detail, result.trace))
+                for name in ("takeovers", "moves", "stops", "settings", "responses", "not_run"):
+                    self.assertGreater(result.counts[name], 0, name)
+
+    def test_same_sub_seed_gives_the_same_run(self):
+        """Guards against a failure that its sub-seed does not reproduce."""
+        self.assertEqual(run_seed(1).digest, self.results[1].digest)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tools/soak_mutations.py
@@ -0,0 +1,230 @@
+"""Leaves out one protecting rule at a time and shows that the randomised runs notice it.
+
+A mutation that no run notices is reported as such and makes the command fail.
+"""
+
+import contextlib
+import sys
+import time
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from unittest import mock
+
+import click
+
+from auburnsail import _attempt, _gossip, _http_server, _log, _pool, _recorder, _rules
+from auburnsail._clock import NS_PER_MS
+from auburnsail._data_path import DataPath
+from auburnsail._effects import Appended, Unsettled
+from auburnsail._gate import RequestGate
+from auburnsail._moves import Admission, Mover
+from auburnsail._outcome import not_run
+from auburnsail._retry import AttemptLog, RepeatablePolicy
+from auburnsail._store import Transaction
+from tools.soak import Result, run_seed
+
+__all__ = ["MUTATIONS", "Mutation", "find"]
+
+SUB_SEEDS = 60
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A rule that is left out.
+
+    Attributes:
+        guarantee: The guarantee that the rule protects.
+        name: What is left out.
+        patches: Object, attribute and replacement for each part of it.
+    """
+
+    guarantee: str
+    name: str
+    patches: tuple[tuple[object, str, object], ...]
+
+    @contextlib.contextmanager
+    def applied(self) -> Iterator[None]:
+        """Leaves the rule out for a while."""
+        with contextlib.ExitStack() as stack:
+            for target, attribute, replacement in self.patches:
+                stack.enter_context(mock.patch.object(target, attribute, replacement))
+            yield
+
+
+def _rule(name: str, attribute: str, replacement: Callable, guarantee: str = "P1") -> Mutation:
+    return Mutation(guarantee, name, ((_rules, attribute, replacement),))
+
+
+def _append_without_head(self, expected, append_id, data, checks=()) -> int:
+    transaction = self._store.commit
+
+    def commit(whole: Transaction):
+        kept = tuple(check for check in whole.checks if not check.key.endswith("/head"))
+        return transaction(Transaction(kept, whole.puts))
+
+    with mock.patch.object(self._store, "commit", commit):
+        return _APPEND(self, expected, append_id, data, checks)
+
+
+def _take_any_settings(self, version: int, data: bytes) -> bool:
+    if version == self.version:
+        return False
+    self.version, self.data = version, data
+    self.fetcher.hint(version, "")
+    return True
+
+
+def _keep_connection(self) -> None:
+    connection, self._connection = self._connection, None
+    if connection is not None:
+        self._peer.put_idle(connection, self.started_ns)
+
+
+def _as_not_run(_flight, _exchange, error):
+    return not_run("no-answer", error.detail, error.step, error.peer)
+
+
+def _admit_while_draining(self, service: str, shard: int, now_ns: int) -> Admission:
+    draining, self._draining = self._draining, ""
+    try:
+        return _ADMIT(self, service, shard, now_ns)
+    finally:
+        self._draining = draining
+
+
+def _send_anyway(self, peer: str) -> None:
+    self._ran = self._ran or self._open
+    self._open = True
+    self.count += 1
+
+
+_ADMIT = Mover.admit
+_APPEND = _log.VersionedLog.append
+_ALWAYS = property(lambda self: True)
+
+MUTATIONS = (
+    _rule("a seal is not final", "may_ack_after_seal", lambda: True),
+    _rule(
+        "a restarted watcher counts",
+        "is_same_watcher",
+        lambda named, actual: named.node == actual.node,
+    ),
+    _rule("seal after 50 ms of silence", "full_silence_ns", lambda: 50 * NS_PER_MS),
+    _rule("seal after half a lease", "full_silence_ns", lambda: 300 * NS_PER_MS),
+    _rule("one seal closes", "votes_to_close", lambda watchers: min(1, watchers)),
+    _rule(
+        "one watcher set during a change",
+        "sets_to_satisfy",
+        lambda current, proposed: [proposed or current],
+    ),
+    _rule(
+        "lease from the arrival of the acknowledgement",
+        "lease_start_ns",
+        lambda echo_ns, arrival_ns: arrival_ns,
+    ),
+    _rule(
+        "an open outcome counts as not applied",
+        "gives_up_on_outcome",
+        lambda waited_ns: waited_ns > 300 * NS_PER_MS,
+    ),
+    _rule(
+        "a transfer names no owner and epoch",
+        "transfer_allowed",
+        lambda table, shard, source, epoch: True,
+    ),
+    Mutation("P1", "grants outlive the lease", ((RequestGate, "expires_ns", lambda _: 1 << 62),)),
+    Mutation(
+        "P2",
+        "a lost answer counts as written",
+        ((_recorder, "Appended", (Appended, Unsettled)),),
+    ),
+    Mutation(
+        "P2",
+        "settings appended without the head's condition",
+        ((_log.VersionedLog, "append", _append_without_head),),
+    ),
+    Mutation(
+        "P3",
+        "connection reused after a time-out",
+        (
+            (_pool.Exchange, "abort", _keep_connection),
+            (_pool, "_shut_down", lambda sock: sock.interrupt()),
+        ),
+    ),
+    Mutation("P4", "no answer is told as not run", ((_attempt, "failure_of", _as_not_run),)),
+    Mutation(
+        "P4",
+        "no answer is told as not run, without the check",
+        (
+            (_attempt, "failure_of", _as_not_run),
+            (AttemptLog, "check_told", lambda self, outcome: None),
+        ),
+    ),
+    Mutation("P5", "unknown outcome sent again", ((AttemptLog, "may_send", _ALWAYS),)),
+    Mutation(
+        "P5", "every method repeatable", ((RepeatablePolicy, "is_repeatable", lambda *_: True),)
+    ),
+    Mutation("P6", "a drain does not stop admission", ((Mover, "admit", _admit_while_draining),)),
+    Mutation("P6", "a drain moves no shards", ((Mover, "_release_all", lambda self, *_: None),)),
+    Mutation(
+        "P7",
+        "shutdown does not wait",
+        (
+            (_http_server.HttpServer, "drain", lambda self, **_: True),
+            (DataPath, "in_flight", property(lambda self: 0)),
+        ),
+    ),
+    Mutation(
+        "P8",
+        "an older settings version is accepted",
+        ((_gossip.SettingsFollower, "offer", _take_any_settings),),
+    ),
+    Mutation(
+        "P8",
+        "settings are not fetched from peers or the store",
+        ((_gossip.SettingsFollower, "offer", lambda self, version, data: False),),
+    ),
+)
+
+
+def find(mutation: Mutation, sub_seeds: int = SUB_SEEDS) -> tuple[Result | None, int]:
+    """Returns the first run that notices a mutation, and the number of events until then."""
+    steps = 0
+    for sub_seed in range(1, sub_seeds + 1):
+        with mutation.applied():
+            result = run_seed(sub_seed)
+        steps += result.steps
+        if result.guarantee:
+            return result, steps
+    return None, steps
+
+
+@click.command()
+@click.option("--sub-seeds", default=SUB_SEEDS, help="Runs until a mutation counts as not caught.")
+@click.option("--only", default="", help="Part of the name of the mutations to run.")
+def main(sub_seeds: int, only: str) -> None:
+    """Prints which run notices each mutation; exit code 1 if one is not noticed."""
+    click.echo("| protects | left out | violation seen | found by | sub-seed | steps | wall s |")
+    click.echo("| --- | --- | --- | --- | --- | --- | --- |")
+    missed = []
+    for mutation in MUTATIONS:
+        if only not in mutation.name:
+            continue
+        start_s = time.monotonic()
+        result, steps = find(mutation, sub_seeds)
+        cells = [mutation.guarantee, mutation.name]
+        if result is None:
+            missed.append(mutation.name)
+            cells += ["NOT CAUGHT", "", f"1 to {sub_seeds}"]
+        else:
+            cells += [result.guarantee, result.found_by, str(result.sub_seed)]
+        cells += [str(steps), f"{time.monotonic() - start_s:.1f}"]
+        click.echo(f"| {' | '.join(cells)} |")
+    if missed:
+        click.echo(f"soak-mutations: FAILED, not caught: {'; '.join(missed)}")
+        sys.exit(1)
+    click.echo(f"soak-mutations: ok mutations={len(MUTATIONS)}")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tools/soak_net.py
@@ -0,0 +1,371 @@
+"""Greenlets, connections and waits in simulated time, so that the shipped request path runs in it.
+
+Only gevent's waits and the operating system's sockets are replaced; HTTP, connections and
+decisions are the shipped code.
+"""
+
+import contextlib
+import logging
+import random
+from collections import deque
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from unittest import mock
+
+import greenlet
+import structlog
+from gevent import socket
+
+from auburnsail import _forward, _gate, _http_server, _node, _pool
+from auburnsail._clock import NS_PER_MS, Clock
+from auburnsail.exceptions import NotRunError
+from tools.soak_nodes import FakeNode
+from tools.soak_world import Sim
+
+__all__ = ["FakeSocket", "Net", "NetPeers"]
+
+LATENCY_MS = (0.1, 20.0)
+CUT_RETRY_MS = 40
+FREEZE_AT_SEND = 0.004
+
+
+@dataclass(eq=False)
+class Task:
+    """One greenlet of a node, an upstream or a caller.
+
+    Attributes:
+        node: The node whose VM runs it, None for a caller.
+        is_upstream: Whether it stands still only if the whole VM does.
+    """
+
+    run: greenlet.greenlet
+    node: FakeNode | None
+    is_upstream: bool = False
+
+    @property
+    def is_held(self) -> bool:
+        """Whether the task stands still now."""
+        node = self.node
+        return node is not None and (node.is_vm_frozen if self.is_upstream else node.paused)
+
+
+class FakeSocket:
+    """One end of a connection; what the shipped code uses of a socket."""
+
+    def __init__(self, net: "Net", node: FakeNode | None, links: tuple[int, int]) -> None:
+        self._net = net
+        self._links = links
+        self._inbox = b""
+        self._ended = ""
+        self._pending: deque[tuple[int, bytes]] = deque()
+        self._resets = False
+        self._interrupt = False
+        self._waiter: Task | None = None
+        self.node = node
+        self.peer: FakeSocket | None = None
+        self.is_closed = False
+        self.is_silent = False
+        # Whether the other process ended or closed the connection with unread bytes of this side.
+        self.was_cut = False
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the connection is open and has nothing to read."""
+        return not (self._inbox or self._ended or self.is_closed)
+
+    def sendall(self, data: bytes) -> None:
+        """Sends bytes."""
+        self._net.maybe_freeze()
+        if self.is_closed or self._ended == "reset":
+            raise ConnectionResetError("the connection was reset")
+        self._send(bytes(data))
+
+    def recv(self, size: int) -> bytes:
+        """Waits for bytes; returns empty bytes at the end."""
+        while True:
+            if self.is_closed:
+                raise OSError("the socket was closed")
+            if self._inbox:
+                data, self._inbox = self._inbox[:size], self._inbox[size:]
+                return data
+            if self._ended == "reset":
+                raise ConnectionResetError("the connection was reset")
+            if self._ended:
+                return b""
+            if self._interrupt:
+                self._interrupt = False
+                raise TimeoutError("interrupted")
+            self._waiter = self._net.current
+            self._net.wait()
+
+    def interrupt(self) -> None:
+        """Makes a blocked `recv` fail and leaves the connection open."""
+        self._interrupt = True
+        self._wake()
+
+    def shutdown(self, how: int) -> None:
+        """Ends one or both directions."""
+        if self.is_closed or self._ended == "reset":
+            raise OSError("the connection has ended")
+        if how != socket.SHUT_RD:
+            self._send(b"")
+        if how != socket.SHUT_WR:
+            self._ended = self._ended or "end"
+            self._wake()
+
+    def close(self) -> None:
+        """Closes the connection, with a reset if unread bytes are left."""
+        if self.is_closed:
+            return
+        self.is_closed = True
+        self.peer.was_cut = self.peer.was_cut or bool(self._inbox)
+        if self._resets or self._inbox:
+            self._net.sim.at(self._net.latency(), lambda: self.peer.break_now())
+        else:
+            self._send(b"")
+        self._wake()
+
+    def break_now(self) -> None:
+        """The connection was reset by the other side."""
+        self._ended = "reset"
+        self._inbox = b""
+        self._wake()
+
+    def setsockopt(self, _level: int, option: int, _value: object) -> None:
+        """Notes that closing resets the connection."""
+        self._resets = self._resets or option == socket.SO_LINGER
+
+    def settimeout(self, _timeout_s: float | None) -> None:
+        """Does nothing: nothing that needs it is driven here."""
+
+    def fileno(self) -> int:
+        """Returns no descriptor: nothing can be polled."""
+        return -1
+
+    def _send(self, data: bytes) -> None:
+        net = self._net
+        self._pending.append((net.sim.now_ns + int(net.latency() * NS_PER_MS), data))
+        if len(self._pending) == 1:
+            self._arm()
+
+    def _arm(self) -> None:
+        delay_ms = max(0.0, (self._pending[0][0] - self._net.sim.now_ns) / NS_PER_MS)
+        self._net.sim.at(delay_ms, self._pump)
+
+    def _pump(self) -> None:
+        if not self._pending or self.is_silent:
+            return
+        if self._links in self._net.sim.cuts:
+            self._net.sim.at(CUT_RETRY_MS, self._pump)
+            return
+        _, data = self._pending.popleft()
+        self.peer.arrive(data)
+        if self._pending:
+            self._arm()
+
+    def arrive(self, data: bytes) -> None:
+        """Takes bytes from the network; empty bytes are the end."""
+        if self.is_closed or self._ended:
+            return
+        self._inbox += data
+        if not data:
+            self._ended = "end"
+        self._wake()
+
+    def _wake(self) -> None:
+        waiter, self._waiter = self._waiter, None
+        if waiter is not None:
+            self._net.resume_soon(waiter)
+
+
+@dataclass
+class Net:
+    """Connections between callers, nodes and upstreams.
+
+    Attributes:
+        sim: The run.
+        listeners: By address: the node of the VM and what serves an accepted connection.
+        is_calm: Whether no new connection faults are caused.
+    """
+
+    sim: Sim
+    listeners: dict[str, tuple[FakeNode, bool, Callable[[FakeSocket], None]]] = field(
+        default_factory=dict
+    )
+    is_calm: bool = True
+    current: Task | None = None
+
+    def __post_init__(self) -> None:
+        self._rng = random.Random(self.sim.rng.getrandbits(64))
+        self._tasks: set[Task] = set()
+        self._held: list[Task] = []
+        self._sockets: list[FakeSocket] = []
+
+    @contextlib.contextmanager
+    def installed(self) -> Iterator[None]:
+        """Replaces gevent's waits and the poll of sockets in the request path."""
+        waits = SimpleNamespace(sleep=lambda s: self.sleep(s * 1000), spawn=self.spawn_here)
+        with contextlib.ExitStack() as stack:
+            for module in (_forward, _gate, _http_server, _node):
+                stack.enter_context(mock.patch.object(module, "gevent", waits))
+            stack.enter_context(mock.patch.object(_pool, "is_quiet", lambda sock: sock.is_quiet))
+            # Failed requests are logged; they are the purpose of a run, not worth a line each.
+            stack.callback(structlog.configure, **structlog.get_config())
+            quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+            structlog.configure(wrapper_class=quiet, cache_logger_on_first_use=False)
+            stack.callback(self.end_tasks, lambda task: True)
+            yield
+
+    def latency(self) -> float:
+        """Returns the time of one message in milliseconds; some are far slower."""
+        if self._rng.random() < 0.005:
+            return self._rng.uniform(100, 1500)
+        return self._rng.uniform(*LATENCY_MS)
+
+    def spawn(self, node: FakeNode | None, run: Callable[[], None], upstream: bool = False) -> None:
+        """Starts a task."""
+        task = Task(greenlet.greenlet(lambda: self._body(task, run)), node, upstream)
+        self._tasks.add(task)
+        self.resume_soon(task)
+
+    def spawn_here(self, run: Callable, *args: object) -> None:
+        """Starts a task of the node whose task runs now."""
+        self.spawn(self.current.node if self.current else None, lambda: run(*args))
+
+    def sleep(self, milliseconds: float) -> None:
+        """Lets the current task wait."""
+        task = self.current
+        self.sim.at(milliseconds, lambda: self._resume(task))
+        self.wait()
+
+    def wait(self) -> None:
+        """Lets the current task wait until something resumes it."""
+        task = self.current
+        self.current = None
+        task.run.parent.switch()
+        self.current = task
+
+    def resume_soon(self, task: Task) -> None:
+        """Resumes a task as an event of its own."""
+        self.sim.at(0, lambda: self._resume(task))
+
+    def release(self, node: FakeNode) -> None:
+        """Goes on with the tasks of a node that was paused."""
+        held, self._held = self._held, []
+        for task in held:
+            if task.node is node:
+                self.resume_soon(task)
+            else:
+                self._held.append(task)
+
+    def end_node(self, node: FakeNode) -> None:
+        """Ends a node's process and upstream: their connections are reset."""
+        for sock in self._sockets:
+            if sock.node is node and not sock.is_closed:
+                sock.is_closed = sock.peer.was_cut = True
+                self.sim.at(self.latency(), sock.peer.break_now)
+        self._sockets = [s for s in self._sockets if not (s.is_closed and s.peer.is_closed)]
+        self.end_tasks(lambda task: task.node is node)
+
+    def end_tasks(self, chosen: Callable[[Task], bool]) -> None:
+        """Ends tasks where they wait."""
+        for task in [task for task in self._tasks if chosen(task)]:
+            self._tasks.discard(task)
+            if task.run and task is not self.current:
+                task.run.parent = greenlet.getcurrent()
+                previous, self.current = self.current, task
+                task.run.throw(greenlet.GreenletExit)
+                self.current = previous
+
+    def maybe_freeze(self) -> None:
+        """Pauses the node whose task runs now, between its last check and its bytes."""
+        task = self.current
+        if self.is_calm or task is None or task.node is None or task.is_upstream:
+            return
+        if self._rng.random() < FREEZE_AT_SEND:
+            self.sim.faults["pause-at-send"] += 1
+            self.sim.pause(task.node.number, self._rng.uniform(100, 2500))
+            self.sleep(0)
+
+    def silence(self) -> None:
+        """Makes the open connections between nodes and upstreams go silent for good."""
+        for sock in self._sockets:
+            if sock.node is not None and self._rng.random() < 0.5:
+                sock.is_silent = sock.peer.is_silent = True
+
+    def connect(self, address: str, node: FakeNode | None, timeout_s: float) -> FakeSocket:
+        """Returns a connection.
+
+        Raises:
+            NotRunError: Nothing listens there, or it cannot be reached in time.
+        """
+        number = int(address.split(":")[0].split(".")[3])
+        links = (node.number, number) if node else (-1, number)
+        self.sleep(self.latency())
+        target = self.listeners.get(address)
+        if target is None or target[0].dead:
+            raise NotRunError("refused", step="http.connect", peer=address)
+        if {links, links[::-1]} & self.sim.cuts:
+            self.sleep(timeout_s * 1000)
+            raise NotRunError("no answer", step="http.connect", peer=address)
+        listener, is_upstream, serve = target
+        near = FakeSocket(self, node, links)
+        far = FakeSocket(self, listener, links[::-1])
+        near.peer, far.peer = far, near
+        self._sockets += [near, far]
+        if len(self._sockets) > 400:
+            self._sockets = [s for s in self._sockets if not (s.is_closed and s.peer.is_closed)]
+        self.spawn(listener, lambda: serve(far), is_upstream)
+        return near
+
+    def _body(self, task: Task, run: Callable[[], None]) -> None:
+        try:
+            run()
+        finally:
+            self.current = None
+            self._tasks.discard(task)
+
+    def _resume(self, task: Task) -> None:
+        if task not in self._tasks or task.run.dead:
+            return
+        if task.is_held:
+            self._held.append(task)
+            return
+        task.run.parent = greenlet.getcurrent()
+        self.current = task
+        task.run.switch()
+        self.current = None
+
+
+class NetPeers(dict):
+    """The peers of a node's request path, with connections of the run.
+
+    Args:
+        net: The run's connections.
+        node: The node.
+        clock: The node's clock.
+    """
+
+    def __init__(self, net: Net, node: FakeNode, clock: Clock) -> None:
+        super().__init__()
+        self._net = net
+        self._node = node
+        self._clock = clock
+
+    def get(self, address: str, default: object = None) -> "_NetPeer":
+        """Returns the peer of an address; creates it at its first use."""
+        if address not in self:
+            self[address] = _NetPeer(address, self._clock, self._net, self._node)
+        return self[address]
+
+
+class _NetPeer(_pool.HttpPeer):
+    def __init__(self, address: str, clock: Clock, net: Net, node: FakeNode) -> None:
+        super().__init__(address, clock)
+        self._net = net
+        self._node = node
+
+    def _connect(self, timeout_s: float) -> object:
+        sock = self._net.connect(self.address, self._node, timeout_s)
+        return _pool._Connection(sock, self._clock.now_ns())
--- a/tests/sim.py
+++ b/tools/soak_world.py
@@ -1,48 +1,41 @@
-"""Nodes' decision code under fake time, network and store; ownership is checked at every step."""
+"""Nodes' decision code under fake time, network and store; ownership is checked at every step.
+
+The random number generator of a run decides everything, so the same seed gives the same run.
+"""
 
 import heapq
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 from auburnsail import _effects as effects
 from auburnsail._clock import NS_PER_MS
 from auburnsail._fleet import FleetState
 from auburnsail._membership import Membership
-from auburnsail._messages import Codec
-from auburnsail._model import Entry, decode_entry
+from auburnsail._messages import Codec, Propose
+from auburnsail._model import Entry, Transfer, decode_entry
 from auburnsail._moves import Admission, Mover
 from auburnsail._rules import TICK_MS
 from auburnsail._session import NodeFacts
-
-SERVICE = "catalogue"
-SHARDS = 32
-SECRET = "0123456789abcdef"
-PLACES = [(region, f"{region}-{domain}") for region in "abc" for domain in (1, 2)]
-
-
-class DoubleOwnershipError(AssertionError):
-    """Two nodes would serve one shard at the same moment."""
-
-
-@dataclass
-class FakeNode:
-    """One node with a clock of its own."""
-
-    number: int
-    drift: float
-    membership: Membership
-    fleet: FleetState
-    mover: Mover
-    paused: bool = False
-    dead: bool = False
-    queue: list[Callable[[int], list]] = field(default_factory=list)
-    cached: tuple[tuple | None, list[int]] = (None, [])
-
-    def now(self, true_ns: int) -> int:
-        """Returns the node's own time."""
-        return int(true_ns * (1 + self.drift)) + self.number * 1_000_000_007
+from tools.soak_nodes import (
+    FAULT_WEIGHTS,
+    FAULTS,
+    MAX_DRIFT,
+    PLACES,
+    SECRET,
+    SERVICE,
+    SHARDS,
+    UNKEYED,
+    DoubleOwnershipError,
+    FakeNode,
+    GuaranteeError,
+    Observer,
+)
+from tools.soak_settings import SettingsTable
+
+__all__ = ["Sim"]
+
+TRACE_EVENTS = 40
 
 
 class Sim:
@@ -52,9 +45,10 @@
         seed: Decides everything.
         nodes: Number of nodes.
         loss: Share of datagrams lost.
+        unkeyed: How many of them, the last ones, serve an unkeyed service instead.
     """
 
-    def __init__(self, seed: int, nodes: int = 6, loss: float = 0.01) -> None:
+    def __init__(self, seed: int, nodes: int = 6, loss: float = 0.01, unkeyed: int = 0) -> None:
         self.rng = random.Random(seed)
         self.now_ns = 10**9
         self.loss = loss
@@ -64,6 +58,18 @@
         self.log: list[bytes] = []
         self.nodes: dict[int, FakeNode] = {}
         self.notes: Counter = Counter()
+        self.faults: Counter = Counter()
+        self.steps = 0
+        self.trace: deque[tuple[int, str]] = deque(maxlen=TRACE_EVENTS)
+        self.fault_weights = FAULT_WEIGHTS
+        self.checks: list[Callable[[], None]] = []
+        self.observer = Observer()
+        # Ends of the last store outage and of the last fault of any kind.
+        self.store_restless_ns = 0
+        self.restless_ns = 0
+        self._keyed = nodes - unkeyed
+        self.table = SettingsTable(self)
+        self._decoded: list[Entry] = []
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
         self.started = 0
@@ -80,12 +86,23 @@
         fleet = FleetState()
         fleet.add_service(SERVICE, SHARDS)
         membership = Membership(facts, fleet, Codec(SECRET, rng.getrandbits(48)), rng)
-        membership.session.want(SERVICE, 4)
-        drift = self.rng.uniform(-0.0005, 0.0005)
+        membership.session.want(self.service_of(number), 4)
+        drift = self.rng.uniform(-MAX_DRIFT, MAX_DRIFT)
         node = FakeNode(number, drift, membership, fleet, Mover(membership, fleet))
+        node.restless_ns = self.now_ns
+        self._disturb(0)
         self.nodes[number] = node
+        self.observer.on_start(node)
         self.at(self.rng.uniform(0, TICK_MS), lambda: self._tick(node))
 
+    def service_of(self, number: int) -> str:
+        """Returns the service of a node's upstream."""
+        return SERVICE if number < self._keyed else UNKEYED
+
+    def _disturb(self, milliseconds: float) -> None:
+        end_ns = self.now_ns + int(milliseconds * NS_PER_MS)
+        self.restless_ns = max(self.restless_ns, end_ns)
+
     def at(self, delay_ms: float, action: Callable[[], None]) -> None:
         """Runs an action later."""
         self._sequence += 1
@@ -98,14 +115,17 @@
         while self._events and self._events[0][0] <= end_ns:
             self.now_ns, _, action = heapq.heappop(self._events)
             action()
+            self.steps += 1
             self.check()
+            for check in self.checks:
+                check()
         self.now_ns = end_ns
 
     def check(self) -> None:
         """Raises if two nodes would serve one shard."""
         serving: dict[int, int] = {}
         for node in self.nodes.values():
-            if node.paused or node.dead or not node.membership.may_serve(node.now(self.now_ns)):
+            if node.paused or node.dead or not self._may_serve(node):
                 continue
             state = (node.fleet.version, node.mover.moving, node.membership.own_id)
             if node.cached[0] != state:
@@ -115,6 +135,14 @@
                 if serving.setdefault(shard, node.number) != node.number:
                     raise DoubleOwnershipError(f"{shard}: {serving[shard]} and {node.number}")
 
+    def _may_serve(self, node: FakeNode) -> bool:
+        # The check must not make the node notice a lapse that it would not notice by itself.
+        membership = node.membership
+        lapsed = membership._lapsed
+        may_serve = membership.may_serve(node.now(self.now_ns))
+        membership._lapsed = lapsed
+        return may_serve
+
     def serves(self, node: FakeNode, shard: int) -> bool:
         """Whether a node would admit a request for a shard."""
         admission = node.mover.admit(SERVICE, shard, node.now(self.now_ns))
@@ -129,37 +157,99 @@
 
     def kill(self, number: int) -> None:
         """Ends a node."""
+        self.note(f"n{number} killed")
         self.nodes[number].dead = True
+        self._disturb(0)
+        self.observer.on_kill(self.nodes[number])
+
+    def note(self, text: str) -> None:
+        """Adds an event to the trace."""
+        self.trace.append((self.now_ns, text))
 
     def pause(self, number: int, milliseconds: float) -> None:
         """Freezes a node; what arrives meanwhile waits."""
         node = self.nodes[number]
+        if node.paused or node.dead:
+            return
+        self._disturb(milliseconds)
+        # Either the process alone stands still or its whole VM, with the upstream.
+        node.is_vm_frozen = self.rng.random() < 0.5
+        self.note(f"n{number} paused for {milliseconds:.0f} ms")
         node.paused = True
-        self.at(milliseconds, lambda: setattr(node, "paused", False))
+        self.at(milliseconds, lambda: self._resume(node))
+
+    def _resume(self, node: FakeNode) -> None:
+        node.paused = node.is_vm_frozen = False
+        node.restless_ns = self.now_ns
+        if not node.dead:
+            self.note(f"n{node.number} resumed")
+            self.observer.on_resume(node)
 
     def cut(self, one: int, other: int, milliseconds: float) -> None:
         """Loses every datagram from one node to another."""
+        self.note(f"cut n{one} -> n{other} for {milliseconds:.0f} ms")
+        self._disturb(milliseconds)
         self.cuts.add((one, other))
         self.at(milliseconds, lambda: self.cuts.discard((one, other)))
 
     def fault(self) -> None:
-        """Causes one random fault or planned move."""
+        """Causes one random fault or planned move, sometimes two at once or the same one twice."""
+        kind = self._one_fault()
+        if self.rng.random() < 0.2:
+            self._one_fault(kind if self.rng.random() < 0.5 else "")
+            self.faults["double"] += 1
+
+    def _one_fault(self, kind: str = "") -> str:
         rng = self.rng
         one, other = rng.randrange(len(self.nodes)), rng.randrange(len(self.nodes))
-        match rng.choices(("pause", "cut", "kill", "store", "move"), (5, 8, 2, 1, 4))[0]:
+        kind = kind or rng.choices(FAULTS, self.fault_weights)[0]
+        self.faults[kind] += 1
+        match kind:
             case "pause":
-                self.pause(one, rng.uniform(100, 2500))
+                self.pause(one, rng.uniform(100, 2500) if rng.random() < 0.9 else 8000)
             case "cut":
                 self.cut(one, other, rng.uniform(200, 3000))
             case "kill":
                 self.kill(one)
                 self.start(one)
+            case "isolate":
+                self._isolate(one)
             case "store":
-                self.store_down = not self.store_down
+                self.set_store(not self.store_down)
             case "move":
                 self._move(self.nodes[one], self.nodes[other])
+            case "late-copy":
+                self._repeat_transfer(self.nodes[one], self.nodes[other])
+        return kind
+
+    def _isolate(self, one: int) -> None:
+        way, milliseconds = self.rng.choice(("out", "in", "both")), self.rng.uniform(500, 2500)
+        for number in self.nodes:
+            if way != "in":
+                self.cut(one, number, milliseconds)
+            if way != "out":
+                self.cut(number, one, milliseconds)
+
+    def _repeat_transfer(self, sender: FakeNode, recorder: FakeNode) -> None:
+        """Delivers an earlier proposal again, as one that was on its way for long."""
+        version = self.rng.randint(max(1, len(self.log) - 60), max(1, len(self.log)))
+        entry = self.entry(version)
+        for command in entry.commands if entry else ():
+            if isinstance(command, Transfer):
+                message = Propose(command.id, f"10.0.0.{sender.number}:1", (command,))
+                data = sender.membership._codec.encode(message)
+                self._send(sender, recorder.number, data)
+
+    def set_store(self, down: bool) -> None:
+        """Starts or ends an outage of the store."""
+        self.note("store down" if down else "store up")
+        self.store_down = down
+        self.store_restless_ns = self.now_ns
+        self._disturb(0)
 
     def _move(self, node: FakeNode, other: FakeNode) -> None:
+        if self.service_of(other.number) != SERVICE:
+            return
         target = other.membership.own_id
         row = node.fleet.sessions.get(node.membership.own_id)
         if row is not None and target is not None and not node.paused:
@@ -197,8 +287,12 @@
                     self._append(node, effect)
                 case effects.FetchLog():
                     self.at(self.rng.uniform(2, 60), lambda fetch=effect: self._fetch(node, fetch))
-                case effects.Applied(verdicts=verdicts):
+                case effects.Applied(entry=entry, verdicts=verdicts):
+                    self._check_applied(node, entry)
+                    self.observer.on_applied(node)
                     node.mover.on_applied(verdicts)
+                case effects.SettingsChanged(version=version, data=data):
+                    self._check_settings(node, version, data)
                 case effects.Note(kind=kind):
                     self.notes[kind] += 1
 
@@ -225,11 +319,12 @@
         delay_ms = self.rng.uniform(2, 3000) if is_lost else self.rng.uniform(2, 15)
 
         def write() -> None:
-            entries = [decode_entry(data) for data in self.log]
             if len(self.log) == request.expected:
                 self.log.append(request.data)
+                self._count(request.data)
+                self.faults["lost-write"] += is_lost
                 reply: effects.StoreReply = effects.Appended()
-            elif self._is_own(entries, request):
+            elif self.entry(request.expected + 1).id == request.append_id:
                 reply = effects.Appended()
             else:
                 reply = effects.Superseded(tuple(self.log[request.expected :]))
@@ -240,9 +335,6 @@
         if is_lost:
             self._reply(node, request, effects.Unsettled(), 100)
 
-    def _is_own(self, entries: list[Entry], request: effects.StoreRequest) -> bool:
-        return entries[request.expected].id == request.append_id
-
     def _reply(self, node: FakeNode, request, reply, after_ms: float = 3) -> None:
         def step(now_ns: int) -> list:
             return node.membership.on_store_reply(request.ticket, reply, now_ns)
@@ -255,11 +347,13 @@
         def step(now_ns: int) -> list:
             return node.membership.on_records(fetch.log, records, fetch.address, now_ns)
 
-        self._deliver(node, step)
+        # A late reply can arrive after a newer one of another peer.
+        late_ms = self.rng.uniform(1000, 6000) if self.rng.random() < 0.02 else 0
+        self.at(late_ms, lambda: self._deliver(node, step))
 
     def _records(self, fetch: effects.FetchLog) -> list[tuple[int, bytes]] | None:
         if fetch.log != effects.LogName.FLEET:
-            return []
+            return self._settings_records(fetch)
         if not fetch.address:
             found = None if self.store_down else self.log[fetch.after :]
         else:
@@ -267,3 +361,43 @@
             is_up = not (peer.dead or peer.paused)
             found = peer.membership.replica.entries_after(fetch.after) if is_up else None
         return None if found is None else [(0, data) for data in found]
+
+    def _settings_records(self, fetch: effects.FetchLog) -> list[tuple[int, bytes]] | None:
+        if not fetch.address:
+            self.notes["store-fetch"] += 1
+            return None if self.store_down else self.table.records_after(fetch.after)
+        peer = self.nodes[int(fetch.address.split(":")[0].split(".")[3])]
+        if peer.dead or peer.paused:
+            return None
+        replica = peer.membership.replica
+        newest = (replica.settings_version, replica.settings_data)
+        return [newest] if newest[0] > fetch.after else []
+
+    # Checks against what the store holds.
+
+    def entry(self, version: int) -> Entry | None:
+        """Returns an entry of the store's fleet log, or None if there is none."""
+        while len(self._decoded) < min(version, len(self.log)):
+            self._decoded.append(decode_entry(self.log[len(self._decoded)]))
+        return self._decoded[version - 1] if version <= len(self.log) else None
+
+    def _check_applied(self, node: FakeNode, entry: Entry) -> None:
+        if entry != self.entry(entry.version):
+            detail = f"n{node.number} applied an entry {entry.version} that the store lacks"
+            raise GuaranteeError("P2", detail)
+
+    def _check_settings(self, node: FakeNode, version: int, data: bytes) -> None:
+        self.note(f"n{node.number} settings {version}")
+        if (version, data) not in self.table.records_after(version - 1):
+            detail = f"n{node.number} put a version {version} into force that was not accepted"
+            raise GuaranteeError("P8", detail)
+        if version <= node.settings[0]:
+            detail = f"n{node.number} went from settings {node.settings[0]} to {version}"
+            raise GuaranteeError("P8", detail)
+        node.settings = (version, data)
+        self.observer.on_settings(node, version, data)
+
+    def _count(self, data: bytes) -> None:
+        for command in decode_entry(data).commands:
+            self.notes[type(command).__name__] += 1
+            self.note(f"log {len(self.log)}: {command.id}")
