Let a new recorder poll the store at once

Cause: a node polls the store every 23 to 30 s until it ranks among the two recorders; when it began to rank it still waited for the end of that time, so nobody read the settings log. Change: a poll is due as soon as the interval of the present role has passed since the last one. After: the test counts at least 4, the fix alone makes it pass.

--- a/src/auburnsail/_replica.py
+++ b/src/auburnsail/_replica.py
@@ -31,6 +31,7 @@
         self._entries = FleetFollower(fleet)
         self._settings = SettingsFollower()
         self._next_poll_ns = 0
+        self._polled_ns = 0
 
     @property
     def versions(self) -> tuple[int, int]:
@@ -90,8 +91,10 @@
             poll_address: Whom to poll, empty for the store.
         """
         fetchers = (self._entries.fetcher, self._settings.fetcher)
-        if now_ns >= self._next_poll_ns:
-            every_ms = POLL_STORE_FIRST_MS if polls_often else POLL_STORE_MS
+        every_ms = POLL_STORE_FIRST_MS if polls_often else POLL_STORE_MS
+        # A node that begins to poll for all others does not wait for its own, later turn.
+        if now_ns >= min(self._next_poll_ns, self._polled_ns + every_ms * NS_PER_MS):
+            self._polled_ns = now_ns
             spread = self._rng.uniform(0.75, 1.0)
             self._next_poll_ns = now_ns + int(every_ms * spread * NS_PER_MS)
             for fetcher in fetchers:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -83,6 +83,28 @@
         self.sim.run(10_000)
         self.assertEqual(self.sim.served(), SHARDS)
 
+    def test_new_recorder_polls_the_store_at_once(self):
+        """Guards against settings that nobody reads for 30 s after both recorders were lost (P8)."""
+        for _ in range(3):
+            node = self.sim.nodes[0]
+            now_ns = node.now(self.sim.now_ns)
+            polling = [n for n in self.sim.nodes.values() if self.polls(n)]
+            self.assertEqual(len(polling), 2, now_ns)
+            for each in polling:
+                self.sim.kill(each.number)
+            self.sim.run(3000)
+            fetched = self.sim.notes["store-fetch"]
+            self.sim.run(2500)
+            self.assertGreaterEqual(self.sim.notes["store-fetch"] - fetched, 4)
+            for each in polling:
+                self.sim.start(each.number)
+            self.sim.run(4000)
+
+    def polls(self, node) -> bool:
+        """Whether a node polls the store on behalf of all."""
+        membership = node.membership
+        return membership.recording.polls(membership.own_id, node.now(self.sim.now_ns))
+
     def test_late_copy_of_a_transfer_moves_nothing(self):
         """Guards against a repeated command that takes away shards which came back."""
         one, other = self.sim.nodes[0], self.sim.nodes[1]
