Let cuts between nodes also end their log fetches in soak runs

Cause: catch-up between nodes ignored the partitions of a run; leaving out the poll of a new recorder was not among the mutations.

--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -19,6 +19,7 @@
 from auburnsail._gate import RequestGate
 from auburnsail._moves import Admission, Mover
 from auburnsail._outcome import not_run
+from auburnsail._replica import Replica
 from auburnsail._retry import AttemptLog, RepeatablePolicy
 from auburnsail._store import Transaction
 from tools.soak import Result, run_seed
@@ -74,6 +75,11 @@
     return True
 
 
+def _old_turn(self, now_ns: int, polls_often: bool, poll_address: str) -> list:
+    self._polled_ns = self._next_poll_ns
+    return _FETCHES(self, now_ns, polls_often, poll_address)
+
+
 def _keep_connection(self) -> None:
     connection, self._connection = self._connection, None
     if connection is not None:
@@ -98,6 +104,7 @@
     self.count += 1
 
 
+_FETCHES = Replica.fetches
 _ADMIT = Mover.admit
 _APPEND = _log.VersionedLog.append
 _ALWAYS = property(lambda self: True)
@@ -110,7 +117,11 @@
         lambda named, actual: named.node == actual.node,
     ),
     _rule("seal after 50 ms of silence", "full_silence_ns", lambda: 50 * NS_PER_MS),
-    _rule("seal after half a lease", "full_silence_ns", lambda: 300 * NS_PER_MS),
+    _rule(
+        "a lease of 900 ms, longer than the silence before a seal",
+        "lease_end_ns",
+        lambda start_ns: start_ns + 900 * NS_PER_MS,
+    ),
     _rule("one seal closes", "votes_to_close", lambda watchers: min(1, watchers)),
     _rule(
         "one watcher set during a change",
@@ -179,6 +190,7 @@
         "an older settings version is accepted",
         ((_gossip.SettingsFollower, "offer", _take_any_settings),),
     ),
+    Mutation("P8", "a new recorder keeps its old turn", ((Replica, "fetches", _old_turn),)),
     Mutation(
         "P8",
         "settings are not fetched from peers or the store",
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -64,7 +64,7 @@
         self.fault_weights = FAULT_WEIGHTS
         self.checks: list[Callable[[], None]] = []
         self.observer = Observer()
-        # Ends of the last store outage and of the last fault of any kind.
+        # Ends of the last store outage and of the last fault.
         self.store_restless_ns = 0
         self.restless_ns = 0
         self._keyed = nodes - unkeyed
@@ -72,7 +72,6 @@
         self._decoded: list[Entry] = []
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
-        self.started = 0
         for number in range(nodes):
             self.start(number)
 
@@ -82,7 +81,6 @@
         address = f"10.0.0.{number}:1"
         facts = NodeFacts(f"n{number}", region, domain, address, address, "a")
         rng = random.Random(self.rng.getrandbits(64))
-        self.started += 1
         fleet = FleetState()
         fleet.add_service(SERVICE, SHARDS)
         membership = Membership(facts, fleet, Codec(SECRET, rng.getrandbits(48)), rng)
@@ -342,7 +340,7 @@
         self.at(after_ms, lambda: self._deliver(node, step))
 
     def _fetch(self, node: FakeNode, fetch: effects.FetchLog) -> None:
-        records = self._records(fetch)
+        records = self._records(node.number, fetch)
 
         def step(now_ns: int) -> list:
             return node.membership.on_records(fetch.log, records, fetch.address, now_ns)
@@ -351,25 +349,23 @@
         late_ms = self.rng.uniform(1000, 6000) if self.rng.random() < 0.02 else 0
         self.at(late_ms, lambda: self._deliver(node, step))
 
-    def _records(self, fetch: effects.FetchLog) -> list[tuple[int, bytes]] | None:
-        if fetch.log != effects.LogName.FLEET:
-            return self._settings_records(fetch)
+    def _records(self, asking: int, fetch: effects.FetchLog) -> list[tuple[int, bytes]] | None:
+        is_fleet = fetch.log == effects.LogName.FLEET
         if not fetch.address:
-            found = None if self.store_down else self.log[fetch.after :]
-        else:
-            peer = self.nodes[int(fetch.address.split(":")[0].split(".")[3])]
-            is_up = not (peer.dead or peer.paused)
-            found = peer.membership.replica.entries_after(fetch.after) if is_up else None
-        return None if found is None else [(0, data) for data in found]
-
-    def _settings_records(self, fetch: effects.FetchLog) -> list[tuple[int, bytes]] | None:
-        if not fetch.address:
-            self.notes["store-fetch"] += 1
-            return None if self.store_down else self.table.records_after(fetch.after)
+            self.notes["store-fetch"] += not is_fleet
+            if self.store_down:
+                return None
+            if is_fleet:
+                return [(0, data) for data in self.log[fetch.after :]]
+            return self.table.records_after(fetch.after)
         peer = self.nodes[int(fetch.address.split(":")[0].split(".")[3])]
-        if peer.dead or peer.paused:
+        links = {(asking, peer.number), (peer.number, asking)}
+        if peer.dead or peer.paused or links & self.cuts:
             return None
         replica = peer.membership.replica
+        if is_fleet:
+            found = replica.entries_after(fetch.after)
+            return None if found is None else [(0, data) for data in found]
         newest = (replica.settings_version, replica.settings_data)
         return [newest] if newest[0] > fetch.after else []
 
