--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 export PYTHONPATH := src:.
 
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
 
 .venv: .venv/.installed
 
@@ -52,3 +53,11 @@
 
 soak-mutations: .venv
 	$(PY) -m tools.soak_mutations
+overload: .venv
+	$(PY) -m tools.overload
+
+poison: .venv
+	$(PY) -m tools.poison
+
+balance: .venv
+	$(PY) -m tools.balance
