Report waits that end when another request arrives

Cause: AdmissionQueue.offer ended waits whose time was over and dropped the list, so nobody woke these requests: they hung for ever, their callers got no answer and the node could not leave. Change: such waiters are reported with the next decisions; a waiter that goes away is withdrawn from them as well.

--- a/src/auburnsail/_limits.py
+++ b/src/auburnsail/_limits.py
@@ -92,6 +92,8 @@
     def __init__(self, limits: Limits) -> None:
         self._limits = limits
         self._heap: list[tuple[int, int, Waiter]] = []
+        # Waiters whose time ended when another request arrived; reported with the next decisions.
+        self._unreported: list[Waiter] = []
         self._order = itertools.count()
         self._mean_ns = 0.0
         self._deviation_ns = 0.0
@@ -127,7 +129,7 @@
         Returns:
             A decision, or a waiter whose decision follows.
         """
-        self._expire(now_ns)
+        self._unreported += self._expire(now_ns)
         if self._limits.places == 0:
             return self._refuse("no-slots")
         if now_ns + self.service_bound_ns > deadline_ns:
@@ -152,23 +154,28 @@
             now_ns: The current time.
 
         Returns:
-            Waiters that were decided by this.
+            Waiters that were decided by this or since the last call.
         """
         if self.in_flight < 1:
             raise InvariantViolation("a slot was freed twice", step="limits.finish")
         self.in_flight -= 1
         if service_ns is not None:
             self._learn(service_ns)
-        return self._expire(now_ns) + self._admit_waiting(now_ns)
+        return self._decide(now_ns)
 
     def tick(self, now_ns: int) -> list[Waiter]:
-        """Ends waits that took too long; returns the waiters decided by this."""
-        return self._expire(now_ns) + self._admit_waiting(now_ns)
+        """Ends waits that took too long; returns the waiters decided since the last call."""
+        return self._decide(now_ns)
 
     def withdraw(self, waiter: Waiter) -> None:
         """Removes a waiter whose caller went away."""
         self._heap = [item for item in self._heap if item[2] is not waiter]
         heapq.heapify(self._heap)
+        self._unreported = [item for item in self._unreported if item is not waiter]
+
+    def _decide(self, now_ns: int) -> list[Waiter]:
+        unreported, self._unreported = self._unreported, []
+        return unreported + self._expire(now_ns) + self._admit_waiting(now_ns)
 
     def _admit_waiting(self, now_ns: int) -> list[Waiter]:
         decided = []
@@ -277,10 +284,10 @@
             return result.get()
         except BaseException:
             # The caller went away, possibly after a slot was granted but before this greenlet ran.
-            if waiter.decision is None:
-                self._queue.withdraw(waiter)
-            elif waiter.decision.admitted:
+            if waiter.decision is not None and waiter.decision.admitted:
                 self._wake(self._queue.finish(None, self._clock.now_ns()))
+            else:
+                self._queue.withdraw(waiter)
             raise
         finally:
             del self._results[id(waiter)]
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -53,6 +53,15 @@
         self.assertEqual(admission.finish(NS_PER_MS, 0), [early])
         self.assertIsNone(late.decision)
 
+    def test_wait_that_ends_at_an_arrival_is_reported(self):
+        """Guards against a request that is never told that its wait has ended and hangs."""
+        admission = AdmissionQueue(Limits(1, 1, 4, 10.0))
+        admission.offer(FAR_NS, 0)
+        waiter = admission.offer(FAR_NS, 0)
+        admission.offer(FAR_NS, 20 * NS_PER_MS)
+        self.assertFalse(waiter.decision.admitted)
+        self.assertEqual(admission.tick(20 * NS_PER_MS), [waiter])
+
     def test_hopeless_request_is_refused_on_arrival(self):
         """Guards against spending a slot on an answer that comes after its deadline."""
         admission = AdmissionQueue(Limits(1, 1))
