--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections
 .PHONY: placement-experiments drain-experiment
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
 
 .venv: .venv/.installed
 
@@ -60,6 +62,14 @@
 
 region-cut: .venv
 	$(PY) -m tools.region_cut
+SEED ?= 1
+DURATION_S ?= 60
+
+soak: .venv
+	$(PY) -m tools.soak --seed $(SEED) --duration-s $(DURATION_S) $(if $(SUB_SEED),--sub-seed $(SUB_SEED))
+
+soak-mutations: .venv
+	$(PY) -m tools.soak_mutations
 overload: .venv
 	$(PY) -m tools.overload
 
