--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -209,6 +209,7 @@
         except NotRunError as error:
             raise not_run("not-admitted", error.detail, error.step, error.peer) from error
         result = Result.UNKNOWN
+        flight.local_service = target.service
         try:
             extra = f"{_headers.DEADLINE_MS}: {self.left_ms(flight)}\r\n"
             owner = ""
@@ -270,6 +271,7 @@
                 flight.attempt_by_ns = 0
                 self._check_answer(flight, exchange, answer, local, address)
                 flight.attempts.on_possibly_run()
+                flight.status = answer.status
                 pass_on(flight, exchange, answer, owner, self._clock)
             except OutcomeUnknownError as error:
                 flight.attempts.on_possibly_run()
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -5,7 +5,7 @@
 from ._admission import RotatingChooser
 from ._attempt import Gate
 from ._clock import Clock
-from ._forward import ProxyApplication
+from ._forward import Observer, ProxyApplication
 from ._hop import HopSigner
 from ._http_server import HttpServer
 from ._routing import Router
@@ -25,6 +25,7 @@
         gate: Knows whether this node may serve.
         clock: Source of time.
         on_violation: Called once when a guarantee was found broken.
+        observer: Measures requests, or None.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         gate: Gate,
         clock: Clock,
         on_violation: Callable[[InvariantViolation], None],
+        observer: Observer | None = None,
     ) -> None:
         self._application = ProxyApplication(
             router,
@@ -45,6 +47,7 @@
             chooser=RotatingChooser(settings.region, settings.domain),
             clock=clock,
             on_violation=on_violation,
+            observer=observer,
         )
         host, _, port = settings.data_address.rpartition(":")
         self._server = HttpServer((host, int(port)), self._application, clock=clock)
--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -33,6 +33,11 @@
         owner_hint: Address that a node with a newer map named, or an empty string.
         tried: Addresses of unkeyed upstreams that failed.
         exchange: Current exchange with a peer.
+        started_ns: When the request's head was complete.
+        status: Status of the upstream's answer, 0 before it came.
+        outcome: How the request ended, empty while it runs or if an upstream answered it.
+        reason: Reason of a refusal.
+        local_service: Service of the request if it was sent to the upstream beside this node.
         attempt_by_ns: When silence ends the current attempt, 0 for never.
         progress_by_ns: When the answer counts as stalled, 0 before it began.
         stop_reason: Why the request was stopped, or an empty string.
@@ -47,10 +52,15 @@
         "hop",
         "is_body_consumed",
         "is_watched",
+        "local_service",
+        "outcome",
         "owner_hint",
         "prefix",
         "progress_by_ns",
+        "reason",
         "request",
+        "started_ns",
+        "status",
         "stop_reason",
         "tried",
     )
@@ -62,6 +72,7 @@
         deadline_ns: int,
         covers_body: bool,
         attempts: AttemptLog,
+        started_ns: int = 0,
     ) -> None:
         self.request = request
         self.hop = hop
@@ -77,6 +88,11 @@
         self.progress_by_ns = 0
         self.stop_reason = ""
         self.is_watched = False
+        self.started_ns = started_ns
+        self.status = 0
+        self.outcome = ""
+        self.reason = ""
+        self.local_service = ""
 
     def stop(self, reason: str) -> None:
         """Ends the request; the greenlet that runs it wakes with an error."""
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from typing import Protocol
 
 import gevent
 import structlog
@@ -29,13 +30,27 @@
     OutcomeUnknownError,
 )
 
-__all__ = ["ProxyApplication"]
+__all__ = ["Observer", "ProxyApplication"]
 
 DEFAULT_DEADLINE_MS = 30_000
 MAX_DEADLINE_MS = 600_000
 MAX_ATTEMPTS = 3
 # An outage fails thousands of requests per second; one line per second shows it.
 LOG_EVERY_NS = 1_000 * NS_PER_MS
+CANCELLED = "cancelled"
+CUT_SHORT = "cut-short"
+
+
+class Observer(Protocol):
+    """Measures requests; `Measurements` implements it. It must not block."""
+
+    def on_answer(
+        self, service: str, shard: int, outcome: str, status: int, duration_ns: int, reason: str
+    ) -> None:
+        """Takes how a request ended that this node received from its caller."""
+
+    def on_served(self, service: str, duration_ns: int) -> None:
+        """Takes a request that was sent to the upstream beside this node."""
 
 
 class ProxyApplication:
@@ -53,6 +68,7 @@
         clock: Source of time.
         jitter: Returns random numbers in [0, 1).
         on_violation: Called once when a guarantee was found broken.
+        observer: Measures requests, or None.
     """
 
     def __init__(
@@ -69,7 +85,9 @@
         clock: Clock | None = None,
         jitter: Callable[[], float] = random.random,
         on_violation: Callable[[InvariantViolation], None] | None = None,
+        observer: Observer | None = None,
     ) -> None:
+        self._observer = observer
         self._router = router
         self._signer = signer
         self._repeatable = repeatable or RepeatablePolicy()
@@ -106,6 +124,7 @@
             flight = self._begin(request)
         except RequestFailedError as error:
             self.counters.refused += error.refusal.outcome is Outcome.REFUSED
+            self._observe_refusal(request, error.refusal)
             request.refuse(error.refusal)
             return
         self._flights.add(flight)
@@ -113,13 +132,17 @@
             self._run(flight)
         except CallerGoneError:
             self.counters.cancelled += 1
+            flight.outcome = CANCELLED
             request.break_off()
         except InvariantViolation as error:
             self._violate(error)
+            flight.outcome, flight.reason = Outcome.UNKNOWN.value, "violation"
             if not request.is_answered:
                 request.refuse(unknown("violation", error.detail, error.step).refusal)
         finally:
             self._flights.discard(flight)
+            if self._observer is not None:
+                self._observe(flight, self._observer)
 
     def sweep(self, now_ns: int) -> None:
         """See `Application.sweep`."""
@@ -146,7 +169,32 @@
         else:
             deadline_ms, is_explicit = hop.deadline_ms, False
         attempts = AttemptLog(self._repeatable.is_repeatable(head.method, head.path))
-        return Flight(request, hop, now_ns + deadline_ms * NS_PER_MS, is_explicit, attempts)
+        deadline_ns = now_ns + deadline_ms * NS_PER_MS
+        return Flight(request, hop, deadline_ns, is_explicit, attempts, now_ns)
+
+    def _observe(self, flight: Flight, observer: Observer) -> None:
+        duration_ns = self._clock.now_ns() - flight.started_ns
+        if flight.local_service:
+            observer.on_served(flight.local_service, duration_ns)
+        if flight.hop is not None:
+            return
+        head = flight.request.head
+        if service := self._router.service_of(head.path):
+            shard = -1
+            if flight.outcome == Outcome.NOT_RUN.value:
+                shard = self._router.shard(head.path, head.special.get(_headers.KEY))
+            observer.on_answer(
+                service, shard, flight.outcome, flight.status, duration_ns, flight.reason
+            )
+
+    def _observe_refusal(self, request: Request, refusal: Refusal) -> None:
+        """Reports a request that was refused before it was routed."""
+        head = request.head
+        if self._observer is None or _headers.HOP in head.special:
+            return
+        if service := self._router.service_of(head.path):
+            outcome = refusal.outcome.value
+            self._observer.on_answer(service, -1, outcome, 0, 0, refusal.reason)
 
     def _run(self, flight: Flight) -> None:
         failures: list[RequestFailedError] = []
@@ -159,6 +207,7 @@
             except OutcomeUnknownError as error:
                 # The answer was cut short after a part of it had been passed on.
                 self.counters.cut_short += 1
+                flight.outcome, flight.reason = Outcome.UNKNOWN.value, CUT_SHORT
                 self._log.warning("answer cut short", error=str(error))
                 return
             if not self._prepare_retry(flight, failures):
@@ -196,6 +245,7 @@
                 self.counters.unknown += 1
             case Outcome.REFUSED:
                 self.counters.refused += 1
+        flight.outcome, flight.reason = refusal.outcome.value, refusal.reason
         if len(failures) > 1:
             self._log_failures(refusal, failures)
         flight.request.refuse(refusal)
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -28,6 +28,7 @@
 from ._settings import NodeSettings, TreeSettings
 from ._settings_log import tree_of
 from ._shards import shard_of
+from ._snapshot_node import NodeSnapshots
 from ._store import HttpObjectStore, HttpTableStore
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
@@ -78,6 +79,9 @@
         self._announced_ns = 0
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
+        self._snapshots = NodeSnapshots(
+            settings, self._fleet, lambda: self._membership.own_id, self._clock, self._timers
+        )
         self._data = DataPath(
             settings,
             self._router,
@@ -85,6 +89,7 @@
             self._gate,
             self._clock,
             lambda error: self._violate(str(error)),
+            self._snapshots.measurements,
         )
         self._control_server: ControlServer | None = None
         self._stopped = Event()
@@ -149,6 +154,7 @@
             "bytes_sent": traffic.sent_bytes,
             "bytes_received": traffic.received_bytes,
             "http_bytes": self._io.http_bytes,
+            **self._snapshots.status(),
             "rejected": dict(self._codec.rejected),
         }
 
@@ -301,6 +307,7 @@
             self._log.error("settings not readable", version=changed.version, error=str(error))
             return
         self._router.tree = tree
+        self._snapshots.on_settings(tree)
         for name, service in tree.services.items():
             if service.keyed:
                 self._fleet.add_service(name, service.shards)
@@ -363,6 +370,7 @@
         if self._control_server is not None:
             self._control_server.close()
         self._udp.close()
+        self._snapshots.finish()
 
 
 _NOTES = ("session", "")
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -104,6 +104,23 @@
             return Refuse(error.refusal)
         return route
 
+    def service_of(self, path: str) -> str:
+        """Returns the service that a path names, or an empty string if the tree has none such."""
+        parts = path.split("/", 2)
+        service = parts[1] if len(parts) > 1 else ""
+        return service if service in self.tree.services else ""
+
+    def shard(self, path: str, key_header: str | None) -> int:
+        """Returns the shard of a request, -1 if it has none; for requests that were not run."""
+        _, service, *rest = path.split("/", 3)
+        table = self._fleet.tables.get(service)
+        if table is None:
+            return -1
+        try:
+            return shard_of(_key(key_header, rest), len(table))
+        except RequestFailedError:
+            return -1
+
     def _find(self, path: str, key_header: str | None) -> Route:
         _, service, *rest = path.split("/", 3)
         settings = self.tree.services.get(service)
