--- a/src/auburnsail/_cli_common.py
+++ b/src/auburnsail/_cli_common.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass
 from functools import wraps
+from inspect import cleandoc
 from pathlib import Path
 
 import click
@@ -69,7 +70,7 @@
         except AuburnsailError as error:
             _fail(error, as_json)
 
-    run.__doc__ = f"{command.__doc__}\n\n{EXIT_CODES}"
+    run.__doc__ = f"{cleandoc(command.__doc__)}\n\n{EXIT_CODES}"
     return run
 
 
--- /dev/null
+++ b/src/auburnsail/_cli_report.py
@@ -0,0 +1,209 @@
+"""The auburnsail-report program: error budgets, imbalance and churn from stored snapshots."""
+
+import sys
+import time
+from collections.abc import Callable
+from datetime import UTC, datetime
+from functools import wraps
+from pathlib import Path
+
+import click
+import gevent
+
+from ._burn import FIRING, NO_DATA, POSSIBLE
+from ._cli_common import EXIT_CODES, common_options
+from ._report_burn import DAY_S, Period, burn_lines, burn_report, time_text
+from ._report_churn import Versions, churn_lines, churn_report
+from ._report_load import Loads, imbalance_lines
+from ._report_series import BUCKET_S, Reading, Series, read_snapshots
+from ._settings import TreeSettings
+from ._settings_log import SettingsHistory
+from ._settle import Patience
+from ._store import HttpObjectStore, HttpTableStore
+from ._tree import effective, parse_tree
+from .exceptions import RefusedError, SettingsError
+
+__all__ = ["main"]
+
+EXIT_FIRING = 4
+EXIT_POSSIBLE = 5
+US_PER_MS = 1000
+LONGEST_ALERT_S = 3 * DAY_S
+# A snapshot is written within one interval of its end; later ones are late or missing.
+LAG_INTERVALS = 2
+BURN_EPILOG = (
+    f"burn also exits with {EXIT_FIRING} if an alert is firing, and with {EXIT_POSSIBLE} if none is"
+    " but missing snapshots do not let one be ruled out."
+)
+
+
+class _Source:
+    """The store, the settings in force and the times of a report."""
+
+    def __init__(self, store: str, objects: str, timeout_s: float, at: datetime | None) -> None:
+        try:
+            self.table = HttpTableStore(store)
+            self.objects = HttpObjectStore(objects or store)
+        except ValueError:
+            raise click.UsageError("--store and --objects are of the form http://IP:PORT") from None
+        self.patience = Patience(timeout_s, sleep_s=gevent.sleep)
+        history = SettingsHistory(self.table, self.patience)
+        self.version = history.head()
+        record = history.record(self.version)
+        source = f"settings version {self.version}"
+        self.tree: TreeSettings = parse_tree(record.text, source, ignore_unknown=True)
+        self.created_s = self._created_s(history)
+        interval_s = max(
+            effective(self.tree, service).logging.snapshot_interval_s
+            for service in self.tree.services
+        )
+        end_s = at.replace(tzinfo=UTC).timestamp() if at else time.time()
+        if not at:
+            end_s -= LAG_INTERVALS * interval_s
+        self.end_s = end_s - end_s % BUCKET_S
+
+    def _created_s(self, history: SettingsHistory) -> float:
+        try:
+            return datetime.fromisoformat(history.record(1).accepted_at).timestamp()
+        except (RefusedError, SettingsError, ValueError):
+            return 0.0
+
+    def period(self, seconds: float) -> Period:
+        """Returns the period of a length that ends with the report."""
+        return Period(min(self.end_s, max(self.created_s, self.end_s - seconds)), self.end_s)
+
+
+def report_options(command: Callable) -> Callable:
+    """Adds the options that all reports have; passes a `_Source`."""
+
+    @wraps(command)
+    def run(*arguments, store, objects, timeout_s, at, **options):
+        return command(*arguments, source=_Source(store, objects, timeout_s, at), **options)
+
+    for option in (
+        click.option(
+            "--at",
+            type=click.DateTime(["%Y-%m-%dT%H:%M", "%Y-%m-%dT%H:%M:%S"]),
+            help="End of the report in UTC; by default the newest minute that should be complete.",
+        ),
+        click.option(
+            "--timeout-s",
+            type=click.FloatRange(0.0, 3600.0),
+            default=10.0,
+            show_default=True,
+            help="Budget for repeated reads.",
+        ),
+        click.option(
+            "--objects",
+            envvar="AUBURNSAIL_OBJECTS",
+            help="Base URL of the object store; by default --store.",
+        ),
+        click.option(
+            "--store",
+            envvar="AUBURNSAIL_STORE",
+            required=True,
+            help="Base URL of the table service; or AUBURNSAIL_STORE.",
+        ),
+    ):
+        run = option(run)
+    return run
+
+
+@click.group(epilog=f"{EXIT_CODES} {BURN_EPILOG}")
+@click.version_option(package_name="auburnsail")
+def main() -> None:
+    """Reports on service levels, balance and ownership from what the nodes wrote to the store."""
+
+
+@main.command(epilog=BURN_EPILOG)
+@click.option("--html", type=click.Path(path_type=Path), help="Also write a page with plots.")
+@click.option(
+    "--budget-days",
+    type=click.FloatRange(min=0.01, max=366),
+    help="Window of the error budget, instead of the objective's.",
+)
+@common_options
+@report_options
+def burn(html, budget_days, source, output) -> None:
+    """Shows error budgets, burn rates and alerts by service, region and failure domain.
+
+    The objectives are those of the settings in force. Windows in which snapshots are missing show
+    a range; a time without any snapshot is a gap and never counts as good.
+    """
+    tree = source.tree
+    days = budget_days or max(effective(tree, s).objective.window_days for s in tree.services)
+    period = source.period(max(days * DAY_S, LONGEST_ALERT_S))
+    bounds_us = {
+        service: int(effective(tree, service).objective.latency_bound_ms * US_PER_MS)
+        for service in tree.services
+    }
+    series, reading = Series(bounds_us.get), Reading()
+    for snapshot in _snapshots(source, period, reading):
+        series.add(snapshot)
+    report = burn_report(series, reading, tree, source.version, period, budget_days)
+    output.show(report, burn_lines(report))
+    if html is not None:
+        from ._report_html import burn_page
+
+        html.write_text(burn_page(report), encoding="utf-8")
+    if report.has_alert(FIRING):
+        sys.exit(EXIT_FIRING)
+    if report.has_alert(POSSIBLE) or report.has_alert(NO_DATA):
+        sys.exit(EXIT_POSSIBLE)
+
+
+MINUTES_OPTION = click.option(
+    "--minutes",
+    type=click.IntRange(1, 60 * 24 * 31),
+    default=60,
+    show_default=True,
+    help="Length of the period.",
+)
+
+
+@main.command()
+@MINUTES_OPTION
+@click.option(
+    "--by",
+    "measure",
+    type=click.Choice(["requests", "busy"]),
+    default="requests",
+    show_default=True,
+    help="Load as requests, or as time that requests took.",
+)
+@common_options
+@report_options
+def imbalance(minutes, measure, source, output) -> None:
+    """Shows the load of each upstream against the mean of its service over time."""
+    period = source.period(minutes * 60)
+    loads = Loads()
+    for snapshot in _snapshots(source, period, Reading()):
+        loads.add(snapshot)
+    report = loads.report(period.start_s, period.end_s, measure)
+    output.show(report, imbalance_lines(report, time_text))
+
+
+@main.command()
+@MINUTES_OPTION
+@common_options
+@report_options
+def churn(minutes, source, output) -> None:
+    """Shows ownership changes by reason, and the moved share against the least possible."""
+    period = source.period(minutes * 60)
+    versions = Versions()
+    # The version at the start is dated by snapshots that ended before it.
+    before = Period(period.start_s - 3600, period.end_s)
+    for snapshot in _snapshots(source, before, Reading()):
+        versions.add(snapshot)
+    report = churn_report(
+        source.table, source.tree, period.start_s, period.end_s, versions, source.patience
+    )
+    output.show(report, churn_lines(report, time_text))
+
+
+def _snapshots(source: _Source, period: Period, reading: Reading):
+    return read_snapshots(source.objects, period.start_s, period.end_s, source.patience, reading)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/auburnsail/_report_churn.py
@@ -0,0 +1,281 @@
+"""Churn: ownership changes in the fleet log over a period, by reason, against the least possible.
+
+The log holds no times. Snapshots name the version that their node had at their end, which dates
+versions to within one snapshot interval and the difference of the nodes' clocks.
+"""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import msgspec
+
+from ._cli_common import print_table
+from ._fleet import FleetState, Verdict
+from ._fleet_view import FLEET_LOG
+from ._log import VersionedLog
+from ._model import (
+    Assign,
+    Close,
+    DeclareLost,
+    Grant,
+    Join,
+    Leave,
+    SessionId,
+    Succeed,
+    Transfer,
+    decode_entry,
+)
+from ._settings import TreeSettings
+from ._settle import Patience, until_definite
+from ._snapshot import Snapshot
+from ._store import TableStore
+from .exceptions import RefusedError
+
+__all__ = ["ChurnReport", "Versions", "churn_lines", "churn_report"]
+
+Ending = Close | Leave | Succeed | DeclareLost
+
+
+class ServiceChurn(msgspec.Struct, frozen=True):
+    """Ownership changes of one service.
+
+    Attributes:
+        service: The service.
+        shards: Number of shards.
+        moved: Changes from one session to another, by reason: ``close`` (the owner's session was
+            ended and the command named new owners), ``transfer`` (planned), ``assign`` (to a shard
+            that had lost its owner).
+        first: Shards that got their first owner.
+        lost: Shards whose owner's session ended without a new owner being named.
+        moved_share: Changes over shards; above 1 if shards moved more than once.
+        least_share: The least share that had to move: shards that a session owned when it ended,
+            or transferred away before it left, and at least what sessions that joined are due by
+            their slots.
+    """
+
+    service: str
+    shards: int
+    moved: dict[str, int]
+    first: int
+    lost: int
+    moved_share: float
+    least_share: float
+
+
+class ChurnReport(msgspec.Struct, frozen=True):
+    """Churn of all keyed services.
+
+    Attributes:
+        start_s: Start, UTC.
+        end_s: End, UTC.
+        from_version: Version of the log at the start.
+        to_version: Version of the log at the end.
+        joined: Sessions opened.
+        ended: Sessions ended, by command.
+        services: Keyed services.
+    """
+
+    start_s: float
+    end_s: float
+    from_version: int
+    to_version: int
+    joined: int
+    ended: dict[str, int]
+    services: list[ServiceChurn]
+
+
+class Versions:
+    """Dates versions of the fleet log by what snapshots say."""
+
+    def __init__(self) -> None:
+        self._known: list[tuple[float, int]] = []
+
+    def add(self, snapshot: Snapshot) -> None:
+        """Adds a snapshot."""
+        self._known.append((snapshot.end_s, snapshot.fleet_version))
+
+    def at(self, time_s: float) -> int:
+        """Returns the newest version that any node had at a time, 0 if none is known."""
+        return max((version for end_s, version in self._known if end_s <= time_s), default=0)
+
+
+class _Tally:
+    """Counts changes of one service."""
+
+    def __init__(self) -> None:
+        self.owners: dict[int, SessionId] = {}
+        self.counts: Counter[SessionId] = Counter()
+        self.given: Counter[SessionId] = Counter()
+        self.moved: Counter[str] = Counter()
+        self.first = self.lost = self.forced = 0
+
+    def on_owner(self, shard: int, owner: SessionId, reason: str, counts: bool) -> None:
+        """Notes that a shard has an owner."""
+        before = self.owners.get(shard)
+        if before == owner:
+            return
+        self.owners[shard] = owner
+        self.counts[owner] += 1
+        if before is not None:
+            self.counts[before] -= 1
+        if counts:
+            if before is None:
+                self.first += 1
+            else:
+                self.moved[reason] += 1
+                if reason == "transfer":
+                    self.given[before] += 1
+
+    def on_ended(self, session: SessionId, command: Ending) -> None:
+        """Notes that a session ended; each of its shards had to move."""
+        self.forced += self.counts[session]
+        if isinstance(command, Leave):
+            self.forced += self.given.pop(session, 0)
+        granted = sum(len(grant.shards) for grant in getattr(command, "grants", ()))
+        self.lost += max(0, self.counts[session] - granted)
+
+
+def churn_report(
+    store: TableStore,
+    tree: TreeSettings,
+    start_s: float,
+    end_s: float,
+    versions: Versions,
+    patience: Patience,
+) -> ChurnReport:
+    """Folds the fleet log and returns the churn of a period.
+
+    Raises:
+        RefusedError: The log no longer begins with its first entry.
+    """
+    from_version, to_version = versions.at(start_s), versions.at(end_s)
+    fleet, log = FleetState(), VersionedLog(store, FLEET_LOG)
+    for name, service in tree.services.items():
+        if service.keyed:
+            fleet.add_service(name, service.shards)
+    tallies: dict[str, _Tally] = {name: _Tally() for name in fleet.tables}
+    services: dict[SessionId, str] = {}
+    joined: list[SessionId] = []
+    ended: Counter[str] = Counter()
+    while fleet.version < to_version:
+        records = until_definite(lambda: log.read_after(fleet.version), patience)
+        if not records:
+            break
+        if records[0].version != fleet.version + 1:
+            detail = f"the log begins with version {records[0].version}; older ones were removed"
+            raise RefusedError(detail, step="churn.read")
+        for record in records:
+            if record.version > to_version:
+                break
+            counts = record.version > from_version
+            verdicts = fleet.apply(decode_entry(record.data))
+            for verdict in verdicts:
+                _note(fleet, verdict, tallies, services, counts)
+                if counts and verdict.applied:
+                    match verdict.command:
+                        case Join(session=session):
+                            joined.append(session.id)
+                        case Close() | Leave() | Succeed() | DeclareLost():
+                            ended[type(verdict.command).__name__] += 1
+        if records[-1].version >= to_version:
+            break
+    found = [_service(fleet, name, tally, joined) for name, tally in sorted(tallies.items())]
+    return ChurnReport(start_s, end_s, from_version, to_version, len(joined), dict(ended), found)
+
+
+def _note(
+    fleet: FleetState,
+    verdict: Verdict,
+    tallies: dict[str, _Tally],
+    services: dict[SessionId, str],
+    counts: bool,
+) -> None:
+    command = verdict.command
+    match command:
+        case Join(session=session):
+            services[session.id] = session.service
+        case Transfer(service=service, target=target, shards=shards):
+            _grant(fleet, tallies, service, (Grant(target, shards),), "transfer", counts)
+        case Assign(service=service, grants=grants):
+            _grant(fleet, tallies, service, grants, "assign", counts)
+        case Close() | Leave() | Succeed() | DeclareLost() if verdict.applied or (
+            # A command that ended a session may still have skipped some of its grants.
+            "shards had"
+            in verdict.reason
+        ):
+            session = command.old if isinstance(command, Succeed) else command.session
+            service = services.get(session, "")
+            if service in tallies:
+                if counts:
+                    tallies[service].on_ended(session, command)
+                grants = getattr(command, "grants", ())
+                _grant(fleet, tallies, service, grants, "close", counts)
+
+
+def _grant(
+    fleet: FleetState,
+    tallies: dict[str, _Tally],
+    service: str,
+    grants: tuple[Grant, ...],
+    reason: str,
+    counts: bool,
+) -> None:
+    if service not in tallies:
+        tallies[service] = _Tally()
+    for grant in grants:
+        for shard in grant.shards:
+            # Part of a command may have had no effect; the fold knows.
+            row = fleet.owner(service, shard) if shard < len(fleet.tables[service]) else None
+            if row is not None and row.session.id == grant.to:
+                tallies[service].on_owner(shard, grant.to, reason, counts)
+
+
+def _service(
+    fleet: FleetState, service: str, tally: _Tally, joined: list[SessionId]
+) -> ServiceChurn:
+    shards = len(fleet.tables[service])
+    slots = {
+        session_id: max(1, row.session.slots)
+        for session_id, row in fleet.sessions.items()
+        if row.session.service == service
+    }
+    due = sum(slots.get(session, 0) for session in joined) / max(1, sum(slots.values())) * shards
+    # Shards that got their first owner did not move to reach a session that joined.
+    least = max(tally.forced, int(due) - tally.first, 0)
+    moved = sum(tally.moved.values())
+    return ServiceChurn(
+        service,
+        shards,
+        {reason: tally.moved[reason] for reason in ("close", "transfer", "assign")},
+        tally.first,
+        tally.lost,
+        moved / shards,
+        least / shards,
+    )
+
+
+def churn_lines(report: ChurnReport, time_text) -> Iterable[str]:
+    """Returns the report as text.
+
+    Args:
+        report: The report.
+        time_text: Formats a time.
+    """
+    yield f"Churn, {time_text(report.start_s)} to {time_text(report.end_s)}"
+    yield f"fleet log: versions {report.from_version + 1} to {report.to_version}"
+    ended = ", ".join(f"{name} {number}" for name, number in report.ended.items()) or "none"
+    yield f"sessions: {report.joined} joined; ended: {ended}"
+    yield ""
+    header = ("service", "shards", "close", "transfer", "assign", "first", "moved", "least")
+    rows = [
+        (
+            found.service,
+            found.shards,
+            *found.moved.values(),
+            found.first,
+            f"{100 * found.moved_share:.1f}%",
+            f"{100 * found.least_share:.1f}%",
+        )
+        for found in report.services
+    ]
+    yield from print_table(header, rows)
--- /dev/null
+++ b/src/auburnsail/_report_html.py
@@ -0,0 +1,127 @@
+"""The burn report as one HTML page with its plots inside."""
+
+import base64
+import io
+from collections.abc import Iterable
+from datetime import UTC, datetime
+from html import escape
+
+from ._burn import ALERTS, FIRING, NO_DATA, POSSIBLE
+from ._report_burn import BurnReport, Row, burn_lines, time_text
+
+__all__ = ["burn_page"]
+
+STYLE = """
+body { font-family: sans-serif; margin: 2em; max-width: 75em; color: #222; }
+table { border-collapse: collapse; margin: 1em 0; }
+td, th { border: 1px solid #bbb; padding: 0.25em 0.6em; text-align: left; }
+.firing { background: #f4b9b3; } .possible { background: #f9e2ae; }
+.no-data { background: #ddd; } .ok { background: #d5ecd2; }
+img { max-width: 100%; } pre { background: #f5f5f5; padding: 1em; overflow-x: auto; }
+"""
+FIGURE_INCHES = (11, 5.5)
+DOTS_PER_INCH = 90
+# Below this share of covered node-seconds a minute is drawn as a gap.
+GAP_BELOW = 0.999
+
+
+def burn_page(report: BurnReport) -> str:
+    """Returns the page; it refers to nothing outside itself."""
+    parts = [
+        "<!doctype html>",
+        '<html lang="en"><head><meta charset="utf-8"><title>Burn report</title>',
+        f"<style>{STYLE}</style></head><body>",
+        f"<h1>Burn report until {escape(time_text(report.period.end_s))}</h1>",
+        *_alert_table(report),
+    ]
+    for service in report.series:
+        rows = [row for row in report.rows if row.service == service]
+        parts.append(f"<h2>{escape(service)}</h2>")
+        parts.append(_image(_series_figure(report, service), f"{service} over time"))
+        parts.append(_image(_burn_figure(rows), f"{service} burn rates"))
+    text = "\n".join(burn_lines(report))
+    parts.append(f"<h2>All figures</h2><pre>{escape(text)}</pre></body></html>")
+    return "\n".join(parts)
+
+
+def _alert_table(report: BurnReport) -> Iterable[str]:
+    yield "<table><tr><th>service</th><th>place</th><th>objective</th><th>budget left</th>"
+    yield "".join(f"<th>{rule.long_s // 3600} h at {rule.threshold:g}</th>" for rule in ALERTS)
+    yield "</tr>"
+    for row in report.rows:
+        for part in (row.availability, row.latency):
+            place = "/".join(name for name in (row.region, row.domain) if name) or "all"
+            left = "no data" if part.budget_left is None else f"{100 * part.budget_left:.1f}%"
+            yield f"<tr><td>{escape(row.service)}</td><td>{escape(place)}</td>"
+            yield f"<td>{part.name} {part.objective_percent:g}%</td><td>{left}</td>"
+            for alert in part.alerts:
+                yield f'<td class="{alert.state.replace(" ", "-")}">{alert.state}</td>'
+            yield "</tr>"
+    yield "</table>"
+    yield f"<p>{FIRING}: both windows reach the threshold. {POSSIBLE}: they would if every request"
+    yield f"of the missing snapshots had been bad. {NO_DATA}: a window has no snapshot at all.</p>"
+
+
+def _figure():
+    # matplotlib takes tens of MB and seconds to load; no other part of the package needs it.
+    from matplotlib.backends.backend_agg import FigureCanvasAgg
+    from matplotlib.figure import Figure
+
+    figure = Figure(figsize=FIGURE_INCHES, dpi=DOTS_PER_INCH, layout="constrained")
+    FigureCanvasAgg(figure)
+    return figure
+
+
+def _series_figure(report: BurnReport, service: str):
+    points = report.series[service]
+    times = [datetime.fromtimestamp(point.start_s, UTC) for point in points]
+    figure = _figure()
+    upper, lower = figure.subplots(2, sharex=True)
+    for name, values in (
+        ("not served", [point.bad_share for point in points]),
+        ("slower than the bound", [point.slow_share for point in points]),
+    ):
+        # None breaks the line, so that a gap is not drawn as a value.
+        shares = [float("nan") if value is None else 100 * value for value in values]
+        upper.plot(times, shares, marker=".", label=name)
+    upper.set_ylabel("% of requests")
+    requests = [point.valid if point.coverage else float("nan") for point in points]
+    lower.plot(times, requests, marker=".", color="tab:green", label="requests")
+    lower.set_ylabel("requests/min")
+    lower.set_xlabel("UTC")
+    gaps = [t for t, p in zip(times, points, strict=True) if (p.coverage or 0.0) < GAP_BELOW]
+    for axes in (upper, lower):
+        for index, time in enumerate(gaps):
+            label = "snapshots missing" if index == 0 else None
+            axes.axvline(time, color="tab:red", alpha=0.25, linewidth=4, label=label)
+        axes.legend(loc="upper left", fontsize="small")
+        axes.grid(alpha=0.3)
+    return figure
+
+
+def _burn_figure(rows: list[Row]):
+    figure = _figure()
+    axes = figure.subplots(1, 2, sharey=True)
+    places = ["/".join(name for name in (row.region, row.domain) if name) or "all" for row in rows]
+    for axis, title in zip(axes, ("availability", "latency"), strict=True):
+        parts = [getattr(row, title) for row in rows]
+        windows = len(parts[0].windows) if parts else 0
+        for index in range(windows):
+            found = [part.windows[index] for part in parts]
+            height = 0.8 / windows
+            positions = [i + height * (index - windows / 2) for i in range(len(found))]
+            label = f"{found[0].seconds / 3600:g} h"
+            axis.barh(positions, [window.burn or 0.0 for window in found], height, label=label)
+        axis.set_yticks(range(len(places)), places)
+        axis.axvline(1.0, color="black", linewidth=0.8)
+        axis.set_xlabel("burn rate; 1 spends the budget exactly")
+        axis.set_title(title)
+        axis.legend(fontsize="x-small")
+    return figure
+
+
+def _image(figure, title: str) -> str:
+    buffer = io.BytesIO()
+    figure.savefig(buffer, format="png")
+    data = base64.b64encode(buffer.getvalue()).decode("ascii")
+    return f'<p><img alt="{escape(title)}" src="data:image/png;base64,{data}"></p>'
--- /dev/null
+++ b/src/auburnsail/_report_series.py
@@ -0,0 +1,245 @@
+"""Snapshots read from the object store and summed by minute, with what is missing."""
+
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass, field
+
+import gevent.pool
+import msgspec
+
+from ._burn import Sums
+from ._settle import Patience, until_definite
+from ._snapshot import (
+    Cell,
+    Snapshot,
+    count_within,
+    decode_histogram,
+    decode_snapshots,
+    hour_prefix,
+    new_histogram,
+)
+from ._store import ObjectStore
+
+__all__ = ["BUCKET_S", "Group", "Reading", "Series", "overlaps", "read_snapshots"]
+
+BUCKET_S = 60
+HOUR_S = 3600
+READS_AT_ONCE = 32
+# The view of a few nodes tells how many should report; all nodes have the same one.
+MAX_VIEWS = 64
+GOOD = ("served", "caller-error")
+BAD = ("server-error", "not-run", "unknown")
+
+Group = tuple[str, str, str]
+Place = tuple[str, str]
+
+
+@dataclass(slots=True)
+class Reading:
+    """What a read of the store found."""
+
+    objects: int = 0
+    snapshots: int = 0
+    unreadable: int = 0
+    repeated: int = 0
+    dropped: dict[str, int] = field(default_factory=dict)
+    largest_step_s: float = 0.0
+
+
+def read_snapshots(
+    objects: ObjectStore, start_s: float, end_s: float, patience: Patience, reading: Reading
+) -> Iterator[Snapshot]:
+    """Yields each snapshot that overlaps a period once.
+
+    An object that cannot be read is counted and leaves a gap.
+
+    Args:
+        objects: The object store.
+        start_s: Start of the period, UTC.
+        end_s: End of the period, UTC.
+        patience: Bounds repeated attempts.
+        reading: Counts what was found.
+    """
+    pool = gevent.pool.Pool(READS_AT_ONCE)
+    seen: set[tuple[str, str, int]] = set()
+    hour_s = start_s - start_s % HOUR_S - HOUR_S
+    while hour_s < end_s:
+        prefix = hour_prefix(hour_s)
+        keys = until_definite(lambda prefix=prefix: objects.keys(prefix), patience)
+        for data in pool.imap(lambda key: until_definite(lambda: objects.get(key), patience), keys):
+            reading.objects += 1
+            try:
+                snapshots = decode_snapshots(data or b"")
+            except msgspec.DecodeError:
+                reading.unreadable += 1
+                continue
+            for snapshot in snapshots:
+                name = (snapshot.node, snapshot.run, snapshot.number)
+                if name in seen:
+                    reading.repeated += 1
+                elif snapshot.end_s >= start_s and snapshot.start_s < end_s:
+                    _note(reading, snapshot)
+                    yield snapshot
+                seen.add(name)
+        hour_s += HOUR_S
+
+
+def _note(reading: Reading, snapshot: Snapshot) -> None:
+    reading.snapshots += 1
+    if snapshot.dropped:
+        name = f"{snapshot.node}.{snapshot.run}"
+        reading.dropped[name] = max(snapshot.dropped, reading.dropped.get(name, 0))
+    if abs(snapshot.clock_step_s) > abs(reading.largest_step_s):
+        reading.largest_step_s = snapshot.clock_step_s
+
+
+def overlaps(start_s: float, end_s: float) -> Iterator[tuple[int, float, float]]:
+    """Yields the buckets of an interval, the share of the interval in each, and its seconds."""
+    if end_s <= start_s:
+        yield int(start_s // BUCKET_S), 1.0, 0.0
+        return
+    length_s = end_s - start_s
+    bucket = int(start_s // BUCKET_S)
+    while bucket * BUCKET_S < end_s:
+        low = max(start_s, bucket * BUCKET_S)
+        seconds = min(end_s, (bucket + 1) * BUCKET_S) - low
+        yield bucket, seconds / length_s, seconds
+        bucket += 1
+
+
+@dataclass(slots=True)
+class Minute:
+    """Requests of one group in one bucket; availability and latency."""
+
+    valid: float = 0.0
+    bad: float = 0.0
+    answered: float = 0.0
+    slow: float = 0.0
+
+
+class Series:
+    """Sums by service and failure domain in buckets of one minute.
+
+    Args:
+        bound_us: Returns the latency bound of a service in microseconds, or None if the settings
+            do not know the service.
+    """
+
+    def __init__(self, bound_us: Callable[[str], int | None]) -> None:
+        self._bound_us = bound_us
+        self._views: dict[int, dict[tuple[str, str], dict[str, float]]] = {}
+        self._expected: dict[int, dict[Place, float]] | None = None
+        self.minutes: dict[Group, dict[int, Minute]] = {}
+        self.covered: dict[Place, dict[int, float]] = {}
+        self.endings: dict[Group, dict[str, float]] = {}
+        self.reasons: dict[Group, dict[str, int]] = {}
+        self.latency: dict[Group, object] = {}
+        self.unavailable: dict[str, dict[int, tuple[float, float]]] = {}
+
+    def add(self, snapshot: Snapshot) -> None:
+        """Adds a snapshot."""
+        self._expected = None
+        place = (snapshot.region, snapshot.domain)
+        covered = self.covered.setdefault(place, {})
+        reporter = (snapshot.node, snapshot.run)
+        for bucket, share, seconds in overlaps(snapshot.start_s, snapshot.end_s):
+            covered[bucket] = covered.get(bucket, 0.0) + seconds
+            views = self._views.setdefault(bucket, {})
+            if reporter in views or len(views) < MAX_VIEWS:
+                view = views.setdefault(reporter, {})
+                for name, node_seconds in snapshot.node_seconds.items():
+                    view[name] = view.get(name, 0.0) + node_seconds * share
+        for service, cell in snapshot.cells.items():
+            bound_us = self._bound_us(service)
+            if bound_us is not None:
+                self._add_cell((service, *place), snapshot, cell, bound_us)
+
+    def expected(self, bucket: int) -> dict[Place, float]:
+        """Returns the node-seconds by place that a bucket should have.
+
+        A bucket without any snapshot takes those of the nearest earlier one, so that a time when
+        nobody could write counts as missing and not as idle.
+        """
+        if self._expected is None:
+            self._expected = {b: _most(views) for b, views in self._views.items()}
+        known = self._expected
+        if bucket not in known and known:
+            first = min(self._views)
+            earlier = bucket - 1
+            while earlier > first and earlier not in known:
+                earlier -= 1
+            known[bucket] = known[max(earlier, first)]
+        return known.get(bucket, {})
+
+    def coverage(self, places: Iterable[Place], buckets: range) -> float | None:
+        """Returns the share of expected node-seconds that snapshots cover, None if none is."""
+        places = list(places)
+        if not self._views:
+            # Without any snapshot nobody knows how many nodes there were.
+            return 0.0
+        expected_s = covered_s = 0.0
+        for bucket in buckets:
+            expected = self.expected(bucket)
+            for place in places:
+                due_s = expected.get(place, 0.0)
+                expected_s += due_s
+                covered_s += min(due_s, self.covered.get(place, {}).get(bucket, 0.0))
+        return covered_s / expected_s if expected_s else None
+
+    def sums(self, groups: Iterable[Group], buckets: range) -> tuple[Sums, Sums]:
+        """Returns availability and latency of some groups over some buckets."""
+        availability, latency = Sums(), Sums()
+        for group in groups:
+            minutes = self.minutes.get(group, {})
+            for bucket in buckets:
+                minute = minutes.get(bucket)
+                if minute is not None:
+                    availability.valid += minute.valid
+                    availability.bad += minute.bad
+                    latency.valid += minute.answered
+                    latency.bad += minute.slow
+        return availability, latency
+
+    def _add_cell(self, group: Group, snapshot: Snapshot, cell: Cell, bound_us: int) -> None:
+        answered = slow = 0
+        if cell.latency:
+            histogram = decode_histogram(cell.latency)
+            answered = histogram.get_total_count()
+            slow = answered - count_within(histogram, bound_us)
+            self.latency.setdefault(group, new_histogram()).add(histogram)
+        bad = sum(cell.endings.get(name, 0) for name in BAD)
+        valid = bad + sum(cell.endings.get(name, 0) for name in GOOD)
+        minutes = self.minutes.setdefault(group, {})
+        unavailable = self.unavailable.setdefault(group[0], {})
+        for bucket, share, _ in overlaps(snapshot.start_s, snapshot.end_s):
+            minute = minutes.setdefault(bucket, Minute())
+            minute.valid += valid * share
+            minute.bad += bad * share
+            minute.answered += answered * share
+            minute.slow += slow * share
+            # Nodes see the same shards, so that the most that one of them saw is the estimate.
+            refused, unowned = unavailable.get(bucket, (0.0, 0.0))
+            unavailable[bucket] = (
+                max(refused, cell.refused_shard_s * share),
+                max(unowned, cell.unowned_shard_s * share),
+            )
+        _count(self.endings.setdefault(group, {}), cell.endings)
+        _count(self.reasons.setdefault(group, {}), cell.reasons)
+
+
+def _most(views: dict[tuple[str, str], dict[str, float]]) -> dict[Place, float]:
+    """Returns the most node-seconds by place that any reporter saw.
+
+    A node that reports on a part of the bucket only saw a part of them.
+    """
+    most: dict[Place, float] = {}
+    for view in views.values():
+        for name, node_seconds in view.items():
+            region, _, domain = name.partition("/")
+            place = (region, domain)
+            most[place] = max(most.get(place, 0.0), node_seconds)
+    return most
+
+
+def _count(sums: dict[str, int], counts: dict[str, int]) -> None:
+    for name, number in counts.items():
+        sums[name] = sums.get(name, 0) + number
