--- a/src/auburnsail/_report_burn.py
+++ b/src/auburnsail/_report_burn.py
@@ -21,7 +21,7 @@
 from ._settings import TreeSettings
 from ._tree import effective
 
-__all__ = ["BurnReport", "Period", "Row", "burn_lines", "burn_report", "time_text"]
+__all__ = ["BurnReport", "Period", "Row", "burn_lines", "burn_report", "length_text", "time_text"]
 
 DAY_S = 86_400
 US_PER_MS = 1000
@@ -328,13 +328,13 @@
         rows.append(cells)
     if title == "latency":
         header = (*header[:3], "p99", *header[3:])
-    header = (*header, *(_length(s) for s in lengths), "alerts")
+    header = (*header, *(length_text(s) for s in lengths), "alerts")
     heading = f"{title.capitalize()}: burn rate by window, in brackets if missing were all bad"
     return [heading, *print_table(header, rows)]
 
 
 def _alert(alert) -> str:
-    lengths = f"{_length(alert.long_s)}/{_length(alert.short_s)}"
+    lengths = f"{length_text(alert.long_s)}/{length_text(alert.short_s)}"
     return f"{alert.state} {lengths} >= {alert.threshold:g}"
 
 
@@ -357,7 +357,8 @@
     return f"{window.burn:.2f}" + (f" ({window.worst:.1f})" if is_range else "")
 
 
-def _length(seconds: float) -> str:
+def length_text(seconds: float) -> str:
+    """Returns the length of a window for people."""
     for unit, name in ((DAY_S, "d"), (3600, "h"), (60, "min")):
         if seconds % unit == 0:
             return f"{seconds / unit:g} {name}"
--- a/src/auburnsail/_report_html.py
+++ b/src/auburnsail/_report_html.py
@@ -7,7 +7,7 @@
 from html import escape
 
 from ._burn import ALERTS, FIRING, NO_DATA, POSSIBLE
-from ._report_burn import BurnReport, Row, burn_lines, time_text
+from ._report_burn import BurnReport, Row, burn_lines, length_text, time_text
 
 __all__ = ["burn_page"]
 
@@ -110,9 +110,13 @@
             found = [part.windows[index] for part in parts]
             height = 0.8 / windows
             positions = [i + height * (index - windows / 2) for i in range(len(found))]
-            label = f"{found[0].seconds / 3600:g} h"
+            label = length_text(found[0].seconds)
             axis.barh(positions, [window.burn or 0.0 for window in found], height, label=label)
+            for position, window in zip(positions, found, strict=True):
+                if window.burn is None:
+                    axis.text(0, position, "no data", va="center", fontsize="x-small")
         axis.set_yticks(range(len(places)), places)
+        axis.set_ylim(len(places) - 0.5, -0.5)
         axis.axvline(1.0, color="black", linewidth=0.8)
         axis.set_xlabel("burn rate; 1 spends the budget exactly")
         axis.set_title(title)
--- a/src/auburnsail/_report_series.py
+++ b/src/auburnsail/_report_series.py
@@ -22,6 +22,8 @@
 __all__ = ["BUCKET_S", "Group", "Reading", "Series", "overlaps", "read_snapshots"]
 
 BUCKET_S = 60
+# Shares of intervals in floating point add up to a little less than a whole bucket.
+ROUNDING_S = 1e-6
 HOUR_S = 3600
 READS_AT_ONCE = 32
 # The view of a few nodes tells how many should report; all nodes have the same one.
@@ -183,7 +185,10 @@
                 due_s = expected.get(place, 0.0)
                 expected_s += due_s
                 covered_s += min(due_s, self.covered.get(place, {}).get(bucket, 0.0))
-        return covered_s / expected_s if expected_s else None
+        if not expected_s:
+            return None
+        is_whole = expected_s - covered_s < ROUNDING_S * len(buckets) * len(places)
+        return 1.0 if is_whole else covered_s / expected_s
 
     def sums(self, groups: Iterable[Group], buckets: range) -> tuple[Sums, Sums]:
         """Returns availability and latency of some groups over some buckets."""
--- a/src/auburnsail/_snapshot.py
+++ b/src/auburnsail/_snapshot.py
@@ -233,6 +233,7 @@
         self._loads: dict[str, list[int]] = {}
         self._node_seconds: Counter[str] = Counter()
         self._unowned_s: Counter[str] = Counter()
+        self._sampled_s = 0.0
         self._shards_now: set[tuple[str, int]] = set()
         self._second = 0
         self._number = 0
@@ -277,6 +278,7 @@
     def sample(self, view: View, elapsed_s: float) -> None:
         """Adds a stretch of time in which the fleet looked as the view says."""
         self._view = view
+        self._sampled_s += elapsed_s
         for place, nodes in view.nodes.items():
             self._node_seconds[place] += nodes * elapsed_s
         for service, shards in view.unowned.items():
@@ -296,6 +298,10 @@
             is_last: Whether the process ends.
         """
         services = {*self._recordings, *self._unowned_s}
+        # Samples end with a timer tick after the end of the interval. Without this, a node would
+        # seem to miss a part of every second or third interval.
+        scale = (end_s - start_s) / self._sampled_s if self._sampled_s else 0.0
+        node_seconds = {name: value * scale for name, value in self._node_seconds.items()}
         place, view = self._place, self._view
         loads = {
             service: Load(requests, busy_ns / 1e6, view.slots if service == view.service else 0)
@@ -314,7 +320,7 @@
             end_s,
             step_s,
             view.fleet_version,
-            dict(self._node_seconds),
+            node_seconds,
             dropped,
             is_last,
             {service: self._cell(service) for service in sorted(services)},
@@ -325,6 +331,7 @@
         self._loads = {}
         self._node_seconds = Counter()
         self._unowned_s = Counter()
+        self._sampled_s = 0.0
         return snapshot
 
     def _mark_shard(self, recording: _Recording, service: str, shard: int) -> None:
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -98,6 +98,27 @@
         self.assertEqual({s.seconds for s in found}, {60.0})
         self.assertEqual({s.node_seconds["r/d"] for s in found}, {120.0})
 
+    def test_late_tick_is_no_gap(self):
+        """Guards against nodes expected for longer than the interval that was cut."""
+        clock, objects = ManualClock(), MemoryObjects()
+        measurements = Measurements(Place("n", "r", "d", "run"), clock)
+        writer = SnapshotWriter(
+            measurements,
+            objects,
+            lambda: View(1, {"r/d": 3}),
+            lambda: 5,
+            clock,
+            wall_s=lambda: clock.now_ns() / NS_PER_S,
+        )
+        for _ in range(50):
+            clock.advance_ms(270)
+            writer.tick(clock.now_ns())
+        writer.write()
+        found = [s for data in objects.data.values() for s in decode_snapshots(data)]
+        self.assertEqual([s.end_s for s in found], [5.0, 10.0])
+        for snapshot in found:
+            self.assertAlmostEqual(snapshot.node_seconds["r/d"], 15.0)
+
     def test_shard_without_owner_counts_once_per_second(self):
         """Guards against unavailable time that grows with the rate of refused requests."""
         clock = ManualClock()
