--- a/src/auburnsail/_changes.py
+++ b/src/auburnsail/_changes.py
@@ -27,7 +27,7 @@
 from ._store import Check, TableStore
 from .exceptions import AuburnsailError, ConflictError, RefusedError
 
-__all__ = ["SettingsChanges"]
+__all__ = ["SettingsChanges", "record_data"]
 
 FLEET_HEAD = "fleet/head"
 INIT_PREFIX = "init-"
@@ -124,7 +124,9 @@
         event = self._event("propose", content=proposal.content, note=title)
         return self._rows.create(msgspec.structs.replace(proposal, events=(event,)))
 
-    def amend(self, proposal_id: str, text: str, source: str, base: int | None) -> Proposal:
+    def amend(
+        self, proposal_id: str, text: str, source: str, base: int | None, title: str = ""
+    ) -> Proposal:
         """Replaces the content of an open proposal; approvals of other content lapse."""
         current = self.settle(proposal_id)
         base = current.base if base is None else base
@@ -135,7 +137,13 @@
             _require_open(proposal, "amend")
             authors = tuple(dict.fromkeys((*proposal.authors, self._operator)))
             return msgspec.structs.replace(
-                proposal, authors=authors, base=base, base_text=base_text, text=text, edits=edits
+                proposal,
+                title=title or proposal.title,
+                authors=authors,
+                base=base,
+                base_text=base_text,
+                text=text,
+                edits=edits,
             )
 
         return self._rows.update(proposal_id, self._event("amend"), change)
@@ -220,7 +228,7 @@
         intent = proposal.intent
         if proposal.state != "accepting":
             return proposal
-        data = msgspec.msgpack.encode(_record_of(proposal, intent))
+        data = record_data(proposal)
         checks = (Check(FLEET_HEAD, 0),) if intent.fixed else ()
         try:
             version = self._append(intent.base, intent.append_id, data, checks)
@@ -272,12 +280,15 @@
 
         return self._rows.update(proposal_id, self._event("rebase", note=f"onto {head}"), change)
 
-    def revert(self, version: int, title: str, *, whole: bool = False) -> Proposal:
+    def revert(
+        self, version: int, title: str, proposal_id: str = "", *, whole: bool = False
+    ) -> Proposal:
         """Proposes to undo one change, or to return to a whole earlier version.
 
         Args:
             version: The change to undo, or the version to return to.
             title: Why.
+            proposal_id: Id to use for the proposal.
             whole: Return to the version, undoing everything after it.
 
         Raises:
@@ -290,7 +301,7 @@
         title = title or f"{'return to' if whole else 'revert'} version {version}"
         source = f"revert of version {version}"
         if whole:
-            return self.propose(title, record.text, source, head)
+            return self.propose(title, record.text, source, head, proposal_id)
         if version == 1:
             raise refusal("the first version cannot be undone", "revert")
         undone = tuple(Edit(edit.path, edit.new, edit.old) for edit in record.edits)
@@ -301,7 +312,7 @@
             detail = f"values of version {version} were changed again since"
             raise SettingsConflictError(detail, since, overlapping)
         text = apply_edits(current.text, undone, self._history.record(version - 1).text)
-        return self.propose(title, text, source, head)
+        return self.propose(title, text, source, head, proposal_id)
 
     def _accepted_or_conflict(self, proposal_id: str) -> Proposal:
         head, head_text, proposal = self._newest(proposal_id)
@@ -339,10 +350,8 @@
         head = self._history.log_record(proposal.base)
         version = proposal.base + 1
         origins = dict(decode_settings(head.version, head.data).origins)
-        for edit in proposal.edits:
-            origins.pop(path_text(edit.path), None)
-            if edit.new is not msgspec.UNSET:
-                origins[path_text(edit.path)] = version
+        # Values that are no longer stated stay listed, so that their history can be followed.
+        origins |= {path_text(edit.path): version for edit in proposal.edits}
         return Intent(
             append_id=f"{proposal.id}-{new_id()}",
             base=proposal.base,
@@ -370,8 +379,10 @@
         raise RefusedError(f"{proposal.id} is {proposal.state}{where}", step=f"settings.{step}")
 
 
-def _record_of(proposal: Proposal, intent: Intent) -> SettingsRecord:
-    return SettingsRecord(
+def record_data(proposal: Proposal) -> bytes:
+    """Returns the settings record of a proposal whose acceptance has begun, as it is stored."""
+    intent = proposal.intent
+    record = SettingsRecord(
         parent=intent.parent,
         proposal=proposal.id,
         title=proposal.title,
@@ -383,3 +394,4 @@
         origins=intent.origins,
         text=proposal.text,
     )
+    return msgspec.msgpack.encode(record)
