--- a/src/auburnsail/_snapshot.py
+++ b/src/auburnsail/_snapshot.py
@@ -45,8 +45,21 @@
 UNKNOWN = "unknown"
 CANCELLED = "cancelled"
 TOO_MANY_REQUESTS = 429
-# A shard with these refusals has an owner that may serve: it is busy, or the request came late.
-OVERLOAD_REASONS = frozenset({"deadline", "not-admitted", "upstream-shed"})
+# Refusals for want of an owner that may serve. With any other the owner is there, but is busy, or
+# the request came late.
+UNAVAILABLE_REASONS = frozenset(
+    {
+        "connect-failed",
+        "draining",
+        "map-behind",
+        "moving",
+        "no-lease",
+        "no-owner",
+        "no-upstream",
+        "not-owner",
+        "violation",
+    }
+)
 
 
 class Cell(msgspec.Struct, frozen=True):
@@ -266,7 +279,7 @@
         elif reason:
             name = f"{outcome}/{reason}"
             recording.reasons[name] = recording.reasons.get(name, 0) + 1
-            if shard >= 0 and outcome == NOT_RUN and reason not in OVERLOAD_REASONS:
+            if shard >= 0 and outcome == NOT_RUN and reason in UNAVAILABLE_REASONS:
                 self._mark_shard(recording, service, shard)
 
     def on_served(self, service: str, duration_ns: int) -> None:
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -126,12 +126,14 @@
         for _ in range(2):
             for shard in (1, 2, 1):
                 measurements.on_answer("s", shard, "not-run", 0, 0, "no-owner")
-            measurements.on_answer("s", 3, "not-run", 0, 0, "upstream-shed")
+            for reason in ("upstream-shed", "queue-full", "isolated"):
+                measurements.on_answer("s", 3, "not-run", 0, 0, reason)
             clock.advance_ms(1000)
         cell = measurements.cut(0, 60, step_s=0, dropped=0, is_last=False).cells["s"]
         self.assertEqual(cell.refused_shard_s, 4)
-        self.assertEqual(cell.endings, {"not-run": 8})
-        self.assertEqual(cell.reasons, {"not-run/no-owner": 6, "not-run/upstream-shed": 2})
+        self.assertEqual(cell.endings, {"not-run": 12})
+        self.assertEqual(cell.reasons["not-run/no-owner"], 6)
+        self.assertEqual(cell.reasons["not-run/upstream-shed"], 2)
 
 
 if __name__ == "__main__":
