--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -39,6 +39,11 @@
         tried: Addresses of unkeyed upstreams that failed.
         use: How busy the other node said that its upstream is.
         exchange: Current exchange with a peer.
+        started_ns: When the request's head was complete.
+        status: Status of the upstream's answer, 0 before it came.
+        outcome: How the request ended, empty while it runs or if an upstream answered it.
+        reason: Reason of a refusal.
+        local_service: Service of the request if it was sent to the upstream beside this node.
         attempt_by_ns: When silence ends the current attempt, 0 for never.
         progress_by_ns: When the answer counts as stalled, 0 before it began.
         stop_reason: Why the request was stopped, or an empty string.
@@ -55,11 +60,16 @@
         "is_body_consumed",
         "is_sending",
         "is_watched",
+        "local_service",
+        "outcome",
         "owner_hint",
         "policy",
         "prefix",
         "progress_by_ns",
+        "reason",
         "request",
+        "started_ns",
+        "status",
         "stop_reason",
         "tried",
         "use",
@@ -74,6 +84,7 @@
         attempts: AttemptLog,
         policy: RequestPolicy,
         budget: RetryBudget,
+        started_ns: int = 0,
     ) -> None:
         self.request = request
         self.hop = hop
@@ -92,6 +103,11 @@
         self.progress_by_ns = 0
         self.stop_reason = ""
         self.is_watched = False
+        self.started_ns = started_ns
+        self.status = 0
+        self.outcome = ""
+        self.reason = ""
+        self.local_service = ""
         self.use: Use | None = None
 
     def stop(self, reason: str) -> None:
