Give the randomised run the address mapping of a node

Change: the run's settings map every address to itself.

Before: tests.test_soak fails in setUpClass.

--- a/tools/soak_path.py
+++ b/tools/soak_path.py
@@ -124,6 +124,7 @@
             data_address=address,
             region=region,
             domain=domain,
+            reach=str,
         )
         own_server, _data_path.HttpServer = _data_path.HttpServer, _Server
         try:
