--- a/Makefile
+++ b/Makefile
@@ -78,3 +78,7 @@
 
 balance: .venv
 	$(PY) -m tools.balance
+
+.PHONY: capacity
+capacity: .venv
+	$(PY) -m tools.capacity
--- /dev/null
+++ b/tools/capacity_probes.py
@@ -0,0 +1,337 @@
+"""Measures how state, processor time and messages grow with the size of a fleet.
+
+Every probe runs the shipped code at three or more sizes and fits a straight line, so that the value
+at the target size follows from a slope and not from a single run.
+"""
+
+import json
+import random
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from auburnsail._balance import LatencyChooser
+from auburnsail._checkpoint import dump_fleet, restore_fleet
+from auburnsail._fleet import FleetState
+from auburnsail._grants import Lost, candidate_of, spread_shards
+from auburnsail._messages import Ack, Codec, Push, Renewal
+from auburnsail._model import (
+    Assign,
+    Close,
+    Entry,
+    Evidence,
+    Grant,
+    Join,
+    Session,
+    SessionId,
+    encode_entry,
+)
+from auburnsail._session import choose_watchers
+from auburnsail._tree import parse_tree
+
+__all__ = ["PROBES", "Fit", "Probe", "build_fleet"]
+
+SERVICE = "catalogue"
+REGIONS = 3
+DOMAINS = 6
+SHARDS_PER_NODE = 25
+SLOTS = 12
+UDP_IP_HEADER_BYTES = 28
+REPEATS = 3
+
+
+@dataclass(frozen=True, slots=True)
+class Fit:
+    """A straight line through measured points.
+
+    Attributes:
+        points: Sizes with the values measured.
+        slope: Growth per unit of size.
+        intercept: Value at size 0.
+    """
+
+    points: tuple[tuple[float, float], ...]
+    slope: float
+    intercept: float
+
+    def at(self, size: float) -> float:
+        """Returns the value at a size."""
+        return self.intercept + self.slope * size
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """One quantity that is measured at several sizes.
+
+    Attributes:
+        name: Identifies the quantity on the capacity page.
+        per: What the size counts.
+        unit: Unit of the value.
+        sizes: Sizes to measure.
+        target: Size at the target.
+        measure: Returns the value at a size.
+    """
+
+    name: str
+    per: str
+    unit: str
+    sizes: tuple[int, ...]
+    target: float
+    measure: Callable[[int], float]
+
+    def fit(self) -> Fit:
+        """Measures all sizes and fits a line by least squares."""
+        points = tuple((float(size), self.measure(size)) for size in self.sizes)
+        mean_x = sum(x for x, _ in points) / len(points)
+        mean_y = sum(y for _, y in points) / len(points)
+        over = sum((x - mean_x) * (y - mean_y) for x, y in points)
+        slope = over / sum((x - mean_x) ** 2 for x, _ in points)
+        return Fit(points, slope, mean_y - slope * mean_x)
+
+
+def build_fleet(nodes: int, shards_per_node: int = SHARDS_PER_NODE, seed: int = 1) -> FleetState:
+    """Returns the state of a fleet with watchers and all shards assigned.
+
+    Args:
+        nodes: Open sessions, spread over the domains.
+        shards_per_node: Shards of each session.
+        seed: Decides the watchers.
+    """
+    rng = random.Random(seed)
+    ids = [SessionId(f"node-{number:05}", rng.getrandbits(48)) for number in range(nodes)]
+    joins = tuple(Join(str(ids[n]), _session(ids, n, rng)) for n in range(nodes))
+    shards = nodes * shards_per_node
+    grants = tuple(Grant(ids[n], tuple(range(n, shards, nodes))) for n in range(nodes))
+    fleet = FleetState()
+    fleet.apply(Entry(1, b"", "joins", joins))
+    if shards:
+        fleet.apply(Entry(2, fleet.digest, "shards", (Assign("a", SERVICE, grants, shards),)))
+    return fleet
+
+
+def _session(ids: list[SessionId], number: int, rng: random.Random) -> Session:
+    domain = number % DOMAINS
+    sibling = domain ^ 1
+    far = (domain + 2 + rng.randrange(4)) % DOMAINS
+    watchers = tuple(_in_domain(ids, place, number, rng) for place in (domain, sibling, far))
+    address = f"10.{number // 62500}.{number // 250 % 250}.{number % 250}"
+    region = f"region-{domain // 2}"
+    data, control = f"{address}:8000", f"{address}:9000"
+    name = f"{region}-{domain % 2}"
+    return Session(ids[number], region, name, data, control, SERVICE, SLOTS, watchers)
+
+
+def _in_domain(ids: list[SessionId], domain: int, but: int, rng: random.Random) -> SessionId:
+    while True:
+        number = rng.randrange(len(ids) // DOMAINS) * DOMAINS + domain
+        if number != but:
+            return ids[number]
+
+
+def _best_of(call: Callable[[], object]) -> float:
+    """Returns the shortest processor time of a few calls in microseconds."""
+    best = float("inf")
+    for _ in range(REPEATS):
+        started = time.process_time_ns()
+        call()
+        best = min(best, time.process_time_ns() - started)
+    return best / 1000
+
+
+def _state_kb(nodes: int) -> float:
+    data = dump_fleet(build_fleet(nodes))
+    tracemalloc.start()
+    fleet = FleetState()
+    restore_fleet(fleet, data)
+    size = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return size / 1000
+
+
+def _checkpoint_kb(nodes: int) -> float:
+    return len(dump_fleet(build_fleet(nodes))) / 1000
+
+
+def _restore_ms(nodes: int) -> float:
+    data = dump_fleet(build_fleet(nodes))
+    return _best_of(lambda: restore_fleet(FleetState(), data)) / 1000
+
+
+def _close(fleet: FleetState, sessions: list[SessionId]) -> tuple[Close, ...]:
+    closing = [fleet.sessions[session] for session in sessions]
+    gone = set(sessions)
+    stay = [candidate_of(fleet, row) for s, row in fleet.sessions.items() if s not in gone]
+    lost = [
+        Lost(str(row.session.id), row.session.id, row.session.domain, tuple(fleet.shards_of(row)))
+        for row in closing
+    ]
+    grants = spread_shards(lost, stay)
+    return tuple(
+        Close(
+            str(row.session.id), row.session.id, _evidence(row.session), grants[str(row.session.id)]
+        )
+        for row in closing
+    )
+
+
+def _evidence(session: Session) -> tuple[Evidence, ...]:
+    return tuple(Evidence(watcher, 651) for watcher in session.watchers[:2])
+
+
+def _first_of_domain(fleet: FleetState, count: int) -> list[SessionId]:
+    first = next(iter(fleet.sessions.values())).session.domain
+    rows = [row for row in fleet.sessions.values() if row.session.domain == first]
+    return [row.session.id for row in rows[:count]]
+
+
+def _close_decide_ms(nodes: int) -> float:
+    fleet = build_fleet(nodes)
+    lost = _first_of_domain(fleet, 1)
+    return _best_of(lambda: _close(fleet, lost)) / 1000
+
+
+def _close_apply_ms(nodes: int) -> float:
+    fleet = build_fleet(nodes)
+    data = dump_fleet(fleet)
+    entry = Entry(3, fleet.digest, "close", _close(fleet, _first_of_domain(fleet, 1)))
+    best = float("inf")
+    for _ in range(REPEATS):
+        copy = FleetState()
+        restore_fleet(copy, data)
+        started = time.process_time_ns()
+        copy.apply(entry)
+        best = min(best, time.process_time_ns() - started)
+    return best / 1e6
+
+
+def _domain_entry_kb(sessions: int) -> float:
+    fleet = build_fleet(DOMAINS * 200)
+    return (
+        len(encode_entry(Entry(3, b"", "c", _close(fleet, _first_of_domain(fleet, sessions)))))
+        / 1000
+    )
+
+
+def _domain_decide_ms(sessions: int) -> float:
+    fleet = build_fleet(sessions * DOMAINS)
+    lost = _first_of_domain(fleet, sessions)
+    started = time.process_time_ns()
+    _close(fleet, lost)
+    return (time.process_time_ns() - started) / 1e6
+
+
+def _domain_apply_ms(sessions: int) -> float:
+    fleet = build_fleet(sessions * DOMAINS)
+    entry = Entry(3, fleet.digest, "c", _close(fleet, _first_of_domain(fleet, sessions)))
+    started = time.process_time_ns()
+    fleet.apply(entry)
+    return (time.process_time_ns() - started) / 1e6
+
+
+def _watchers_ms(nodes: int) -> float:
+    fleet = build_fleet(nodes, 0)
+    row = next(iter(fleet.sessions.values()))
+    rng = random.Random(1)
+    keep = row.session.watchers
+    return _best_of(lambda: choose_watchers(fleet, row.session, keep, set(), rng)) / 1000
+
+
+def _flood_steps(doublings: int) -> float:
+    fleet = build_fleet(2**doublings, 0)
+    edges: dict[SessionId, set[SessionId]] = {session: set() for session in fleet.sessions}
+    for session, row in fleet.sessions.items():
+        for watcher in row.session.watchers:
+            edges[session].add(watcher)
+            edges[watcher].add(session)
+    worst = 0
+    for start in list(fleet.sessions)[:8]:
+        reached, frontier, steps = {start}, {start}, 0
+        while frontier:
+            frontier = {other for session in frontier for other in edges[session]} - reached
+            reached |= frontier
+            steps += bool(frontier)
+        worst = max(worst, steps)
+    return float(worst)
+
+
+def _exchange_us(messages: int) -> float:
+    codecs = Codec("0123456789abcdef", 1), Codec("0123456789abcdef", 2)
+    holder, watcher = SessionId("node-00001", 1 << 47), SessionId("node-00002", 1 << 47)
+
+    def run() -> None:
+        for number in range(messages):
+            sent = codecs[0].encode(Renewal(holder, watcher, 10**15 + number, 10**5, 10**5))
+            codecs[1].decode(sent)
+            answer = Ack(holder, watcher, 10**15 + number, False, 10**5, 10**5)
+            codecs[0].decode(codecs[1].encode(answer))
+
+    return _best_of(run)
+
+
+def _renewal_bytes(pairs: int) -> float:
+    codec = Codec("0123456789abcdef", 1 << 47)
+    holder, watcher = SessionId("node-00001", 1 << 47), SessionId("node-00002", 1 << 47)
+    renewal = codec.encode(Renewal(holder, watcher, 10**15, 10**5, 10**5))
+    ack = codec.encode(Ack(holder, watcher, 10**15, False, 10**5, 10**5))
+    return float(pairs * (len(renewal) + len(ack) + 2 * UDP_IP_HEADER_BYTES))
+
+
+def _push_bytes(shards: int) -> float:
+    fleet = build_fleet(DOMAINS * 10, shards)
+    entry = encode_entry(Entry(3, b"x" * 16, "close", _close(fleet, _first_of_domain(fleet, 1))))
+    return float(len(Codec("0123456789abcdef", 1).encode(Push(entry))) + UDP_IP_HEADER_BYTES)
+
+
+def _tree_text(statements: int) -> str:
+    services = {
+        f"service-{number}": {"queue": {"max_requests": number % 60 + 1}}
+        for number in range(statements)
+    }
+    return json.dumps({"services": services}, indent=2)
+
+
+def _tree_ms(statements: int) -> float:
+    text = _tree_text(statements)
+    return _best_of(lambda: parse_tree(text, "probe", ignore_unknown=True)) / 1000
+
+
+def _tree_kb(statements: int) -> float:
+    return len(_tree_text(statements)) / 1000
+
+
+def _choose_us(candidates: int) -> float:
+    from auburnsail._balance import BalanceLimits
+
+    fleet = build_fleet(candidates, 0)
+    sessions = [row.session for row in fleet.sessions.values()]
+    chooser = LatencyChooser("region-0", "region-0-0", BalanceLimits(), random.Random(1), lambda: 1)
+    chooser.choose(sessions, 1)
+
+    def run() -> None:
+        for _ in range(20):
+            chooser.choose(sessions, 1)
+
+    return _best_of(run) / 20
+
+
+NODES = (650, 1300, 2600)
+TARGET_NODES = 5200
+PROBES = (
+    Probe("fleet state", "node", "KB", NODES, TARGET_NODES, _state_kb),
+    Probe("checkpoint", "node", "KB", NODES, TARGET_NODES, _checkpoint_kb),
+    Probe("restore from a checkpoint", "node", "ms CPU", NODES, TARGET_NODES, _restore_ms),
+    Probe("decide one close", "node", "ms CPU", NODES, TARGET_NODES, _close_decide_ms),
+    Probe("apply one close", "node", "ms CPU", NODES, TARGET_NODES, _close_apply_ms),
+    Probe("choose watchers", "node", "ms CPU", NODES, TARGET_NODES, _watchers_ms),
+    Probe("steps of a flood", "doubling of nodes", "steps", (8, 9, 10, 11), 12.34, _flood_steps),
+    Probe("entry of a domain loss", "session", "KB", (50, 100, 200), 867, _domain_entry_kb),
+    Probe("decide a domain loss", "session", "ms CPU", (50, 100, 200, 400), 867, _domain_decide_ms),
+    Probe("apply a domain loss", "session", "ms CPU", (50, 100, 200, 400), 867, _domain_apply_ms),
+    Probe("renewal and acknowledgement", "pair", "us CPU", (500, 1000, 2000), 30, _exchange_us),
+    Probe("bytes of renewals", "pair/s", "B/s", (1, 2, 4), 30, _renewal_bytes),
+    Probe("push of one close", "shard", "B", (10, 25, 50), SHARDS_PER_NODE, _push_bytes),
+    Probe("read the settings tree", "value", "ms CPU", (50, 100, 200), 1000, _tree_ms),
+    Probe("text of the settings tree", "value", "KB", (50, 100, 200), 1000, _tree_kb),
+    Probe("choose among upstreams", "candidate", "us CPU", (6, 60, 600), 1733, _choose_us),
+)
