--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 
 .venv: .venv/.installed
 
@@ -41,5 +41,17 @@
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
 
+settings-spread: .venv
+	$(PY) -m tools.settings_spread
+
 demo: .venv
 	$(PY) -m tools.demo
+
+overload: .venv
+	$(PY) -m tools.overload
+
+poison: .venv
+	$(PY) -m tools.poison
+
+balance: .venv
+	$(PY) -m tools.balance
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -6,16 +6,17 @@
 from typing import Protocol
 
 from . import _headers
-from ._admission import Admission, Chooser, Result
+from ._admission import Admission, Chooser, Result, Use
 from ._answer_parser import AnswerParser
 from ._clock import NS_PER_MS, Clock
+from ._crash_monitor import CrashMonitor
 from ._flights import CALLER_GONE, DEADLINE, SILENT, Flight
 from ._hop import Hop, HopSigner
 from ._model import Session
 from ._outcome import Outcome, RequestFailedError, not_run, parse_refusal, unknown
-from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange, HttpPeer
+from ._peers import PeerTable
+from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange
 from ._relay import BUFFERED_BYTES, failure_of, pass_on, read_small, request_head, send_request
-from ._retry import RetryBudget
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from .exceptions import CallerGoneError, NotRunError, OutcomeUnknownError
 
@@ -97,9 +98,10 @@
         signer: Signs requests to other nodes.
         admission: Admits requests to the upstream beside this node.
         chooser: Chooses among the upstreams of an unkeyed service.
-        budget: Retries that are allowed now.
         clock: Source of time.
         counters: Counts of the request path.
+        peers: Connections to upstreams and nodes.
+        crashes: Follows crashes of the upstream.
     """
 
     def __init__(
@@ -109,19 +111,20 @@
         signer: HopSigner,
         admission: Admission,
         chooser: Chooser,
-        budget: RetryBudget,
         clock: Clock,
         counters: Counters,
+        peers: PeerTable,
+        crashes: CrashMonitor,
     ) -> None:
         self._router = router
         self._ownership = ownership
         self._signer = signer
         self._admission = admission
         self._chooser = chooser
-        self._budget = budget
         self._clock = clock
         self._counters = counters
-        self._peers: dict[str, HttpPeer] = {}
+        self._peers = peers
+        self._crashes = crashes
         self._id_prefix = os.urandom(6).hex()
 
     def run(self, flight: Flight) -> None:
@@ -154,18 +157,6 @@
             case AnyOf(target=target, sessions=sessions):
                 self._run_any(flight, target, sessions)
 
-    def peer(self, address: str) -> HttpPeer:
-        """Returns the connections to an address."""
-        peer = self._peers.get(address)
-        if peer is None:
-            peer = self._peers[address] = HttpPeer(address, self._clock)
-        return peer
-
-    def drop_idle(self) -> None:
-        """Closes the idle connections to all peers."""
-        for peer in self._peers.values():
-            peer.drop_idle()
-
     def left_ms(self, flight: Flight) -> int:
         """Returns the time until the deadline in milliseconds."""
         return (flight.deadline_ns - self._clock.now_ns()) // NS_PER_MS
@@ -174,12 +165,13 @@
         left = [s for s in sessions if s.data_address not in flight.tried] or sessions
         started_ns = self._clock.now_ns()
         session = self._chooser.choose(left, started_ns)
-        result = Result.ANSWERED
+        result = Result.UNKNOWN
         try:
             if session.id == self._router.own_id:
                 self._run_local(flight, target)
             else:
                 self._run_remote(flight, session.data_address, target)
+            result = Result.ANSWERED
         except RequestFailedError as error:
             flight.tried.add(session.data_address)
             result = _RESULTS[error.refusal.outcome]
@@ -188,6 +180,8 @@
             result = Result.CANCELLED
             raise
         finally:
+            if flight.use is not None:
+                self._chooser.note_use(session, flight.use)
             self._chooser.observe(session, result, self._clock.now_ns() - started_ns)
 
     def _run_local(self, flight: Flight, target: Target) -> None:
@@ -207,7 +201,8 @@
         try:
             ticket = self._admission.enter(target, flight.deadline_ns)
         except NotRunError as error:
-            raise not_run("not-admitted", error.detail, error.step, error.peer) from error
+            detail = "the upstream has no room for the request now"
+            raise not_run(error.detail, detail, error.step, error.peer) from error
         result = Result.UNKNOWN
         try:
             extra = f"{_headers.DEADLINE_MS}: {self.left_ms(flight)}\r\n"
@@ -215,6 +210,9 @@
             if target.shard >= 0:
                 extra += self._grant(target)
                 owner = f"{_headers.OWNER}: {self._ownership.own_address}\r\n"
+            if flight.hop is not None:
+                owner += _use_line(self._admission.use())
+            self._crashes.start(flight)
             self._exchange(flight, address, extra, target, owner)
             result = Result.ANSWERED
         except RequestFailedError as error:
@@ -224,6 +222,7 @@
             result = Result.CANCELLED
             raise
         finally:
+            self._crashes.end(flight, completed=result is Result.ANSWERED)
             ticket.leave(result)
 
     def _run_remote(self, flight: Flight, address: str, target: Target) -> None:
@@ -276,6 +275,8 @@
                 if flight.request.is_answered:
                     raise
                 self._on_silence(flight, exchange)
+                if local is not None and not exchange.interrupt_reason:
+                    self._crashes.on_broken_exchange(address)
                 raise failure_of(flight, exchange, error) from error
         finally:
             flight.exchange = None
@@ -308,7 +309,7 @@
         left_s = self.left_ms(flight) / 1000
         idle_ns = MAX_IDLE_NS if flight.attempts.repeatable else FRESH_IDLE_NS
         try:
-            return self.peer(address).open(
+            return self._peers.get(address).open(
                 max_idle_ns=idle_ns, timeout_s=min(CONNECT_TIMEOUT_S, left_s)
             )
         except NotRunError as error:
@@ -319,11 +320,11 @@
     ) -> None:
         # Only worth it on an older connection: silence on a new one means a slow peer, and sending
         # the request again would not help.
-        if not (flight.attempts.repeatable and exchange.is_reused and self._budget.tokens >= 1.0):
+        if not (flight.attempts.repeatable and exchange.is_reused and flight.budget.tokens >= 1.0):
             return
         divisor = SILENCE_DIVISOR_LOCAL if local is not None else SILENCE_DIVISOR_NODE
         now_ns = self._clock.now_ns()
-        usual_ns = int(self.peer(address).slowest_recent_ns * SILENCE_FACTOR)
+        usual_ns = int(self._peers.get(address).slowest_recent_ns * SILENCE_FACTOR)
         wait_ns = min((flight.deadline_ns - now_ns) // divisor, max(MIN_SILENCE_NS, usual_ns))
         flight.attempt_by_ns = now_ns + wait_ns
 
@@ -360,6 +361,7 @@
             lower = name.lower()
             if lower.startswith(_headers.PREFIX):
                 fields[lower] = value
+        flight.use = _parse_use(fields.get(_headers.USE, ""))
         if _headers.OUTCOME not in fields:
             return
         status = f"{answer.status} {answer.phrase}"
@@ -395,3 +397,14 @@
     def _grant(self, target: Target) -> str:
         place = f"{target.service};{target.shard};{target.epoch}"
         return f"{_headers.GRANT}: {place};{self._ownership.gate.expires_ns()}\r\n"
+
+
+def _use_line(use: Use) -> str:
+    return f"{_headers.USE}: {use.used_percent:.0f} {use.reported_percent:.0f}\r\n"
+
+
+def _parse_use(value: str) -> Use | None:
+    used, _, reported = value.partition(" ")
+    if not (used.isdecimal() and reported.isdecimal() and len(value) <= 16):
+        return None
+    return Use(float(used), float(reported))
--- a/src/auburnsail/_beside.py
+++ b/src/auburnsail/_beside.py
@@ -60,15 +60,20 @@
         """Returns the upstream's address, or None without an upstream."""
         return self._announcement.address if self._announcement else None
 
-    def announce(self, announcement: Announcement) -> None:
-        """Takes an announcement; one that refused connections has to accept one first."""
+    def announce(self, announcement: Announcement) -> bool:
+        """Takes an announcement; an upstream that refused connections has to accept one first.
+
+        Returns:
+            Whether the announcement counts.
+        """
         if self._refuses and not accepts(announcement.address):
-            return
+            return False
         self._refuses = False
         self._announcement = announcement
         self._announced_ns = self._clock.now_ns()
         if announcement.state == "draining":
             self._mover.drain("upstream announced a drain", stopping=False)
+        return True
 
     def on_failed_attempt(self) -> None:
         """Checks soon whether the upstream still accepts connections."""
--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -3,11 +3,13 @@
 import select
 from collections.abc import Callable
 
+from ._admission import Use
 from ._clock import NS_PER_MS
 from ._hop import Hop
 from ._http_server import Request
 from ._pool import Exchange
-from ._retry import AttemptLog
+from ._request_policy import RequestPolicy
+from ._retry import AttemptLog, RetryBudget
 
 __all__ = ["CALLER_GONE", "DEADLINE", "SILENT", "STALLED", "Flight", "FlightTable"]
 
@@ -28,10 +30,14 @@
         deadline_ns: Time after which the answer is of no use.
         covers_body: Whether the deadline covers the answer's body too.
         attempts: Attempts and what is known of them.
+        policy: Rules for the requests of the service.
+        budget: Retries that the service's requests may make.
         prefix: Beginning of the request body, kept for a further attempt.
+        is_sending: Whether a streamed body is being sent.
         is_body_consumed: Whether more than the prefix was read, so that it cannot be sent again.
         owner_hint: Address that a node with a newer map named, or an empty string.
         tried: Addresses of unkeyed upstreams that failed.
+        use: How busy the other node said that its upstream is.
         exchange: Current exchange with a peer.
         attempt_by_ns: When silence ends the current attempt, 0 for never.
         progress_by_ns: When the answer counts as stalled, 0 before it began.
@@ -41,18 +47,22 @@
     __slots__ = (
         "attempt_by_ns",
         "attempts",
+        "budget",
         "covers_body",
         "deadline_ns",
         "exchange",
         "hop",
         "is_body_consumed",
+        "is_sending",
         "is_watched",
         "owner_hint",
+        "policy",
         "prefix",
         "progress_by_ns",
         "request",
         "stop_reason",
         "tried",
+        "use",
     )
 
     def __init__(
@@ -62,14 +72,19 @@
         deadline_ns: int,
         covers_body: bool,
         attempts: AttemptLog,
+        policy: RequestPolicy,
+        budget: RetryBudget,
     ) -> None:
         self.request = request
         self.hop = hop
         self.deadline_ns = deadline_ns
         self.covers_body = covers_body
         self.attempts = attempts
+        self.policy = policy
+        self.budget = budget
         self.prefix: bytes | None = None
         self.is_body_consumed = False
+        self.is_sending = False
         self.owner_hint = ""
         self.tried: set[str] = set()
         self.exchange: Exchange | None = None
@@ -77,6 +92,7 @@
         self.progress_by_ns = 0
         self.stop_reason = ""
         self.is_watched = False
+        self.use: Use | None = None
 
     def stop(self, reason: str) -> None:
         """Ends the request; the greenlet that runs it wakes with an error."""
@@ -119,6 +135,8 @@
             if flight.stop_reason:
                 continue
             self._check_time(flight, now_ns)
+            if flight.is_sending:
+                _check_early_answer(flight)
             # Most requests end between two sweeps; only the others are worth a look at the caller.
             if flight.is_watched and (number := flight.request.fileno()) >= 0:
                 callers[number] = flight
@@ -144,3 +162,11 @@
         if not flight.stop_reason:
             flight.stop(reason)
             self._on_stop(reason)
+
+
+def _check_early_answer(flight: Flight) -> None:
+    """Stops sending a body that the peer has answered already, or whose connection ended."""
+    exchange = flight.exchange
+    if exchange is not None and exchange.has_early_answer:
+        exchange.stop_sending()
+        flight.request.interrupt_read()
--- a/src/auburnsail/_messages.py
+++ b/src/auburnsail/_messages.py
@@ -7,6 +7,7 @@
 
 from ._digest import blake2s, same_digest
 from ._model import Command, SessionId
+from ._quarantine import CrashNotice
 
 __all__ = [
     "Ack",
@@ -98,7 +99,9 @@
     settings: int
 
 
-Message = Renewal | Ack | Query | Heard | SealNotice | Propose | Taken | Push | Versions
+Message = (
+    Renewal | Ack | Query | Heard | SealNotice | Propose | Taken | Push | Versions | CrashNotice
+)
 
 
 class _Packet(msgspec.Struct, frozen=True, array_like=True):
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -13,7 +13,7 @@
 from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
 from ._data_path import DataPath
-from ._effects import Applied, Effect, LogName, Note, SettingsChanged, StoreReply
+from ._effects import Applied, CrashReported, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState
 from ._gate import RequestGate
 from ._http_server import ControlServer
@@ -22,18 +22,20 @@
 from ._membership import Membership
 from ._messages import Codec
 from ._moves import Mover
+from ._quarantine import CrashNotice
 from ._routing import Router
 from ._rules import TICK_MS
 from ._session import NodeFacts
 from ._settings import NodeSettings, TreeSettings
 from ._settings_log import tree_of
-from ._shards import shard_of
+from ._status import explain_place, membership_status
 from ._store import HttpObjectStore, HttpTableStore
 from ._tree import effective
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
 
+EXPIRY_MS = 5_000
 WAITING_LOG_MS = 5000
 STOP_LIMIT_MS = 60_000
 CLOSE_WAIT_MS = 100
@@ -85,11 +87,13 @@
             self._clock,
             lambda error: self._violate(str(error)),
             self._upstream.on_failed_attempt,
+            self._on_crash,
         )
         self._control_server: ControlServer | None = None
         self._stopped = Event()
         self._timers.subscribe("membership", TICK_MS, self._tick)
         self._timers.subscribe("upstream", TICK_MS, self._follow_upstream)
+        self._timers.subscribe("expiry", EXPIRY_MS, self._expire)
         self._timers.subscribe("waiting", WAITING_LOG_MS, self._report_waiting)
 
     def run(self) -> None:
@@ -118,30 +122,19 @@
 
     def announce(self, announcement: Announcement) -> None:
         """See `ControlledNode.announce`."""
-        self._upstream.announce(announcement)
+        if self._upstream.announce(announcement):
+            self._data.set_upstream(announcement)
 
     def status(self) -> dict:
         """See `ControlledNode.status`."""
-        now_ns = self._clock.now_ns()
-        membership, traffic = self._membership, self._udp.traffic
-        row = self._fleet.sessions.get(membership.own_id) if membership.own_id else None
-        lease = membership.session.lease
-        return {
-            "session": str(membership.own_id),
-            "phase": membership.session.phase.value,
-            "service": row.session.service if row else "",
-            "fleet_version": self._fleet.version,
-            "settings_version": membership.replica.settings_version,
-            "sessions": [str(session_id) for session_id in self._fleet.sessions],
-            "watchers": [str(watcher) for watcher in lease.watchers] if lease else [],
-            "lease_left_ms": (min(membership.expires_ns(), now_ns + 1_000_000_000) - now_ns)
-            / NS_PER_MS,
+        traffic = self._udp.traffic
+        own = membership_status(self._membership, self._fleet, self._clock.now_ns())
+        return own | {
             "may_serve": self._may_serve(),
-            "shards": self._fleet.shard_count(row) if row else 0,
             "in_flight": self._mover.in_flight,
             "moving": self._mover.moving,
             "draining": self._mover.draining,
-            "open_proposals": membership.recording.pending,
+            "open_proposals": self._membership.recording.pending,
             "violation": self._violation,
             "datagrams_sent": traffic.sent,
             "datagrams_received": traffic.received,
@@ -175,6 +168,10 @@
         """See `ControlledNode.poll`."""
         self._membership.replica.poll_now()
 
+    def take_settings(self, records: Records) -> None:
+        """See `ControlledNode.take_settings`."""
+        self._on_records(LogName.SETTINGS, records, "operator")
+
     def drain(self, reason: str) -> None:
         """See `ControlledNode.drain`."""
         self._mover.drain(reason, stopping=False)
@@ -195,23 +192,9 @@
 
     def explain(self, service: str, key: str) -> dict:
         """See `ControlledNode.explain`."""
-        table = self._fleet.tables.get(service)
-        if table is None:
-            return {"service": service, "reason": "the service has no shards"}
-        shard = shard_of(key, len(table))
-        row = self._fleet.owner(service, shard)
-        owner = str(row.session.id) if row else ""
-        return {
-            "service": service,
-            "shard": shard,
-            "epoch": self._fleet.epoch(service, shard),
-            "owner": owner,
-            "owner_address": row.session.data_address if row else "",
-            "fleet_version": self._fleet.version,
-            "decisions": [*self._journal.about("session", owner), *self._journal.about(*_NOTES)],
-            "served_here": bool(row) and row.session.id == self._membership.own_id,
-            "may_serve": self._may_serve(),
-        }
+        place = explain_place(self._membership, self._fleet, service, key)
+        about = self._journal.about("session", place["owner"]) if "owner" in place else []
+        return place | {"decisions": about, "may_serve": self._may_serve()}
 
     # Timers.
 
@@ -220,6 +203,7 @@
         self._timers.tick(self._clock.now_ns())
 
     def _tick(self, now_ns: int) -> None:
+        self._data.tick(now_ns)
         self._mover.tick(now_ns)
         self._run_effects(self._membership.tick(now_ns))
         self._take_notes()
@@ -228,6 +212,9 @@
         if self._fleet_loaded and self._membership.replica.settings_version:
             self._upstream.follow(now_ns)
 
+    def _expire(self, now_ns: int) -> None:
+        self._data.expire(now_ns, set(self._fleet.sessions))
+
     def _report_waiting(self, now_ns: int) -> None:
         if self._fleet_loaded and self._membership.replica.settings_version:
             return
@@ -274,11 +261,20 @@
                     self._on_applied(effect)
                 case SettingsChanged():
                     self._on_settings(effect)
+                case CrashReported(notice=notice, address=address):
+                    if self._data.merge_crash(notice):
+                        self._run_effects(self._membership.push_crash(notice, address))
                 case Note():
                     self._on_note(effect)
                 case _:
                     self._io.run(effect)
 
+    def _on_crash(self, notice: CrashNotice) -> None:
+        suspects = len(notice.fingerprints)
+        self._journal.record("crash", "the upstream crashed", id=notice.id, suspects=suspects)
+        self._log.error("the upstream crashed", id=notice.id, suspects=suspects)
+        self._run_effects(self._membership.push_crash(notice, ""))
+
     def _on_applied(self, applied: Applied) -> None:
         self._router.own_id = self._membership.own_id
         self._mover.on_applied(applied.verdicts)
@@ -299,6 +295,7 @@
             return
         self._router.tree = tree
         self._apply_sections(tree)
+        self._data.set_tree(tree)
         for name, service in tree.services.items():
             if service.keyed:
                 self._fleet.add_service(name, service.shards)
@@ -371,9 +368,6 @@
         self._udp.close()
 
 
-_NOTES = ("session", "")
-
-
 def _facts(settings: NodeSettings) -> NodeFacts:
     return NodeFacts(
         node=settings.node,
--- a/tests/test_request_policies.py
+++ b/tests/test_request_policies.py
@@ -2,7 +2,9 @@
 
 import os
 import random
+import re
 import unittest
+from pathlib import Path
 
 import gevent
 from hypothesis import example, given
@@ -11,8 +13,11 @@
 from auburnsail._answer_parser import AnswerParser, HTTPParseError
 from auburnsail._clock import ManualClock
 from auburnsail._outcome import Outcome, parse_refusal
+from auburnsail._peers import PeerTable
 from auburnsail._pool import HttpPeer
-from auburnsail._retry import BUDGET_RESERVE, AttemptLog, RepeatablePolicy, RetryBudget
+from auburnsail._request_policy import RequestPolicy, policies_of
+from auburnsail._retry import BUDGET_RESERVE, AttemptLog, RetryBudget
+from auburnsail._tree import parse_tree
 from auburnsail.exceptions import InvariantViolation, OutcomeUnknownError
 from tests.path_fakes import (
     SHED,
@@ -70,17 +75,70 @@
 
     def test_settings_narrow_and_add_repeatable_requests(self):
         """Guards against repeating a request that settings exclude."""
-        policy = RepeatablePolicy(never=["/ledger/club"], always=["/portal/search"])
+        policy = RequestPolicy(
+            non_repeatable_paths=("/club",), repeatable_paths=("/search", "/club/look")
+        )
         for method, path, expected in (
-            ("GET", "/portal/1", True),
-            ("POST", "/portal/1", False),
-            ("PATCH", "/portal/1", False),
-            ("PUT", "/ledger/club/1", False),
-            ("POST", "/portal/search", True),
+            ("GET", "/1", True),
+            ("POST", "/1", False),
+            ("PATCH", "/1", False),
+            ("PUT", "/club/1", False),
+            ("POST", "/club/look", False),
+            ("POST", "/search/1", True),
         ):
             self.assertIs(policy.is_repeatable(method, path), expected, (method, path))
 
 
+class SettingsTest(unittest.TestCase):
+    """Rules of the settings tree in the request path."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream(lambda sock, run: None)
+        self.node = PathNode("a", self.upstream, "catalogue")
+        self.addCleanup(self.upstream.stop)
+        self.addCleanup(self.node.stop)
+        connect(self.node, owner=self.node)
+
+    def test_rules_of_a_service_are_in_force(self):
+        """Guards against settings that are accepted and then have no effect."""
+        text = """{"services": {"catalogue": {"keyed": true, "shards": 8, "requests": {
+            "default_deadline_ms": 80, "max_attempts": 2, "non_repeatable_paths": ["/pay"],
+            "max_key_bytes": 16, "max_body_bytes": 3}}}}"""
+        policies = policies_of(parse_tree(text, "test"), "wien", "wien-1")
+        self.node.application.set_policies(policies)
+        for data, reason, runs in (
+            (request("GET", "/catalogue/k"), "no-answer", 2),
+            (request("GET", "/catalogue/pay/k"), "no-answer", 1),
+            (request("GET", "/catalogue/%70ay/k"), "no-answer", 1),
+            (request("GET", f"/catalogue/{'k' * 17}"), "key-too-long", 0),
+            (request("POST", "/catalogue/k", body=b"four"), "body-too-large", 0),
+        ):
+            self.upstream.runs.clear()
+            self.assertEqual(reason_of(exchange(self.node.address, data))[2], reason)
+            self.assertEqual(len(self.upstream.runs), runs, data)
+        self.upstream.script = lambda sock, run: gevent.sleep(1)
+        with gevent.Timeout(0.5):
+            answer = exchange(self.node.address, request("POST", "/catalogue/k"))
+        self.assertEqual(reason_of(answer)[2], "deadline")
+
+
+class DocumentationTest(unittest.TestCase):
+    """docs/requests.md."""
+
+    def test_every_reason_is_documented(self):
+        """Guards against a reason token that callers cannot look up."""
+        root = Path(__file__).parent.parent
+        text = (root / "docs" / "requests.md").read_text()
+        pattern = re.compile(
+            r"""\b(?:not_run|unknown)\(\s*"([a-z-]+)"|\brefused\(\s*(?:_BAD|"[^"]+"),\s*"([a-z-]+)\""""
+        )
+        reasons = set()
+        for path in (root / "src" / "auburnsail").glob("*.py"):
+            reasons.update(one or other for one, other in pattern.findall(path.read_text()))
+        self.assertGreater(len(reasons), 30)
+        self.assertEqual({reason for reason in reasons if f"`{reason}`" not in text}, set())
+
+
 class AnswerTest(unittest.TestCase):
     """Parsing of answers."""
 
@@ -166,6 +224,26 @@
         fresh.abort()
         self.assertEqual(peer.idle, 0)
 
+    def test_idle_connections_are_bounded(self):
+        """Guards against file descriptors that pile up in a node that talks to many others."""
+        clock = ManualClock()
+        peers = PeerTable(clock, max_idle=3)
+        others = [FakeUpstream() for _ in range(4)]
+        for other in others:
+            self.addCleanup(other.stop)
+            clock.advance_ms(1000)
+            peers.get(other.address).fetch("GET", "/", timeout_s=1.0)
+        peers.expire(clock.now_ns())
+        # The oldest went; halving the allowed age leaves at most the limit.
+        self.assertEqual(peers.get(others[0].address).idle, 0)
+        self.assertEqual(peers.get(others[3].address).idle, 1)
+        clock.advance_ms(31_000)
+        peers.expire(clock.now_ns())
+        self.assertEqual(peers.get(others[3].address).idle, 0)
+        clock.advance_ms(300_000)
+        peers.expire(clock.now_ns())
+        self.assertEqual(len(peers), 0)
+
     def test_unclean_connections_are_closed(self):
         """Guards against reusing a connection whose peer wants it closed or sent too much."""
         ok = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n"
