--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,12 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
+.PHONY: placement-experiments drain-experiment
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
 
 .venv: .venv/.installed
 
@@ -29,6 +34,14 @@
 
 test: check unit
 
+# Compares placement planners; prints one table and writes the plot of the design note.
+placement-experiments: .venv
+	$(PY) -m tools.placement_experiments --plot docs/notes/placement.png
+
+# Compares ways to order the moves of drains that compete for room.
+drain-experiment: .venv
+	$(PY) -m tools.placement_drains
+
 recovery: .venv
 	$(PY) -m tools.recovery
 
@@ -47,6 +60,16 @@
 demo: .venv
 	$(PY) -m tools.demo
 
+region-cut: .venv
+	$(PY) -m tools.region_cut
+SEED ?= 1
+DURATION_S ?= 60
+
+soak: .venv
+	$(PY) -m tools.soak --seed $(SEED) --duration-s $(DURATION_S) $(if $(SUB_SEED),--sub-seed $(SUB_SEED))
+
+soak-mutations: .venv
+	$(PY) -m tools.soak_mutations
 overload: .venv
 	$(PY) -m tools.overload
 
--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -68,12 +68,12 @@
     def on_message(self, data: bytes, address: str) -> None:
         """Handles a message that was too large for a datagram."""
 
-    def poll(self) -> None:
-        """Fetches both logs from the store soon, for example after an operator's change."""
-
     def take_settings(self, records: list[tuple[int, bytes]]) -> None:
         """Takes over a settings record that an operator's program pushed."""
 
+    def poll(self) -> None:
+        """Fetches both logs from the store soon, for example after an operator's change."""
+
     def drain(self, reason: str) -> None:
         """Moves everything away and ends the session."""
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -9,7 +9,7 @@
 from ._clock import Clock
 from ._control import Announcement
 from ._crash_monitor import CrashMonitor
-from ._forward import ProxyApplication
+from ._forward import Observer, ProxyApplication
 from ._hop import HopSigner
 from ._http_server import HttpServer
 from ._limits import Limits, SlotAdmission
@@ -39,8 +39,9 @@
         gate: Knows whether this node may serve.
         clock: Source of time.
         on_violation: Called once when a guarantee was found broken.
-        on_failed_attempt: Called after each attempt at the upstream that got no answer.
         on_crash: Called with the notice for other nodes when the upstream crashed.
+        on_failed_attempt: Called after each attempt at the upstream that got no answer.
+        observer: Measures requests, or None.
     """
 
     def __init__(
@@ -51,8 +52,9 @@
         gate: Gate,
         clock: Clock,
         on_violation: Callable[[InvariantViolation], None],
-        on_failed_attempt: Callable[[], None],
         on_crash: Callable[[CrashNotice], None],
+        on_failed_attempt: Callable[[], None],
+        observer: Observer | None = None,
     ) -> None:
         self._settings = settings
         self._tree = TreeSettings({})
@@ -69,10 +71,12 @@
             signer=HopSigner(settings.fleet_secret),
             own_address=settings.data_address,
             admission=ObservedAdmission(self._admission, on_failed_attempt),
+            reach=settings.reach,
             chooser=self._chooser,
             crashes=self._crashes,
             clock=clock,
             on_violation=on_violation,
+            observer=observer,
         )
         host, _, port = settings.data_address.rpartition(":")
         self._server = HttpServer((host, int(port)), self._application, clock=clock)
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -28,6 +28,7 @@
 from ._session import NodeFacts
 from ._settings import NodeSettings, TreeSettings
 from ._settings_log import tree_of
+from ._snapshot_node import NodeSnapshots
 from ._status import explain_place, membership_status
 from ._store import HttpObjectStore, HttpTableStore
 from ._tree import effective
@@ -67,7 +68,7 @@
         )
         self._router = Router(self._fleet, TreeSettings({}))
         self._gate = RequestGate(self._mover, self._membership, self._clock)
-        self._udp = UdpSocket(settings.control_address, self._on_datagram)
+        self._udp = UdpSocket(settings.control_address, self._on_datagram, settings.reach)
         self._io = NodeIo(
             HttpTableStore(settings.store_url),
             HttpObjectStore(settings.objects_url),
@@ -75,10 +76,14 @@
             self._codec,
             self._udp,
             Callbacks(self._on_store_reply, self._on_records, self._on_restored, self._on_failure),
+            settings.reach,
         )
         self._violation = ""
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
+        self._snapshots = NodeSnapshots(
+            settings, self._fleet, lambda: self._membership.own_id, self._clock, self._timers
+        )
         self._data = DataPath(
             settings,
             self._router,
@@ -86,8 +91,9 @@
             self._gate,
             self._clock,
             lambda error: self._violate(str(error)),
-            self._upstream.on_failed_attempt,
             self._on_crash,
+            self._upstream.on_failed_attempt,
+            self._snapshots.measurements,
         )
         self._control_server: ControlServer | None = None
         self._stopped = Event()
@@ -141,6 +147,7 @@
             "bytes_sent": traffic.sent_bytes,
             "bytes_received": traffic.received_bytes,
             "http_bytes": self._io.http_bytes,
+            **self._snapshots.status(),
             "rejected": dict(self._codec.rejected),
         }
 
@@ -164,14 +171,14 @@
         """See `ControlledNode.on_message`."""
         self._on_datagram(data, address)
 
-    def poll(self) -> None:
-        """See `ControlledNode.poll`."""
-        self._membership.replica.poll_now()
-
     def take_settings(self, records: Records) -> None:
         """See `ControlledNode.take_settings`."""
         self._on_records(LogName.SETTINGS, records, "operator")
 
+    def poll(self) -> None:
+        """See `ControlledNode.poll`."""
+        self._membership.replica.poll_now()
+
     def drain(self, reason: str) -> None:
         """See `ControlledNode.drain`."""
         self._mover.drain(reason, stopping=False)
@@ -294,8 +301,9 @@
             self._log.error("settings not readable", version=changed.version, error=str(error))
             return
         self._router.tree = tree
-        self._apply_sections(tree)
         self._data.set_tree(tree)
+        self._apply_sections(tree)
+        self._snapshots.on_settings(tree)
         for name, service in tree.services.items():
             if service.keyed:
                 self._fleet.add_service(name, service.shards)
@@ -366,6 +374,7 @@
         if self._control_server is not None:
             self._control_server.close()
         self._udp.close()
+        self._snapshots.finish()
 
 
 def _facts(settings: NodeSettings) -> NodeFacts:
--- a/src/auburnsail/_placement_model.py
+++ b/src/auburnsail/_placement_model.py
@@ -7,9 +7,6 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import Annotated
-
-import msgspec
 
 from ._model import SessionId
 
@@ -23,7 +20,6 @@
     "Move",
     "MoveReason",
     "OwnerView",
-    "PlacementSettings",
     "Plan",
     "ReservationReply",
     "ReservationRequest",
@@ -45,13 +41,13 @@
         unavailable: Of one average shard being unavailable for one average planned move.
     """
 
-    imbalance: float = 2.0
-    churn: float = 1.0
-    unavailable: float = 1.0
+    imbalance: float = 1.0
+    churn: float = 5.0
+    unavailable: float = 5.0
 
 
-UNAVAILABLE_FIRST = Weights(imbalance=2.0, churn=1.0, unavailable=5.0)
-CHURN_FIRST = Weights(imbalance=2.0, churn=5.0, unavailable=1.0)
+UNAVAILABLE_FIRST = Weights(imbalance=1.0, churn=2.0, unavailable=10.0)
+CHURN_FIRST = Weights(imbalance=1.0, churn=10.0, unavailable=2.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,17 +61,21 @@
             leaving shards is unavailable at the same moment.
         max_utilisation: A target accepts no balance move beyond this share of its capacity.
         max_drain_utilisation: The same for the shards of a draining owner.
-        slow_start_ms: Time over which a joining server is filled.
+        slow_start_ms: Time over which a joining server becomes ready for its full capacity.
+        fill_delay_ms: A joining server's room is kept for draining owners for this long. In a
+            rolling restart the next server then drains into the one restarted before, so that
+            most shards move once and not twice.
         settle_ms: A shard that has just moved stays for this long.
         reservation_ms: A target keeps a reservation for this long.
     """
 
-    moves_per_minute: int = 60
+    moves_per_minute: int = 30
     moves_per_plan: int = 8
     drain_batches: int = 8
     max_utilisation: float = 0.85
     max_drain_utilisation: float = 1.0
     slow_start_ms: int = 60_000
+    fill_delay_ms: int = 120_000
     settle_ms: int = 60_000
     reservation_ms: int = 5_000
 
@@ -83,24 +83,6 @@
 DEFAULT_LIMITS = Limits()
 
 
-class PlacementSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
-    """Placement part of a service's settings; the defaults are those of `Weights` and `Limits`."""
-
-    imbalance: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 2.0
-    churn: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
-    unavailable: Annotated[float, msgspec.Meta(ge=0, le=1000)] = 1.0
-    moves_per_minute: Annotated[int, msgspec.Meta(ge=0, le=10_000)] = 60
-    slow_start_ms: Annotated[int, msgspec.Meta(ge=0, le=3_600_000)] = 60_000
-
-    def weights(self) -> Weights:
-        """Returns the weights that these settings state."""
-        return Weights(self.imbalance, self.churn, self.unavailable)
-
-    def limits(self) -> Limits:
-        """Returns the limits that these settings state."""
-        return Limits(moves_per_minute=self.moves_per_minute, slow_start_ms=self.slow_start_ms)
-
-
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
     """One server as its node announces it.
@@ -148,7 +130,7 @@
     fair_shards: float
     in_transit: frozenset[int] = frozenset()
     settling: frozenset[int] = frozenset()
-    moves_left: int = 60
+    moves_left: int = 30
 
 
 class MoveReason(Enum):
@@ -182,7 +164,9 @@
 
     Attributes:
         moves: The moves; no shard occurs twice.
-        stranded: Shards that have to leave but that no sampled peer has room for.
+        stranded: Shards that have to leave but for which no sampled peer is ready. The owner plans
+            again with another sample, and transfers what is left at the end of its drain to the
+            targets that `choose_successors` names.
         mean_utilisation: Load over capacity of the sample.
         detail: One sentence for the journal.
     """
--- a/src/auburnsail/_replica.py
+++ b/src/auburnsail/_replica.py
@@ -31,6 +31,7 @@
         self._entries = FleetFollower(fleet)
         self._settings = SettingsFollower()
         self._next_poll_ns = 0
+        self._polled_ns = 0
 
     @property
     def versions(self) -> tuple[int, int]:
@@ -85,9 +86,16 @@
         """Makes the next poll due at once."""
         self._next_poll_ns = 0
 
-    def poll_due(self, now_ns: int) -> bool:
-        """Whether a poll is due."""
-        return now_ns >= self._next_poll_ns
+    def poll_due(self, now_ns: int, often: bool) -> bool:
+        """Whether a poll is due.
+
+        Args:
+            now_ns: The current time in nanoseconds.
+            often: Whether this node polls on behalf of all others.
+        """
+        every_ms = POLL_STORE_FIRST_MS if often else POLL_STORE_MS
+        # A node that begins to poll for all others does not wait for its own, later turn.
+        return now_ns >= min(self._next_poll_ns, self._polled_ns + every_ms * NS_PER_MS)
 
     def poll(self, now_ns: int, often: bool, address: str) -> None:
         """Asks for both logs, whatever peers reported.
@@ -99,6 +107,7 @@
         """
         every_ms = POLL_STORE_FIRST_MS if often else POLL_STORE_MS
         spread = self._rng.uniform(0.75, 1.0)
+        self._polled_ns = now_ns
         self._next_poll_ns = now_ns + int(every_ms * spread * NS_PER_MS)
         self._entries.fetcher.ask(address)
         self._settings.fetcher.ask(address)
