--- a/src/auburnsail/_snapshot_node.py
+++ b/src/auburnsail/_snapshot_node.py
@@ -1,6 +1,6 @@
 """Wires the snapshots of a node to its fleet state and settings."""
 
-import secrets
+import os
 from collections import Counter
 from collections.abc import Callable
 
@@ -42,7 +42,7 @@
     ) -> None:
         self._fleet = fleet
         self._own_id = own_id
-        self._place = Place(settings.node, settings.region, settings.domain, secrets.token_hex(4))
+        self._place = Place(settings.node, settings.region, settings.domain, os.urandom(4).hex())
         self._interval_s = Logging().snapshot_interval_s
         self._nodes: dict[str, int] = {}
         self._nodes_version = -1
