--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -13,6 +13,7 @@
 
 import gevent
 from gevent import socket
+from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from ._clock import NS_PER_MS, BootClock, Clock
@@ -25,8 +26,9 @@
 __all__ = ["Application", "ControlServer", "HttpServer", "Request"]
 
 SWEEP_MS = 10
-# 100 wake-ups per second cost 1 % of a core, half of what an idle node may use.
-IDLE_SWEEP_MS = 50
+# 100 wake-ups per second cost 1 % of a core, half of what an idle node may use, so the sweeps rest
+# until a request begins. The rest ends now and then for the sweep of the connections.
+IDLE_SWEEP_MS = 100
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
 CONNECTION_SWEEP_MS = 500
@@ -230,6 +232,7 @@
             if not self.receive():
                 return None
         self.is_idle = False
+        self.server.request_begun.set()
         self.head_by_ns = now_ns + HEAD_TIMEOUT_MS * NS_PER_MS
         if self.buffered.startswith(b"\r\n"):
             # RFC 9112 section 2.2: an empty line before a request is ignored.
@@ -297,6 +300,7 @@
         self.drain_idle_now = False
         self.max_body_bytes = max_body_bytes
         self._sweeper: gevent.Greenlet | None = None
+        self.request_begun = Event()
 
     @property
     def in_flight(self) -> int:
@@ -371,8 +375,10 @@
     def _sweep_forever(self) -> None:
         next_connections_ns = 0
         while True:
-            is_busy = any(not connection.is_idle for connection in self.connections)
-            gevent.sleep((SWEEP_MS if is_busy else IDLE_SWEEP_MS) / 1000)
+            if all(connection.is_idle for connection in self.connections):
+                self.request_begun.clear()
+                self.request_begun.wait(IDLE_SWEEP_MS / 1000)
+            gevent.sleep(SWEEP_MS / 1000)
             now_ns = self.clock.now_ns()
             self.application.sweep(now_ns)
             if now_ns >= next_connections_ns:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -28,8 +28,8 @@
 from ._session import NodeFacts
 from ._settings import NodeSettings, TreeSettings
 from ._settings_log import tree_of
-from ._shards import shard_of
 from ._snapshot_node import NodeSnapshots
+from ._status import explain_place, membership_status
 from ._store import HttpObjectStore, HttpTableStore
 from ._tree import effective
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
@@ -128,31 +128,19 @@
 
     def announce(self, announcement: Announcement) -> None:
         """See `ControlledNode.announce`."""
-        self._data.set_upstream(announcement)
-        self._upstream.announce(announcement)
+        if self._upstream.announce(announcement):
+            self._data.set_upstream(announcement)
 
     def status(self) -> dict:
         """See `ControlledNode.status`."""
-        now_ns = self._clock.now_ns()
-        membership, traffic = self._membership, self._udp.traffic
-        row = self._fleet.sessions.get(membership.own_id) if membership.own_id else None
-        lease = membership.session.lease
-        return {
-            "session": str(membership.own_id),
-            "phase": membership.session.phase.value,
-            "service": row.session.service if row else "",
-            "fleet_version": self._fleet.version,
-            "settings_version": membership.replica.settings_version,
-            "sessions": [str(session_id) for session_id in self._fleet.sessions],
-            "watchers": [str(watcher) for watcher in lease.watchers] if lease else [],
-            "lease_left_ms": (min(membership.expires_ns(), now_ns + 1_000_000_000) - now_ns)
-            / NS_PER_MS,
+        traffic = self._udp.traffic
+        own = membership_status(self._membership, self._fleet, self._clock.now_ns())
+        return own | {
             "may_serve": self._may_serve(),
-            "shards": self._fleet.shard_count(row) if row else 0,
             "in_flight": self._mover.in_flight,
             "moving": self._mover.moving,
             "draining": self._mover.draining,
-            "open_proposals": membership.recording.pending,
+            "open_proposals": self._membership.recording.pending,
             "violation": self._violation,
             "datagrams_sent": traffic.sent,
             "datagrams_received": traffic.received,
@@ -211,23 +199,9 @@
 
     def explain(self, service: str, key: str) -> dict:
         """See `ControlledNode.explain`."""
-        table = self._fleet.tables.get(service)
-        if table is None:
-            return {"service": service, "reason": "the service has no shards"}
-        shard = shard_of(key, len(table))
-        row = self._fleet.owner(service, shard)
-        owner = str(row.session.id) if row else ""
-        return {
-            "service": service,
-            "shard": shard,
-            "epoch": self._fleet.epoch(service, shard),
-            "owner": owner,
-            "owner_address": row.session.data_address if row else "",
-            "fleet_version": self._fleet.version,
-            "decisions": [*self._journal.about("session", owner), *self._journal.about(*_NOTES)],
-            "served_here": bool(row) and row.session.id == self._membership.own_id,
-            "may_serve": self._may_serve(),
-        }
+        place = explain_place(self._membership, self._fleet, service, key)
+        about = self._journal.about("session", place["owner"]) if "owner" in place else []
+        return place | {"decisions": about, "may_serve": self._may_serve()}
 
     # Timers.
 
@@ -403,9 +377,6 @@
         self._snapshots.finish()
 
 
-_NOTES = ("session", "")
-
-
 def _facts(settings: NodeSettings) -> NodeFacts:
     return NodeFacts(
         node=settings.node,
