Name the nodes that keep the spread measurement from starting

Cause: one of seven starts of 24 nodes did not settle within 90 s (load average 20, five people's measurements on the machine), and the tool did not say which node was missing. Four repetitions did not show it again.

Change: a time-out of the start prints each unsettled node with what it lacks.

Conclusion: the cause of the one failed start is not known.

--- a/tools/settings_spread.py
+++ b/tools/settings_spread.py
@@ -55,17 +55,20 @@
         return min(found)
 
 
-def is_settled(addresses: list[str]) -> bool:
-    """Returns whether all nodes have joined.
+def unsettled(addresses: list[str]) -> list[str]:
+    """Returns what is missing at the nodes that have not joined yet.
 
     A node that is still joining has no peers that could tell it of a new version.
     """
-    contents = [answer.content for answer in ask_nodes(addresses, "/v1/status")]
     watchers = min(3, len(addresses) - 1)
-    return all(
-        content.get("settings_version") and len(content["watchers"]) == watchers
-        for content in contents
-    )
+    missing = []
+    for answer in ask_nodes(addresses, "/v1/status"):
+        found = len(answer.content.get("watchers", ()))
+        version = answer.content.get("settings_version", 0)
+        if found != watchers or not version:
+            detail = answer.error or f"{found} watchers, settings version {version}"
+            missing.append(f"{answer.address}: {detail}")
+    return missing
 
 
 def accept_change(store_url: str, value: int) -> Proposal:
@@ -116,7 +119,11 @@
             domain = f"{region}-{number // len(REGIONS) % 2 + 1}"
             fleet.add_node(f"node-{number}", region, domain, "")
         versions = Versions(fleet.control_addresses)
-        wait_until(lambda: is_settled(fleet.control_addresses), "fleet start", START_S)
+        try:
+            wait_until(lambda: not unsettled(fleet.control_addresses), "fleet start", START_S)
+        except TimeoutError:
+            click.echo("\n".join(unsettled(fleet.control_addresses)), err=True)
+            raise
         results = [measure(fleet, versions, number, pushes) for number in range(rounds)]
     finally:
         fleet.stop()
