--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -71,9 +71,15 @@
     def take_settings(self, records: list[tuple[int, bytes]]) -> None:
         """Takes over a settings record that an operator's program pushed."""
 
+    def poll(self) -> None:
+        """Fetches both logs from the store soon, for example after an operator's change."""
+
     def drain(self, reason: str) -> None:
         """Moves everything away and ends the session."""
 
+    def move(self, target: str, count: int) -> int:
+        """Starts to move some of this node's shards to a node; returns how many."""
+
     def journal(self, after: int) -> list:
         """Returns journal items after a position."""
 
@@ -100,6 +106,8 @@
             ("POST", "/v1/message"): self._message,
             ("POST", "/v1/settings"): self._settings,
             ("POST", "/v1/drain"): self._drain,
+            ("POST", "/v1/poll"): self._poll,
+            ("POST", "/v1/move"): self._move,
             ("GET", "/v1/status"): lambda query, body: _json(node.status()),
             ("GET", "/v1/health"): self._health,
             ("GET", "/v1/log/fleet"): lambda query, body: self._log("fleet", query),
@@ -147,6 +155,13 @@
         self._node.drain(query.get("reason", "operator"))
         return 200, b"{}"
 
+    def _poll(self, query: dict, body: bytes) -> Answer:
+        self._node.poll()
+        return 200, b"{}"
+
+    def _move(self, query: dict, body: bytes) -> Answer:
+        return _json({"moving": self._node.move(query["target"], int(query["shards"]))})
+
     def _health(self, query: dict, body: bytes) -> Answer:
         violation = self._node.violation()
         return (503 if violation else 200), msgspec.json.encode({"violation": violation})
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -239,9 +239,10 @@
             match action:
                 case Ask(holder=holder):
                     self._outbox.send_to(others, Query(holder, own_id))
-                case Seal(holder=holder, silent_ms=silent_ms):
-                    facts = {"session": str(holder), "silent_ms": silent_ms}
-                    self._outbox.note("seal", "full silence", **facts)
+                case Seal(holder=holder, silent_ms=silent_ms, is_new=is_new):
+                    if is_new:
+                        facts = {"session": str(holder), "silent_ms": silent_ms}
+                        self._outbox.note("seal", "full silence", **facts)
                     self._outbox.send_to(others, SealNotice(holder, own_id, silent_ms))
                     self._recording.suspect(holder, now_ns)
         for holder in self._watcher.holders:
@@ -388,7 +389,9 @@
 
     def _fetch(self, now_ns: int) -> None:
         often = self.own_id is None or self._recording.polls(self.own_id, now_ns)
-        self._outbox.add(*self._replica.fetches(now_ns, often, self._poll_address()))
+        if self._replica.poll_due(now_ns, often):
+            self._replica.poll(now_ns, often, self._poll_address())
+        self._outbox.add(*self._replica.fetches(now_ns))
 
     def _poll_address(self) -> str:
         # Nobody notifies a node without a session of new versions; while the store is down only
--- a/src/auburnsail/_peers.py
+++ b/src/auburnsail/_peers.py
@@ -1,5 +1,7 @@
 """The connection pools of a node, one for each peer that it has sent requests to."""
 
+from collections.abc import Callable
+
 from ._clock import NS_PER_MS, Clock
 from ._pool import MAX_IDLE_NS, HttpPeer
 
@@ -18,10 +20,17 @@
     Args:
         clock: Source of time.
         max_idle: Idle connections to all peers together, as enforced by `expire`.
+        reach: Returns where to connect for an address.
     """
 
-    def __init__(self, clock: Clock, max_idle: int = MAX_IDLE_TOTAL) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        max_idle: int = MAX_IDLE_TOTAL,
+        reach: Callable[[str], str] = str,
+    ) -> None:
         self._clock = clock
+        self._reach = reach
         self._max_idle = max_idle
         self._peers: dict[str, HttpPeer] = {}
 
@@ -32,7 +41,7 @@
         """Returns the pool for an address."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = HttpPeer(address, self._clock)
+            peer = self._peers[address] = HttpPeer(self._reach(address), self._clock)
         return peer
 
     def expire(self, now_ns: int) -> None:
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -94,9 +94,12 @@
         try:
             send_all(self._open_socket(), data)
         except OSError as error:
-            if self.sending_stopped:
-                return
-            raise self._failure(str(error), "http.send") from error
+            is_early = not self.interrupt_reason and self.has_early_answer
+            if not (self.sending_stopped or is_early):
+                raise self._failure(str(error), "http.send") from error
+            # A peer may answer and close before it has read the whole request. What it sent can
+            # still be received, and without an answer the receiver reports the failure.
+            self.sending_stopped = True
 
     def receive_head(self, method: str) -> AnswerParser:
         """Waits for the status line and the headers of the answer.
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,11 +4,15 @@
 from unittest import mock
 
 from auburnsail import _rules
+from auburnsail._checkpoint import dump_fleet, restore_fleet
+from auburnsail._fleet import FleetState
 from auburnsail._messages import Codec, Taken
-from auburnsail._model import Transfer
+from auburnsail._model import SessionId, Transfer, decode_entry
 from auburnsail._moves import Admission
+from auburnsail._watch import Seal, Watcher
 from auburnsail.exceptions import InvariantViolation
-from tests.sim import SECRET, SERVICE, SHARDS, DoubleOwnershipError, Sim
+from tools.soak_nodes import SECRET, SERVICE, SHARDS, DoubleOwnershipError
+from tools.soak_world import Sim
 
 FAULTS_MS = 15_000
 RULES = {
@@ -82,6 +86,28 @@
         self.sim.run(10_000)
         self.assertEqual(self.sim.served(), SHARDS)
 
+    def test_new_recorder_polls_the_store_at_once(self):
+        """Guards against settings that nobody reads for 30 s after both recorders were lost (P8)."""
+        for _ in range(3):
+            node = self.sim.nodes[0]
+            now_ns = node.now(self.sim.now_ns)
+            polling = [n for n in self.sim.nodes.values() if self.polls(n)]
+            self.assertEqual(len(polling), 2, now_ns)
+            for each in polling:
+                self.sim.kill(each.number)
+            self.sim.run(3000)
+            fetched = self.sim.notes["store-fetch"]
+            self.sim.run(2500)
+            self.assertGreaterEqual(self.sim.notes["store-fetch"] - fetched, 4)
+            for each in polling:
+                self.sim.start(each.number)
+            self.sim.run(4000)
+
+    def polls(self, node) -> bool:
+        """Whether a node polls the store on behalf of all."""
+        membership = node.membership
+        return membership.recording.polls(membership.own_id, node.now(self.sim.now_ns))
+
     def test_late_copy_of_a_transfer_moves_nothing(self):
         """Guards against a repeated command that takes away shards which came back."""
         one, other = self.sim.nodes[0], self.sim.nodes[1]
@@ -97,6 +123,20 @@
         self.assertTrue(other.membership.recording.is_settled("copy"))
         self.assertEqual(fleet.owner(SERVICE, shard).session.id, ids[0])
 
+    def test_a_checkpoint_continues_the_log(self):
+        """Guards against a node that joins from a checkpoint and reaches another state."""
+        fleet = self.sim.nodes[0].fleet
+        copy = FleetState()
+        self.assertTrue(restore_fleet(copy, dump_fleet(fleet)))
+        self.assertFalse(restore_fleet(copy, dump_fleet(fleet)))
+        version = fleet.version
+        self.sim.kill(5)
+        self.sim.run(2000)
+        self.assertGreater(fleet.version, version)
+        for data in self.sim.log[version : fleet.version]:
+            copy.apply(decode_entry(data))
+        self.assertEqual(dump_fleet(copy), dump_fleet(fleet))
+
     def test_drain_waits_for_requests_in_flight(self):
         """Guards against a shard that moves while its owner runs a request for it."""
         node = self.sim.nodes[0]
@@ -113,6 +153,24 @@
         self.assertEqual(self.sim.served(), SHARDS)
 
 
+class WatcherTest(unittest.TestCase):
+    """One watcher on its own."""
+
+    def test_a_seal_is_stated_until_the_log_ends_the_session(self):
+        """Guards against a session that stays open because its watchers missed one notice."""
+        holder = SessionId("holder", 1)
+        watcher = Watcher(SessionId("watcher", 1))
+        watcher.name(holder, 1, 0)
+        seals = []
+        for now_ns in range(0, 1_200_000_000, 50_000_000):
+            seals += [action for action in watcher.tick(now_ns) if isinstance(action, Seal)]
+        self.assertEqual([seal.is_new for seal in seals[:3]], [True, False, False])
+        self.assertFalse(watcher.on_renewal(holder, 1_200_000_000))
+        watcher.forget(holder)
+        self.assertEqual(watcher.tick(2_000_000_000), [])
+        self.assertFalse(watcher.on_renewal(holder, 2_000_000_000))
+
+
 class CodecTest(unittest.TestCase):
     """Datagrams from outside the fleet and repeated ones."""
 
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -153,12 +153,14 @@
 
     def test_cold_neighbours_of_a_hot_key_move_away(self):
         """Guards against moving a hot shard back and forth, which never balances it."""
-        shards = {0: 5.0, **dict.fromkeys(range(1, 31), 0.1)}
         peers = (server(1, 5.0), server(2, 5.0))
-        view = OwnerView(server(100, 8.0), shards, peers, fair_shards=30)
-        plan = plan_moves(view, UNAVAILABLE_FIRST)
-        self.assertTrue(plan.moves)
-        self.assertNotIn(0, {move.shard for move in plan.moves})
+        cases = ((30, Weights(4.0, 1.0, 1.0)), (40, UNAVAILABLE_FIRST))
+        for neighbours, weights in cases:
+            shards = {0: 5.0, **dict.fromkeys(range(1, neighbours + 1), 0.1)}
+            view = OwnerView(server(100, sum(shards.values())), shards, peers, fair_shards=30)
+            moved = {move.shard for move in plan_moves(view, weights).moves}
+            self.assertTrue(moved)
+            self.assertNotIn(0, moved)
 
     def test_a_misleading_report_neither_attracts_nor_repels_much(self):
         """Guards against an upstream that reports no load, or far too much, moving shards."""
@@ -170,6 +172,14 @@
         moved = sum(move.load for move in plan_moves(liar, UNAVAILABLE_FIRST).moves)
         self.assertLess(moved, 1.0)
 
+    def test_an_idle_drain_spreads_its_shards(self):
+        """Guards against shards without load all going to one server, which they overload once
+        their requests come back."""
+        peers = tuple(server(number, 2.0) for number in range(4))
+        own = server(100, 0.0, leaving=True)
+        plan = plan_moves(OwnerView(own, dict.fromkeys(range(40), 0.0), peers, 8), Weights())
+        self.assertEqual(set(Counter(move.target for move in plan.moves).values()), {10})
+
 
 class ReservationTest(unittest.TestCase):
     """The target's side."""
@@ -205,6 +215,18 @@
                 self.assertLessEqual(base.load + promised, 1.0 + 1e-9)
         self.assertEqual(book.reserved(7 * NS_PER_S), 0)
 
+    def test_room_of_a_new_server_is_kept_for_drains(self):
+        """Guards against owners that fill a restarted server with shards, so that the next server
+        of a rolling restart has to drain everywhere and most shards move twice."""
+        target = server(0, 0.0, age_ms=60_000)
+        shards = (ShardLoad(1, 0.5),)
+        for load, drain, accepted in ((7.0, False, ()), (9.0, False, (1,)), (7.0, True, (1,))):
+            request = ReservationRequest(SessionId("o", 1), load, 10.0, shards, drain)
+            self.assertEqual(decide_reservation(target, 0.6, request).accepted, accepted)
+        peers = (target, server(1, 7.0))
+        own = OwnerView(server(100, 7.0), {1: 0.5, 2: 6.5}, peers, fair_shards=2)
+        self.assertEqual(plan_moves(own, CHURN_FIRST).moves, ())
+
     def test_moves_per_minute_are_bounded(self):
         """Guards against a budget that saves up more than a minute's moves."""
         budget = MoveBudget(per_minute=60)
