--- a/tools/soak_path.py
+++ b/tools/soak_path.py
@@ -124,11 +124,19 @@
             data_address=address,
             region=region,
             domain=domain,
+            reach=str,
         )
         own_server, _data_path.HttpServer = _data_path.HttpServer, _Server
         try:
             data = DataPath(
-                settings, router, lambda: upstream, gate, clock, _raise, lambda notice: None
+                settings,
+                router,
+                lambda: upstream,
+                gate,
+                clock,
+                _raise,
+                on_crash=lambda notice: None,
+                on_failed_attempt=lambda: None,
             )
         finally:
             _data_path.HttpServer = own_server
