Merge branch 'main' into placement

Cause: this branch needs what landed on the other one.

Change: a merge; conflicts, if any, keep both sides.

--- a/Makefile
+++ b/Makefile
@@ -2,8 +2,12 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections
 .PHONY: placement-experiments drain-experiment
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
 
 .venv: .venv/.installed
 
@@ -50,5 +54,27 @@
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
 
+settings-spread: .venv
+	$(PY) -m tools.settings_spread
+
 demo: .venv
 	$(PY) -m tools.demo
+
+region-cut: .venv
+	$(PY) -m tools.region_cut
+SEED ?= 1
+DURATION_S ?= 60
+
+soak: .venv
+	$(PY) -m tools.soak --seed $(SEED) --duration-s $(DURATION_S) $(if $(SUB_SEED),--sub-seed $(SUB_SEED))
+
+soak-mutations: .venv
+	$(PY) -m tools.soak_mutations
+overload: .venv
+	$(PY) -m tools.overload
+
+poison: .venv
+	$(PY) -m tools.poison
+
+balance: .venv
+	$(PY) -m tools.balance
--- a/src/auburnsail/_admission.py
+++ b/src/auburnsail/_admission.py
@@ -3,7 +3,8 @@
 The defaults here limit nothing and rotate; limits and load balancing plug in behind the protocols.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
 
@@ -14,9 +15,11 @@
     "Admission",
     "Chooser",
     "CountingAdmission",
+    "ObservedAdmission",
     "Result",
     "RotatingChooser",
     "Ticket",
+    "Use",
 ]
 
 
@@ -29,6 +32,19 @@
     CANCELLED = "cancelled"
 
 
+@dataclass(frozen=True, slots=True)
+class Use:
+    """How busy an upstream is.
+
+    Attributes:
+        used_percent: Slots in use and requests that wait, as counted by the node beside it.
+        reported_percent: Slots in use as the upstream reports them; it may lag or mislead.
+    """
+
+    used_percent: float = 0.0
+    reported_percent: float = 0.0
+
+
 class Ticket(Protocol):
     """An admitted attempt."""
 
@@ -47,9 +63,12 @@
             deadline_ns: Time on the node's clock after which the answer is of no use.
 
         Raises:
-            NotRunError: The attempt is not admitted.
+            NotRunError: The attempt is not admitted; its detail is the reason.
         """
 
+    def use(self) -> "Use":
+        """Returns how busy the upstream is."""
+
 
 class Chooser(Protocol):
     """Chooses the node that serves a request of an unkeyed service."""
@@ -60,6 +79,9 @@
     def observe(self, session: Session, result: Result, duration_ns: int) -> None:
         """Notes how an attempt at a session ended and how long it took."""
 
+    def note_use(self, session: Session, use: Use) -> None:
+        """Notes how busy a session's upstream is."""
+
 
 class CountingAdmission:
     """Admits everything and counts, in total and per shard."""
@@ -76,6 +98,10 @@
         self.by_shard[ticket.place] = self.by_shard.get(ticket.place, 0) + 1
         return ticket
 
+    def use(self) -> Use:
+        """See `Admission.use`; without limits there is no share to state."""
+        return Use()
+
 
 class _CountedTicket:
     __slots__ = ("_admission", "place")
@@ -96,6 +122,41 @@
             del admission.by_shard[self.place]
 
 
+class ObservedAdmission:
+    """Reports attempts at the upstream that got no answer.
+
+    Args:
+        inner: Decides on admission.
+        on_failure: Called after each attempt that was not run or whose outcome is unknown.
+    """
+
+    def __init__(self, inner: Admission, on_failure: Callable[[], None]) -> None:
+        self._inner = inner
+        self._on_failure = on_failure
+
+    def enter(self, target: Target, deadline_ns: int) -> "_ObservedTicket":
+        """See `Admission.enter`."""
+        return _ObservedTicket(self._inner.enter(target, deadline_ns), self._on_failure)
+
+    def use(self) -> Use:
+        """See `Admission.use`."""
+        return self._inner.use()
+
+
+class _ObservedTicket:
+    __slots__ = ("_inner", "_on_failure")
+
+    def __init__(self, inner: Ticket, on_failure: Callable[[], None]) -> None:
+        self._inner = inner
+        self._on_failure = on_failure
+
+    def leave(self, result: Result) -> None:
+        """See `Ticket.leave`."""
+        self._inner.leave(result)
+        if result in (Result.NOT_RUN, Result.UNKNOWN):
+            self._on_failure()
+
+
 class RotatingChooser:
     """Takes the candidates of the nearest tier in turn: own domain, own region, elsewhere.
 
@@ -118,3 +179,6 @@
 
     def observe(self, session: Session, result: Result, duration_ns: int) -> None:
         """Does nothing: the rotation ignores how attempts end."""
+
+    def note_use(self, session: Session, use: Use) -> None:
+        """Does nothing: the rotation ignores load."""
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -10,6 +10,7 @@
 from ._clock import NS_PER_MS
 from ._effects import (
     Applied,
+    CrashReported,
     Effect,
     LogName,
     SaveCheckpoint,
@@ -43,6 +44,7 @@
     Succeed,
 )
 from ._outbox import MAX_ENTRY_BYTES, Outbox
+from ._quarantine import CrashNotice
 from ._recorder import SuccessorChoice
 from ._recording import Recording
 from ._replica import Replica, closes_session, sessions_concerned
@@ -146,6 +148,16 @@
             self._on_message(message, address, now_ns)
         return self._drain()
 
+    def push_crash(self, notice: CrashNotice, source: str) -> list[Effect]:
+        """Passes the notice of a crash on to the node's edges.
+
+        Args:
+            notice: A notice that this node has not passed on before.
+            source: Address that it came from, empty for this node's own.
+        """
+        self._push(notice, source)
+        return self._drain()
+
     def on_store_reply(self, ticket: int, reply: StoreReply, now_ns: int) -> list[Effect]:
         """Handles the reply to a `StoreRequest`."""
         data = self._recording.on_store_reply(ticket, reply, now_ns)
@@ -227,9 +239,10 @@
             match action:
                 case Ask(holder=holder):
                     self._outbox.send_to(others, Query(holder, own_id))
-                case Seal(holder=holder, silent_ms=silent_ms):
-                    facts = {"session": str(holder), "silent_ms": silent_ms}
-                    self._outbox.note("seal", "full silence", **facts)
+                case Seal(holder=holder, silent_ms=silent_ms, is_new=is_new):
+                    if is_new:
+                        facts = {"session": str(holder), "silent_ms": silent_ms}
+                        self._outbox.note("seal", "full silence", **facts)
                     self._outbox.send_to(others, SealNotice(holder, own_id, silent_ms))
                     self._recording.suspect(holder, now_ns)
         for holder in self._watcher.holders:
@@ -265,6 +278,8 @@
                 self._recording.on_propose(message, self.own_id, now_ns)
             case Taken(id=proposal_id):
                 self._recording.on_taken(proposal_id, now_ns)
+            case CrashNotice():
+                self._outbox.add(CrashReported(message, address))
             case Query() | Heard() | SealNotice() if self._watcher is not None:
                 self._on_watcher(message, address, now_ns)
 
@@ -374,7 +389,9 @@
 
     def _fetch(self, now_ns: int) -> None:
         often = self.own_id is None or self._recording.polls(self.own_id, now_ns)
-        self._outbox.add(*self._replica.fetches(now_ns, often, self._poll_address()))
+        if self._replica.poll_due(now_ns, often):
+            self._replica.poll(now_ns, often, self._poll_address())
+        self._outbox.add(*self._replica.fetches(now_ns))
 
     def _poll_address(self) -> str:
         # Nobody notifies a node without a session of new versions; while the store is down only
--- a/src/auburnsail/_moves.py
+++ b/src/auburnsail/_moves.py
@@ -8,7 +8,7 @@
 from ._clock import NS_PER_MS
 from ._effects import Note
 from ._fleet import FleetState, Verdict
-from ._grants import Candidate, spread_shards
+from ._grants import Candidate, Lost, candidate_of, spread_shards
 from ._membership import Membership
 from ._model import SessionId, Transfer
 from .exceptions import InvariantViolation
@@ -16,7 +16,7 @@
 __all__ = ["Admission", "Mover"]
 
 # New requests wait this long for a shard that is being released, then they are refused.
-HOLD_MS = 200
+MAX_HOLD_MS = 200
 MAX_SHARDS_PER_TRANSFER = 512
 RETRY_DRAIN_MS = 500
 
@@ -60,6 +60,7 @@
         self._left = False
         self._stuck = False
         self.notes: list[Note] = []
+        self.hold_ms = MAX_HOLD_MS
 
     @property
     def in_flight(self) -> int:
@@ -101,7 +102,7 @@
                 return Admission.NOT_OWNER
             release = self._releases.get((service, shard))
             if release is not None:
-                held = now_ns - release.since_ns < HOLD_MS * NS_PER_MS
+                held = now_ns - release.since_ns < self.hold_ms * NS_PER_MS
                 return Admission.HOLD if held else Admission.MOVING
         if self._draining and (shard < 0 or self._left or self._stuck):
             return Admission.DRAINING
@@ -248,12 +249,13 @@
         candidates = self._candidates(service)
         if not shards or not candidates:
             return
-        for grant in spread_shards({"drain": shards}, candidates)["drain"]:
+        lost = Lost("drain", row.session.id, row.session.domain, tuple(shards))
+        for grant in spread_shards([lost], candidates)["drain"]:
             self.move(service, list(grant.shards), grant.to, now_ns)
 
     def _candidates(self, service: str) -> list[Candidate]:
         return [
-            Candidate(session_id, row.session.slots, self._fleet.shard_count(row))
+            candidate_of(self._fleet, row)
             for session_id, row in self._fleet.sessions.items()
             if row.session.service == service and session_id != self._membership.own_id
         ]
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -1,7 +1,6 @@
 """Composition root of a node."""
 
 import random
-import secrets
 import signal
 from collections.abc import Callable
 
@@ -9,11 +8,12 @@
 import structlog
 from gevent.event import Event
 
+from ._beside import UpstreamBeside
 from ._checkpoint import dump_fleet
 from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
 from ._data_path import DataPath
-from ._effects import Applied, Effect, LogName, Note, SettingsChanged, StoreReply
+from ._effects import Applied, CrashReported, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState
 from ._gate import RequestGate
 from ._http_server import ControlServer
@@ -22,6 +22,7 @@
 from ._membership import Membership
 from ._messages import Codec
 from ._moves import Mover
+from ._quarantine import CrashNotice
 from ._routing import Router
 from ._rules import TICK_MS
 from ._session import NodeFacts
@@ -29,17 +30,16 @@
 from ._settings_log import tree_of
 from ._shards import shard_of
 from ._store import HttpObjectStore, HttpTableStore
+from ._tree import effective
 from .exceptions import AuburnsailError, InvariantViolation, SettingsError
 
 __all__ = ["Announcement", "Node", "build_node"]
 
-# An upstream announces itself every second.
-UPSTREAM_LOST_AFTER_MS = 3000
-# A node joins without an upstream if none has announced itself for this long after the start.
-ROUTE_ONLY_AFTER_MS = 2000
+EXPIRY_MS = 5_000
 WAITING_LOG_MS = 5000
 STOP_LIMIT_MS = 60_000
 CLOSE_WAIT_MS = 100
+_RANDOM = random.SystemRandom()
 QUIET_KINDS = frozenset({"watchers", "move"})
 
 
@@ -57,14 +57,17 @@
         self._journal = Journal(self._clock)
         self._log = structlog.get_logger(node=settings.node)
         self._fleet = FleetState()
-        self._codec = Codec(settings.fleet_secret, secrets.randbits(48))
+        self._codec = Codec(settings.fleet_secret, _RANDOM.getrandbits(48))
         self._membership = Membership(
-            _facts(settings), self._fleet, self._codec, random.Random(secrets.randbits(64))
+            _facts(settings), self._fleet, self._codec, random.Random(_RANDOM.getrandbits(64))
         )
         self._mover = Mover(self._membership, self._fleet)
+        self._upstream = UpstreamBeside(
+            self._membership, self._mover, self._fleet, self._journal, self._clock
+        )
         self._router = Router(self._fleet, TreeSettings({}))
         self._gate = RequestGate(self._mover, self._membership, self._clock)
-        self._udp = UdpSocket(settings.control_address, self._on_datagram)
+        self._udp = UdpSocket(settings.control_address, self._on_datagram, settings.reach)
         self._io = NodeIo(
             HttpTableStore(settings.store_url),
             HttpObjectStore(settings.objects_url),
@@ -72,24 +75,26 @@
             self._codec,
             self._udp,
             Callbacks(self._on_store_reply, self._on_records, self._on_restored, self._on_failure),
+            settings.reach,
         )
         self._violation = ""
-        self._announcement: Announcement | None = None
-        self._announced_ns = 0
         self._fleet_loaded = False
         self._started_ns = self._clock.now_ns()
         self._data = DataPath(
             settings,
             self._router,
-            self._upstream_address,
+            self._upstream.address,
             self._gate,
             self._clock,
             lambda error: self._violate(str(error)),
+            self._on_crash,
+            self._upstream.on_failed_attempt,
         )
         self._control_server: ControlServer | None = None
         self._stopped = Event()
         self._timers.subscribe("membership", TICK_MS, self._tick)
         self._timers.subscribe("upstream", TICK_MS, self._follow_upstream)
+        self._timers.subscribe("expiry", EXPIRY_MS, self._expire)
         self._timers.subscribe("waiting", WAITING_LOG_MS, self._report_waiting)
 
     def run(self) -> None:
@@ -98,9 +103,11 @@
         self._udp.start()
         gevent.signal_handler(signal.SIGTERM, self.stop)
         self._log.info("node started", address=self._settings.data_address)
-        while not self._stopped.is_set():
-            self._guard(self._run_timers)
-            self._stopped.wait(TICK_MS / 1000)
+        # A timer of the hub costs less per tick than a greenlet that sleeps.
+        timer = gevent.get_hub().loop.timer(TICK_MS / 1000, TICK_MS / 1000)
+        timer.start(self._guard, self._run_timers)
+        self._stopped.wait()
+        timer.close()
         self._close()
 
     def stop(self) -> None:
@@ -116,10 +123,8 @@
 
     def announce(self, announcement: Announcement) -> None:
         """See `ControlledNode.announce`."""
-        self._announcement = announcement
-        self._announced_ns = self._clock.now_ns()
-        if announcement.state == "draining":
-            self._mover.drain("upstream announced a drain", stopping=False)
+        self._data.set_upstream(announcement)
+        self._upstream.announce(announcement)
 
     def status(self) -> dict:
         """See `ControlledNode.status`."""
@@ -172,10 +177,28 @@
         """See `ControlledNode.on_message`."""
         self._on_datagram(data, address)
 
+    def take_settings(self, records: Records) -> None:
+        """See `ControlledNode.take_settings`."""
+        self._on_records(LogName.SETTINGS, records, "operator")
+
+    def poll(self) -> None:
+        """See `ControlledNode.poll`."""
+        self._membership.replica.poll_now()
+
     def drain(self, reason: str) -> None:
         """See `ControlledNode.drain`."""
         self._mover.drain(reason, stopping=False)
 
+    def move(self, target: str, count: int) -> int:
+        """See `ControlledNode.move`."""
+        own = self._fleet.sessions.get(self._membership.own_id)
+        other = self._fleet.by_node.get(target)
+        if own is None or other is None or other.session.service != own.session.service:
+            raise ValueError(f"{target!r} is not an open node of this node's service")
+        shards = self._fleet.shards_of(own)[:count]
+        self._mover.move(own.session.service, shards, other.session.id, self._clock.now_ns())
+        return len(shards)
+
     def journal(self, after: int) -> list:
         """See `ControlledNode.journal`."""
         return self._journal.items(after)
@@ -207,29 +230,17 @@
         self._timers.tick(self._clock.now_ns())
 
     def _tick(self, now_ns: int) -> None:
+        self._data.tick(now_ns)
         self._mover.tick(now_ns)
         self._run_effects(self._membership.tick(now_ns))
         self._take_notes()
 
     def _follow_upstream(self, now_ns: int) -> None:
-        if not self._fleet_loaded or not self._membership.replica.settings_version:
-            return
-        announcement = self._announcement
-        silent_ns = now_ns - self._announced_ns
-        if announcement is not None and silent_ns > UPSTREAM_LOST_AFTER_MS * NS_PER_MS:
-            self._lose_upstream("upstream does not announce itself")
-            announcement = None
-        if announcement is not None and announcement.state != "draining":
-            self._membership.session.want(announcement.service, announcement.slots)
-        elif now_ns - self._started_ns > ROUTE_ONLY_AFTER_MS * NS_PER_MS:
-            self._membership.session.want("", 0)
-        if self._membership.session.differs(self._fleet):
-            self._mover.drain("the upstream's service changed", stopping=False)
-
-    def _lose_upstream(self, reason: str) -> None:
-        self._announcement = None
-        self._journal.record("upstream", reason)
-        self._log.warning(reason)
+        if self._fleet_loaded and self._membership.replica.settings_version:
+            self._upstream.follow(now_ns)
+
+    def _expire(self, now_ns: int) -> None:
+        self._data.expire(now_ns, set(self._fleet.sessions))
 
     def _report_waiting(self, now_ns: int) -> None:
         if self._fleet_loaded and self._membership.replica.settings_version:
@@ -277,11 +288,20 @@
                     self._on_applied(effect)
                 case SettingsChanged():
                     self._on_settings(effect)
+                case CrashReported(notice=notice, address=address):
+                    if self._data.merge_crash(notice):
+                        self._run_effects(self._membership.push_crash(notice, address))
                 case Note():
                     self._on_note(effect)
                 case _:
                     self._io.run(effect)
 
+    def _on_crash(self, notice: CrashNotice) -> None:
+        suspects = len(notice.fingerprints)
+        self._journal.record("crash", "the upstream crashed", id=notice.id, suspects=suspects)
+        self._log.error("the upstream crashed", id=notice.id, suspects=suspects)
+        self._run_effects(self._membership.push_crash(notice, ""))
+
     def _on_applied(self, applied: Applied) -> None:
         self._router.own_id = self._membership.own_id
         self._mover.on_applied(applied.verdicts)
@@ -301,12 +321,25 @@
             self._log.error("settings not readable", version=changed.version, error=str(error))
             return
         self._router.tree = tree
+        self._data.set_tree(tree)
+        self._apply_sections(tree)
         for name, service in tree.services.items():
             if service.keyed:
                 self._fleet.add_service(name, service.shards)
         self._journal.record("settings", "in force", version=changed.version)
         self._log.info("settings in force", version=changed.version)
 
+    def _apply_sections(self, tree: TreeSettings) -> None:
+        announcement = self._upstream.announcement
+        service = announcement.service if announcement else next(iter(tree.services), "")
+        if service not in tree.services:
+            return
+        values = effective(tree, service, self._settings.region, self._settings.domain)
+        self._upstream.lost_after_ms = values.upstream.lost_after_ms
+        self._mover.hold_ms = values.drain.hold_ms
+        store_region = values.fleet.store_region or self._settings.store_region
+        self._membership.recording.store_region = store_region
+
     def _on_note(self, note: Note) -> None:
         self._journal.record(note.kind, note.reason, **note.facts)
         if note.kind not in QUIET_KINDS:
@@ -337,9 +370,6 @@
     def _may_serve(self) -> bool:
         return not self._violation and self._membership.may_serve(self._clock.now_ns())
 
-    def _upstream_address(self) -> str | None:
-        return self._announcement.address if self._announcement else None
-
     # Start and stop.
 
     def _start_servers(self) -> None:
