--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
 .PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
+.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
 
 .venv: .venv/.installed
 
@@ -42,6 +43,9 @@
 silent-connections: .venv
 	$(PY) -m tools.silent_connections
 
+settings-spread: .venv
+	$(PY) -m tools.settings_spread
+
 demo: .venv
 	$(PY) -m tools.demo
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from ._admission import ObservedAdmission
 from ._attempt import Gate
 from ._balance import BalanceLimits, ServiceChooser
 from ._clock import Clock
@@ -39,6 +40,7 @@
         clock: Source of time.
         on_violation: Called once when a guarantee was found broken.
         on_crash: Called with the notice for other nodes when the upstream crashed.
+        on_failed_attempt: Called after each attempt at the upstream that got no answer.
     """
 
     def __init__(
@@ -50,6 +52,7 @@
         clock: Clock,
         on_violation: Callable[[InvariantViolation], None],
         on_crash: Callable[[CrashNotice], None],
+        on_failed_attempt: Callable[[], None],
     ) -> None:
         self._settings = settings
         self._tree = TreeSettings({})
@@ -65,7 +68,7 @@
             gate,
             signer=HopSigner(settings.fleet_secret),
             own_address=settings.data_address,
-            admission=self._admission,
+            admission=ObservedAdmission(self._admission, on_failed_attempt),
             chooser=self._chooser,
             crashes=self._crashes,
             clock=clock,
--- a/src/auburnsail/_quarantine.py
+++ b/src/auburnsail/_quarantine.py
@@ -6,13 +6,13 @@
 the only suspect in flight at a second crash is refused until the entry expires.
 """
 
-import hashlib
 from dataclasses import dataclass
 from enum import Enum
 
 import msgspec
 
 from ._clock import NS_PER_MS
+from ._digest import blake2s
 
 __all__ = ["CrashNotice", "Quarantine", "QuarantineLimits", "Treatment", "fingerprint"]
 
@@ -63,7 +63,7 @@
         target: Request target.
         body_start: The body, or its first block if it is streamed.
     """
-    digest = hashlib.blake2s(digest_size=FINGERPRINT_BYTES)
+    digest = blake2s(digest_size=FINGERPRINT_BYTES)
     digest.update(f"{method} {target}\n".encode())
     digest.update(body_start)
     return digest.digest()
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -77,9 +77,8 @@
     return True
 
 
-def _old_turn(self, now_ns: int, polls_often: bool, poll_address: str) -> list:
-    self._polled_ns = self._next_poll_ns
-    return _FETCHES(self, now_ns, polls_often, poll_address)
+def _old_turn(self, now_ns: int) -> bool:
+    return now_ns >= self._next_poll_ns
 
 
 def _keep_connection(self) -> None:
@@ -110,7 +109,6 @@
     self.count += 1
 
 
-_FETCHES = Replica.fetches
 _ADMIT = Mover.admit
 _APPEND = _log.VersionedLog.append
 _ALWAYS = property(lambda self: True)
@@ -199,7 +197,7 @@
         "an older settings version is accepted",
         ((_gossip.SettingsFollower, "offer", _take_any_settings),),
     ),
-    Mutation("P8", "a new recorder keeps its old turn", ((Replica, "fetches", _old_turn),)),
+    Mutation("P8", "a new recorder keeps its old turn", ((Replica, "poll_due", _old_turn),)),
     Mutation(
         "P8",
         "settings are not fetched from peers or the store",
--- a/tools/soak_path.py
+++ b/tools/soak_path.py
@@ -128,7 +128,14 @@
         own_server, _data_path.HttpServer = _data_path.HttpServer, _Server
         try:
             data = DataPath(
-                settings, router, lambda: upstream, gate, clock, _raise, lambda notice: None
+                settings,
+                router,
+                lambda: upstream,
+                gate,
+                clock,
+                _raise,
+                lambda notice: None,
+                lambda: None,
             )
         finally:
             _data_path.HttpServer = own_server
