Deliver late copies of transfers whose owner has come back in soak runs

Cause: late copies took a random log entry and moves could name their own owner, so leaving out the epoch of a transfer met no case in which it matters. Change: late copies take one of the last 4 transfers; a third of the sub-seeds returns the shards of the last transfer; a move has another target.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -41,6 +41,7 @@
     # Planned moves under partitions and late copies of them.
     (3, 4, 1, 2, 1, 10, 8),
 )
+MOVES_PROFILE = 2
 STOP_SHARE = 0.08
 SILENCE_SHARE = 0.08
 TRACE_LINES = 25
@@ -122,6 +123,8 @@
         end_ns = sim.now_ns + FAULTS_MS * NS_PER_MS
         while sim.now_ns < end_ns:
             sim.fault()
+            if self._sub_seed % len(PROFILES) == MOVES_PROFILE:
+                self._move_back()
             if sim.rng.random() < STOP_SHARE:
                 sim.faults["stop"] += 1
                 self.path.stop(sim.nodes[sim.rng.randrange(NODES)], then_start=True)
@@ -146,6 +149,14 @@
                 detail = f"n{node.number} has not ended its shutdown after {LEAVE_MS} ms"
                 raise GuaranteeError(guarantee, detail)
 
+    def _move_back(self) -> None:
+        """Returns the shards of the last transfer, so that a late copy of it names their owner."""
+        sim = self.sim
+        for node in sim.nodes.values() if sim.transfers else ():
+            last = sim.transfers[-1]
+            if node.membership.own_id == last.target and not node.paused:
+                node.mover.move(SERVICE, list(last.shards), last.source, node.now(sim.now_ns))
+
     def _check_quiet(self) -> None:
         """Compares every node with a fold of what the store holds (P2)."""
         sim = self.sim
--- a/tools/soak_nodes.py
+++ b/tools/soak_nodes.py
@@ -12,6 +12,7 @@
     "FAULT_WEIGHTS",
     "MAX_DRIFT",
     "PLACES",
+    "RECENT_TRANSFERS",
     "SECRET",
     "SERVICE",
     "SHARDS",
@@ -31,6 +32,7 @@
 
 FAULTS = ("pause", "cut", "kill", "isolate", "store", "move", "late-copy")
 FAULT_WEIGHTS = (5, 8, 2, 1, 1, 4, 2)
+RECENT_TRANSFERS = 4
 # Clocks of two nodes may run apart by 0.1 %.
 MAX_DRIFT = 0.0005
 
--- a/tools/soak_world.py
+++ b/tools/soak_world.py
@@ -22,6 +22,7 @@
     FAULTS,
     MAX_DRIFT,
     PLACES,
+    RECENT_TRANSFERS,
     SECRET,
     SERVICE,
     SHARDS,
@@ -64,12 +65,12 @@
         self.fault_weights = FAULT_WEIGHTS
         self.checks: list[Callable[[], None]] = []
         self.observer = Observer()
-        # Ends of the last store outage and of the last fault.
         self.store_restless_ns = 0
         self.restless_ns = 0
         self._keyed = nodes - unkeyed
         self.table = SettingsTable(self)
         self._decoded: list[Entry] = []
+        self.transfers: list[Transfer] = []
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
         for number in range(nodes):
@@ -217,7 +218,7 @@
             case "move":
                 self._move(self.nodes[one], self.nodes[other])
             case "late-copy":
-                self._repeat_transfer(self.nodes[one], self.nodes[other])
+                self.repeat_transfer(self.nodes[one], other)
         return kind
 
     def _isolate(self, one: int) -> None:
@@ -228,15 +229,12 @@
             if way != "out":
                 self.cut(number, one, milliseconds)
 
-    def _repeat_transfer(self, sender: FakeNode, recorder: FakeNode) -> None:
+    def repeat_transfer(self, sender: FakeNode, recorder: int) -> None:
         """Delivers an earlier proposal again, as one that was on its way for long."""
-        version = self.rng.randint(max(1, len(self.log) - 60), max(1, len(self.log)))
-        entry = self.entry(version)
-        for command in entry.commands if entry else ():
-            if isinstance(command, Transfer):
-                message = Propose(command.id, f"10.0.0.{sender.number}:1", (command,))
-                data = sender.membership._codec.encode(message)
-                self._send(sender, recorder.number, data)
+        if self.transfers:
+            command = self.rng.choice(self.transfers[-RECENT_TRANSFERS:])
+            message = Propose(command.id, f"10.0.0.{sender.number}:1", (command,))
+            self._send(sender, recorder, sender.membership._codec.encode(message))
 
     def set_store(self, down: bool) -> None:
         """Starts or ends an outage of the store."""
@@ -246,7 +244,7 @@
         self._disturb(0)
 
     def _move(self, node: FakeNode, other: FakeNode) -> None:
-        if self.service_of(other.number) != SERVICE:
+        if self.service_of(other.number) != SERVICE or other is node:
             return
         target = other.membership.own_id
         row = node.fleet.sessions.get(node.membership.own_id)
@@ -397,3 +395,5 @@
         for command in decode_entry(data).commands:
             self.notes[type(command).__name__] += 1
             self.note(f"log {len(self.log)}: {command.id}")
+            if isinstance(command, Transfer):
+                self.transfers.append(command)
