--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -28,7 +28,7 @@
 
 __all__ = ["MUTATIONS", "Mutation", "find"]
 
-SUB_SEEDS = 60
+SUB_SEEDS = 100
 
 
 @dataclass(frozen=True, slots=True)
--- a/tools/soak_net.py
+++ b/tools/soak_net.py
@@ -17,13 +17,25 @@
 from tools.soak_nodes import FakeNode
 from tools.soak_world import Sim
 
-__all__ = ["FakeSocket", "Net", "Task"]
+__all__ = ["FakeSocket", "InsertionSet", "Net", "Task"]
 
 LATENCY_MS = (0.1, 20.0)
 CUT_RETRY_MS = 40
 FREEZE_AT_SEND = 0.004
 
 
+class InsertionSet(dict):
+    """A set in the order of insertion; the order of a set of objects differs between runs."""
+
+    def add(self, item: object) -> None:
+        """Adds an item."""
+        self[item] = None
+
+    def discard(self, item: object) -> None:
+        """Removes an item if it is there."""
+        self.pop(item, None)
+
+
 @dataclass(eq=False)
 class Task:
     """One greenlet of a node, an upstream or a caller.
@@ -204,7 +216,7 @@
 
     def __post_init__(self) -> None:
         self._rng = random.Random(self.sim.rng.getrandbits(64))
-        self._tasks: set[Task] = set()
+        self._tasks = InsertionSet()
         self._held: list[Task] = []
         self._sockets: list[FakeSocket] = []
 
--- a/tools/soak_path.py
+++ b/tools/soak_path.py
@@ -15,7 +15,7 @@
 from auburnsail._settings_log import tree_of
 from auburnsail.exceptions import InvariantViolation, NotRunError
 from tools.soak_ledger import Ledger
-from tools.soak_net import FakeSocket, Net
+from tools.soak_net import FakeSocket, InsertionSet, Net
 from tools.soak_nodes import (
     PLACES,
     SECRET,
@@ -147,6 +147,8 @@
         stop = SimpleNamespace(_mover=node.mover, _data=data, _clock=clock)
         path = self._paths[number] = NodePath(router, gate, data, stop)
         server = data._server
+        server.connections = InsertionSet()
+        application._flights._flights = InsertionSet()
         self._net.listeners[address] = (node, False, server.serve)
         server.on_close = lambda: self._net.listeners.pop(address)
         self._net.listeners[upstream] = (node, True, lambda sock: self._upstream(node, sock))
