Let a stop wait for requests in flight; remove code that stood twice

Address parsing stood in six places, the probe of an upstream and the replacement of watchers in two each.

Change: the 60 s limit only covers leaving the fleet; requests in flight get up to an hour. One endpoint(), one accepts() and msgspec's replace; a probe that times out no longer counts as a crash. The use header's coding moved to Use.

Before: tests.test_node_stop, written for this, never returns.

--- a/src/auburnsail/_admission.py
+++ b/src/auburnsail/_admission.py
@@ -23,6 +23,9 @@
 ]
 
 
+MAX_USE_CHARS = 16
+
+
 class Result(Enum):
     """How an attempt at a peer ended."""
 
@@ -44,6 +47,18 @@
     used_percent: float = 0.0
     reported_percent: float = 0.0
 
+    def encode(self) -> str:
+        """Returns the value of the header between nodes."""
+        return f"{self.used_percent:.0f} {self.reported_percent:.0f}"
+
+    @classmethod
+    def decode(cls, value: str) -> "Use | None":
+        """Returns what a header says, or None if it is not valid."""
+        used, _, reported = value.partition(" ")
+        if not (used.isdecimal() and reported.isdecimal() and len(value) <= MAX_USE_CHARS):
+            return None
+        return cls(float(used), float(reported))
+
 
 class Ticket(Protocol):
     """An admitted attempt."""
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -212,7 +212,7 @@
                 extra += self._grant(target)
                 owner = f"{_headers.OWNER}: {self._ownership.own_address}\r\n"
             if flight.hop is not None:
-                owner += _use_line(self._admission.use())
+                owner += f"{_headers.USE}: {self._admission.use().encode()}\r\n"
             self._crashes.start(flight)
             self._exchange(flight, address, extra, target, owner)
             result = Result.ANSWERED
@@ -363,7 +363,7 @@
             lower = name.lower()
             if lower.startswith(_headers.PREFIX):
                 fields[lower] = value
-        flight.use = _parse_use(fields.get(_headers.USE, ""))
+        flight.use = Use.decode(fields.get(_headers.USE, ""))
         if _headers.OUTCOME not in fields:
             return
         status = f"{answer.status} {answer.phrase}"
@@ -399,14 +399,3 @@
     def _grant(self, target: Target) -> str:
         place = f"{target.service};{target.shard};{target.epoch}"
         return f"{_headers.GRANT}: {place};{self._ownership.gate.expires_ns()}\r\n"
-
-
-def _use_line(use: Use) -> str:
-    return f"{_headers.USE}: {use.used_percent:.0f} {use.reported_percent:.0f}\r\n"
-
-
-def _parse_use(value: str) -> Use | None:
-    used, _, reported = value.partition(" ")
-    if not (used.isdecimal() and reported.isdecimal() and len(value) <= 16):
-        return None
-    return Use(float(used), float(reported))
--- a/src/auburnsail/_beside.py
+++ b/src/auburnsail/_beside.py
@@ -1,7 +1,6 @@
 """The upstream beside a node: what it announces, and what follows when it leaves or is lost."""
 
 import gevent
-from gevent import socket
 
 from ._clock import NS_PER_MS, Clock
 from ._control import Announcement
@@ -9,6 +8,7 @@
 from ._journal import Journal
 from ._membership import Membership
 from ._moves import Mover
+from ._sockets import accepts
 
 __all__ = ["UpstreamBeside"]
 
@@ -16,7 +16,6 @@
 ANNOUNCE_SLACK_MS = 2000
 # A node joins without an upstream if none has announced itself for this long after the start.
 ROUTE_ONLY_AFTER_MS = 2000
-PROBE_TIMEOUT_S = 0.2
 PROBE_EVERY_MS = 100
 
 
@@ -104,15 +103,3 @@
     def _lose(self, reason: str) -> None:
         self._announcement = None
         self._journal.record("upstream", reason)
-
-
-def accepts(address: str) -> bool:
-    """Whether a connection is not refused; one that times out proves nothing."""
-    host, _, port = address.rpartition(":")
-    try:
-        socket.create_connection((host, int(port)), timeout=PROBE_TIMEOUT_S).close()
-    except ConnectionRefusedError:
-        return False
-    except OSError:
-        return True
-    return True
--- a/src/auburnsail/_crash_monitor.py
+++ b/src/auburnsail/_crash_monitor.py
@@ -1,20 +1,18 @@
 """Finds out that the upstream beside this node crashed and keeps poison requests away from it."""
 
-import contextlib
 from collections.abc import Callable
 
 import gevent
-from gevent import socket
 
 from ._clock import Clock
 from ._flights import Flight
 from ._outcome import not_run, refused
 from ._quarantine import CrashNotice, Quarantine, Treatment, fingerprint
+from ._sockets import accepts
 
 __all__ = ["CrashMonitor"]
 
 ISOLATION_POLL_MS = 5
-PROBE_TIMEOUT_S = 0.2
 
 
 class CrashMonitor:
@@ -58,7 +56,7 @@
 
     def on_broken_exchange(self, address: str) -> None:
         """Checks whether the upstream is gone after it closed a connection without an answer."""
-        if address == self._lost_address or not self._running or _accepts(address):
+        if address == self._lost_address or not self._running or accepts(address):
             return
         self._lost_address = address
         self._mark_all()
@@ -94,11 +92,3 @@
 def _mark_of(flight: Flight) -> bytes:
     head = flight.request.head
     return fingerprint(head.method, head.target, flight.prefix or b"")
-
-
-def _accepts(address: str) -> bool:
-    host, _, port = address.rpartition(":")
-    with contextlib.suppress(OSError):
-        socket.create_connection((host, int(port)), timeout=PROBE_TIMEOUT_S).close()
-        return True
-    return False
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -20,6 +20,7 @@
 from ._sections import Balance, Upstream
 from ._settings import EffectiveSettings, NodeSettings, TreeSettings
 from ._sketch import ShardLoads
+from ._sockets import endpoint
 from ._tree import effective
 from .exceptions import InvariantViolation
 
@@ -79,8 +80,8 @@
             on_violation=on_violation,
             observer=observer,
         )
-        host, _, port = settings.data_address.rpartition(":")
-        self._server = HttpServer((host, int(port)), self._application, clock=clock)
+        listener = endpoint(settings.data_address)
+        self._server = HttpServer(listener, self._application, clock=clock)
 
     @property
     def in_flight(self) -> int:
--- a/src/auburnsail/_fleet.py
+++ b/src/auburnsail/_fleet.py
@@ -3,6 +3,8 @@
 from contextlib import ExitStack
 from dataclasses import dataclass, field
 
+import msgspec
+
 from . import _rules
 from ._digest import blake2s
 from ._model import (
@@ -164,7 +166,7 @@
             return "session is not open"
         if row.revision != expected:
             return "session has changed"
-        row.session = _with_watchers(row.session, watchers)
+        row.session = msgspec.structs.replace(row.session, watchers=watchers)
         row.revision = version
         return ""
 
@@ -251,16 +253,3 @@
                     continue
                 table.assign(shard, target.index)
         return f"{skipped} shards had another owner or no target" if skipped else ""
-
-
-def _with_watchers(session: Session, watchers: tuple[SessionId, ...]) -> Session:
-    return Session(
-        id=session.id,
-        region=session.region,
-        domain=session.domain,
-        data_address=session.data_address,
-        control_address=session.control_address,
-        service=session.service,
-        slots=session.slots,
-        watchers=watchers,
-    )
--- a/src/auburnsail/_io.py
+++ b/src/auburnsail/_io.py
@@ -25,6 +25,7 @@
 from ._log import VersionedLog
 from ._messages import Codec
 from ._pool import HttpPeer
+from ._sockets import endpoint
 from ._store import ObjectStore, TableStore
 from .exceptions import (
     AuburnsailError,
@@ -74,12 +75,12 @@
         on_datagram: Callable[[bytes, str], None],
         reach: Callable[[str], str],
     ) -> None:
-        host, _, port = address.rpartition(":")
+        host, port = endpoint(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         self._socket.setblocking(False)
-        self._socket.bind((host, int(port)))
+        self._socket.bind((host, port))
         self._on_datagram = on_datagram
         self._reach = reach
         self._watcher = gevent.get_hub().loop.io(self._socket.fileno(), 1)
@@ -102,9 +103,8 @@
 
     def send(self, address: str, data: bytes) -> None:
         """Sends a datagram; one that the system refuses is lost like any other."""
-        host, _, port = self._reach(address).rpartition(":")
         try:
-            self._socket.sendto(data, (host, int(port)))
+            self._socket.sendto(data, endpoint(self._reach(address)))
         except OSError:
             self.traffic.send_errors += 1
             return
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -30,6 +30,7 @@
 from ._settings import NodeSettings, TreeSettings
 from ._settings_log import tree_of
 from ._snapshot_node import NodeSnapshots
+from ._sockets import endpoint
 from ._status import explain_place, membership_status
 from ._store import HttpObjectStore, HttpTableStore
 from ._tree import effective
@@ -39,7 +40,8 @@
 
 EXPIRY_MS = 5_000
 WAITING_LOG_MS = 5000
-STOP_LIMIT_MS = 60_000
+LEAVE_LIMIT_MS = 60_000
+IN_FLIGHT_LIMIT_S = 3_600.0
 CLOSE_WAIT_MS = 100
 _RANDOM = random.SystemRandom()
 QUIET_KINDS = frozenset({"watchers", "move"})
@@ -378,19 +380,18 @@
     # Start and stop.
 
     def _start_servers(self) -> None:
-        control = _endpoint(self._settings.control_address)
+        control = endpoint(self._settings.control_address)
         application = ControlApplication(self, self._codec)
         self._control_server = ControlServer(control, application, log=None, error_log=None)
         self._control_server.start()
         self._data.start()
 
     def _wait_stopped(self) -> None:
-        end_ns = self._clock.now_ns() + STOP_LIMIT_MS * NS_PER_MS
-        data = self._data
-        while self._clock.now_ns() < end_ns and not (self._mover.finished and not data.in_flight):
+        # The limit ends the wait for the store, which may be down, and not requests in flight.
+        end_ns = self._clock.now_ns() + LEAVE_LIMIT_MS * NS_PER_MS
+        while self._clock.now_ns() < end_ns and not self._mover.finished:
             gevent.sleep(TICK_MS / 1000)
-        left_s = max(0.0, (end_ns - self._clock.now_ns()) / 1e9)
-        data.stop(idle_grace_s=CLOSE_WAIT_MS / 1000, timeout_s=left_s)
+        self._data.stop(idle_grace_s=CLOSE_WAIT_MS / 1000, timeout_s=IN_FLIGHT_LIMIT_S)
         self._stopped.set()
 
     def _close(self) -> None:
@@ -413,11 +414,6 @@
     )
 
 
-def _endpoint(address: str) -> tuple[str, int]:
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 def build_node(settings: NodeSettings) -> Node:
     """Wires a node from its settings."""
     return Node(settings)
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -11,7 +11,7 @@
 
 from ._answer_parser import AnswerParser, HTTPParseError
 from ._clock import NS_PER_MS, BootClock, Clock
-from ._sockets import is_quiet, send_all, shut_down
+from ._sockets import endpoint, is_quiet, send_all, shut_down
 from .exceptions import NotRunError, OutcomeUnknownError
 
 __all__ = ["Answer", "Exchange", "HttpPeer"]
@@ -232,9 +232,8 @@
     def __init__(
         self, address: str, clock: Clock | None = None, *, drops_suspects: bool = True
     ) -> None:
-        host, _, port = address.rpartition(":")
-        self._endpoint = (host.strip("[]"), int(port))
-        self._family = socket.AF_INET6 if ":" in host else socket.AF_INET
+        self._endpoint = endpoint(address)
+        self._family = socket.AF_INET6 if ":" in self._endpoint[0] else socket.AF_INET
         self._clock = clock or BootClock()
         self._idle: list[_Connection] = []
         self._drops_suspects = drops_suspects
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
+import msgspec
+
 from . import _rules
 from ._clock import NS_PER_MS
 from ._effects import Note
@@ -214,7 +216,7 @@
             slots=slots,
         )
         watchers = choose_watchers(fleet, session, (), set(), self._rng)
-        session = _with_watchers(session, watchers)
+        session = msgspec.structs.replace(session, watchers=watchers)
         commands: tuple[Command, ...] = (Join(f"join:{own_id}", session),)
         old = fleet.by_node.get(facts.node)
         if old is not None:
@@ -303,16 +305,3 @@
         self._proposed_ns = now_ns
         command_id = f"watchers:{self._id}:{self._revision}"
         return (SetWatchers(command_id, self._id, self._revision, chosen),)
-
-
-def _with_watchers(session: Session, watchers: tuple[SessionId, ...]) -> Session:
-    return Session(
-        id=session.id,
-        region=session.region,
-        domain=session.domain,
-        data_address=session.data_address,
-        control_address=session.control_address,
-        service=session.service,
-        slots=session.slots,
-        watchers=watchers,
-    )
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -5,7 +5,26 @@
 
 from gevent import socket
 
-__all__ = ["is_quiet", "send_all", "shut_down"]
+__all__ = ["accepts", "endpoint", "is_quiet", "send_all", "shut_down"]
+
+PROBE_TIMEOUT_S = 0.2
+
+
+def endpoint(address: str) -> tuple[str, int]:
+    """Returns host and port of an ``ip:port`` address; brackets around an IPv6 address are dropped."""
+    host, _, port = address.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def accepts(address: str) -> bool:
+    """Returns whether a connection is not refused; one that times out proves nothing."""
+    try:
+        socket.create_connection(endpoint(address), timeout=PROBE_TIMEOUT_S).close()
+    except ConnectionRefusedError:
+        return False
+    except OSError:
+        return True
+    return True
 
 
 def send_all(sock: socket.socket, data: bytes) -> None:
--- /dev/null
+++ b/tests/test_node_stop.py
@@ -0,0 +1,27 @@
+"""The end of a node that was told to stop."""
+
+import unittest
+from types import SimpleNamespace
+
+from auburnsail._clock import ManualClock
+from auburnsail._node import Node
+
+LONGEST_DEADLINE_S = 600
+
+
+class StopTest(unittest.TestCase):
+    """The wait of a node whose session has ended."""
+
+    def test_requests_in_flight_are_not_cut_off(self):
+        """Guards against a stop that waits for a moment without requests, which a busy node never
+        has, and then gives those in flight no time (P7)."""
+        stops = []
+        data = SimpleNamespace(in_flight=3, stop=lambda **limits: stops.append(limits))
+        stopped = SimpleNamespace(set=lambda: None)
+        mover = SimpleNamespace(finished=True)
+        clock = ManualClock()
+        Node._wait_stopped(
+            SimpleNamespace(_clock=clock, _mover=mover, _data=data, _stopped=stopped)
+        )
+        self.assertEqual(clock.now_ns(), 0)
+        self.assertGreater(stops[0]["timeout_s"], LONGEST_DEADLINE_S)
--- a/tools/soak_patches.py
+++ b/tools/soak_patches.py
@@ -30,7 +30,7 @@
         for module, name, replacement in (
             (_pool, "is_quiet", lambda sock: sock.is_quiet),
             (_limits, "AsyncResult", lambda: _Result(net)),
-            (_crash_monitor, "_accepts", lambda address: address in net.listeners),
+            (_crash_monitor, "accepts", lambda address: address in net.listeners),
         ):
             stack.enter_context(mock.patch.object(module, name, replacement))
         # Failed requests are logged; they are the purpose of a run, not worth a line each.
