--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -77,7 +77,7 @@
     return True
 
 
-def _old_turn(self, now_ns: int, _often: bool) -> bool:
+def _old_turn(self, now_ns: int, _often: bool = False) -> bool:
     return now_ns >= self._next_poll_ns
 
 
