Tell callers' requests from calls of upstreams; give up connections after 0.4 s

Cause: a call that waits for its turn was to be refused at its objective although a request that holds a slot waits for it; a connection to a VM that is cut off took 1 s, longer than most deadlines. Change: a request is a call if its id begins with that of a request that the upstream beside runs; an unreachable upstream is left out at once.

--- a/src/auburnsail/_admission.py
+++ b/src/auburnsail/_admission.py
@@ -34,6 +34,7 @@
     NOT_RUN = "not-run"
     UNKNOWN = "unknown"
     CANCELLED = "cancelled"
+    UNREACHABLE = "unreachable"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -1,6 +1,7 @@
 """One attempt at a request: at the upstream beside this node or at another node."""
 
 import os
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol
@@ -43,6 +44,7 @@
 # A key that the upstream does not hold yet is granted with its next report.
 HELD_HINT_MS = 200
 SHED = "upstream-shed"
+CONNECT_FAILED = "connect-failed"
 
 
 @dataclass(slots=True)
@@ -159,6 +161,11 @@
         self._peers = peers
         self._crashes = crashes
         self._id_prefix = os.urandom(6).hex()
+        self._running: Counter[str] = Counter()
+
+    def is_running(self, request_id: str) -> bool:
+        """Whether the upstream beside this node runs a request with an id."""
+        return request_id in self._running
 
     def run(self, flight: Flight) -> None:
         """Runs one attempt and passes the answer on.
@@ -213,6 +220,8 @@
         except RequestFailedError as error:
             flight.tried.add(session.data_address)
             result = _RESULTS[error.refusal.outcome]
+            if error.refusal.reason == CONNECT_FAILED:
+                result = Result.UNREACHABLE
             raise
         except CallerGoneError:
             result = Result.CANCELLED
@@ -246,6 +255,7 @@
                 error.detail, detail, error.step, error.peer, retry_after_ms=wait_ms
             ) from error
         result = Result.UNKNOWN
+        self._running[flight.request_id] += 1
         flight.local_service = target.service
         try:
             dialect = self._dialect
@@ -269,6 +279,9 @@
             result = Result.CANCELLED
             raise
         finally:
+            self._running[flight.request_id] -= 1
+            if not self._running[flight.request_id]:
+                del self._running[flight.request_id]
             self._crashes.end(flight, completed=result is Result.ANSWERED)
             ticket.leave(result)
 
@@ -368,7 +381,7 @@
                 max_idle_ns=idle_ns, timeout_s=min(CONNECT_TIMEOUT_S, left_s)
             )
         except NotRunError as error:
-            raise not_run("connect-failed", error.detail, error.step, error.peer) from error
+            raise not_run(CONNECT_FAILED, error.detail, error.step, error.peer) from error
 
     def _watch_silence(
         self, flight: Flight, exchange: Exchange, address: str, local: Target | None
--- a/src/auburnsail/_balance.py
+++ b/src/auburnsail/_balance.py
@@ -145,6 +145,10 @@
                 row.used_percent = 100.0
                 row.used_ns = now_ns
                 self._fail(row, now_ns)
+            case Result.UNREACHABLE:
+                # Whoever tries it next loses the time of another failed connection.
+                row.failures = max(row.failures, self._limits.eject_after_failures - 1)
+                self._fail(row, now_ns)
             case Result.CANCELLED:
                 pass
 
--- a/src/auburnsail/_entrance.py
+++ b/src/auburnsail/_entrance.py
@@ -109,6 +109,10 @@
     Args:
         dialect: Names of the callers' headers.
         draw: Returns random numbers in [0, 1).
+
+    Attributes:
+        routes: Routes in force, None before the first settings.
+        is_call: Whether the upstream beside this node runs a request with an id.
     """
 
     def __init__(self, dialect: Dialect, draw: Callable[[], float] = random.random) -> None:
@@ -116,6 +120,7 @@
         self._draw = draw
         self._longest_ms: dict[str, int] = {}
         self.routes: RouteTable | None = None
+        self.is_call: Callable[[str], bool] = lambda request_id: False
 
     def destination(self, head: RequestHead) -> Destination:
         """See `Entrance.destination`."""
@@ -148,7 +153,7 @@
         longest_ms = self._longest_ms.get(route.name, 0)
         if deadline_ms > longest_ms:
             longest_ms = self._longest_ms[route.name] = deadline_ms
-        if head.is_from_own_vm or deadline_ms < CAME_BACK_SHARE * longest_ms:
+        if deadline_ms < CAME_BACK_SHARE * longest_ms or self._is_made_by_upstream(head):
             return 0
         return max(1, route.objective_ms - ANSWER_WAY_MS)
 
@@ -156,6 +161,11 @@
         """See `Entrance.service_of`; a request that was refused before it was routed has none."""
         return ""
 
+    def _is_made_by_upstream(self, head: RequestHead) -> bool:
+        """Whether the id begins with that of a request that the upstream beside this node runs."""
+        parent, separator, _ = head.special.get(self._dialect.request_id, "").partition(".")
+        return bool(separator) and self.is_call(parent)
+
     def forwarded(self, head: RequestHead, hop: Hop) -> Destination:
         """See `Entrance.forwarded`; the first node has applied the rules of its route."""
         key = head.special.get(self._dialect.key)
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -13,7 +13,7 @@
 from ._clock import NS_PER_MS, BootClock, Clock
 from ._crash_monitor import CrashMonitor
 from ._dialect import OWN, Dialect
-from ._entrance import Entrance, PathEntrance
+from ._entrance import Entrance, PathEntrance, RouteEntrance
 from ._flights import SILENT, Flight, FlightTable
 from ._hop import HopSigner
 from ._http_head import RequestHead
@@ -137,6 +137,8 @@
             crashes or CrashMonitor(own_address, self._clock, lambda notice: None),
             dialect,
         )
+        if isinstance(self._entrance, RouteEntrance):
+            self._entrance.is_call = self._runner.is_running
         self.violation: InvariantViolation | None = None
 
     @property
@@ -373,7 +375,6 @@
             attempts=attempts,
             upstreams=flight.upstreams,
             hop=flight.hop is not None,
-            own_vm=flight.request.head.is_from_own_vm,
             kind=flight.destination.kind,
             wanted_ms=flight.destination.wanted_ms,
             age_ms=(now_ns - flight.started_ns) // NS_PER_MS,
--- a/src/auburnsail/_http_head.py
+++ b/src/auburnsail/_http_head.py
@@ -49,7 +49,6 @@
         keep_alive: Whether the caller allows a further request on the connection.
         is_http_10: Whether the caller speaks HTTP/1.0.
         expects_continue: Whether the caller waits for ``100 Continue``.
-        is_from_own_vm: Whether a process on this VM sent it.
     """
 
     method: str
@@ -62,7 +61,6 @@
     keep_alive: bool = True
     is_http_10: bool = False
     expects_continue: bool = False
-    is_from_own_vm: bool = False
 
 
 def parse_head(data: bytes, dialect: Dialect = OWN) -> RequestHead:
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -127,16 +127,14 @@
         "_timed_out",
         "buffered",
         "head_by_ns",
-        "is_from_own_vm",
         "is_idle",
         "read_stopped",
         "server",
         "sock",
     )
 
-    def __init__(self, sock: socket.socket, address: tuple, server: "HttpServer") -> None:
+    def __init__(self, sock: socket.socket, _address: tuple, server: "HttpServer") -> None:
         self.sock = sock
-        self.is_from_own_vm = bool(address) and address[0] in server.own_hosts
         self.server = server
         self.buffered = b""
         self.head_by_ns = 0
@@ -212,7 +210,6 @@
             if data is None:
                 return False
             head = parse_head(data, server.dialect)
-            head.is_from_own_vm = self.is_from_own_vm
             self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
@@ -312,7 +309,6 @@
         self.drain_idle_now = False
         self.max_body_bytes = max_body_bytes
         self.dialect = dialect
-        self.own_hosts = frozenset({"127.0.0.1", str(getattr(self, "server_host", ""))})
         self.idle_timeout_ms = IDLE_TIMEOUT_MS
         self.head_timeout_ms = HEAD_TIMEOUT_MS
         self.max_head_bytes = MAX_HEAD_BYTES
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -16,7 +16,8 @@
 
 __all__ = ["Answer", "Exchange", "HttpPeer"]
 
-CONNECT_TIMEOUT_S = 1.0
+# Ten round trips between regions; a VM that is cut off answers nothing.
+CONNECT_TIMEOUT_S = 0.4
 # A connection that went silent acknowledges nothing; ten round trips between regions are 0.4 s.
 UNACKNOWLEDGED_MS = 500
 BLOCK_BYTES = 64 * 1024
