--- a/src/auburnsail/_ranges.py
+++ b/src/auburnsail/_ranges.py
@@ -24,9 +24,9 @@
 BUSY_UTILISATION = 0.6
 # An owner moves load only if it is this much busier than the target, so that noise moves nothing.
 MIN_DIFFERENCE = 0.25
-# Share of the difference that one move takes away; a half would only swap the two owners' places
-# if the measured loads are a little old.
-MOVED_SHARE = 0.45
+# Part that is moved of the load that would make owner and target equal; the measured loads are a
+# little old, and a whole one could swap their places.
+MOVED_SHARE = 0.8
 # An owner with more runs than this gives away whole runs only; a report's answer has 4 KiB.
 MAX_RUNS = 40
 
--- /dev/null
+++ b/tests/test_platform_border.py
@@ -0,0 +1,292 @@
+"""What the platform sends, decoded once: settings file, desired state, reports, headers."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from auburnsail._dialect import OWN
+from auburnsail._holds import GrantedRow, Grants
+from auburnsail._http_head import parse_head
+from auburnsail._outcome import not_run, refused, unknown
+from auburnsail._settings import Scope
+from auburnsail.exceptions import SettingsError
+from auburnsail.platform._boot_file import load_boot_file
+from auburnsail.platform._desired_state import RetryLimits, decode_desired_state
+from auburnsail.platform._names import DIALECT
+from auburnsail.platform._reports import ReportApplication, decode_report, encode_grants
+
+RETRIES = RetryLimits(0.2, 56)
+BOOT = {
+    "node-name": "sidecar-a-1",
+    "ip": "10.1.0.41",
+    "zone": "a",
+    "region": "r",
+    "zones": {"a": "r"},
+    "listen": {
+        "inbound": "10.1.0.41:1",
+        "outbound": "10.1.0.41:2",
+        "ready": "10.1.0.41:3",
+        "control": "10.1.0.41:4",
+    },
+    "internal-ports": [7600, 7615],
+    "service": "s1",
+    "platform": {"address": "10.9.0.1:5", "form": "table"},
+    "bounds": ["retry-budget-ratio=0.2", "budget-slack=56", "hold-max-ms=10000"],
+    "a-new-field": {"x": 1},
+}
+REPORT = {
+    "address": "10.1.0.41:8",
+    "info": {"service": "s1", "version": "v1", "zone": "a", "slots": 6},
+    "status": {"state": "ready", "sequence": 4, "cold-remaining-ms": 100},
+    "born": 1_700_000_000_000,
+    "holds": [[0, 4095, 7]],
+    "freed": [[4096, 8191, "5c0e"]],
+}
+STATE = {
+    "version": 7,
+    "resources": [
+        {
+            "resource-type": "routes",
+            "metadata": {"name": "r1"},
+            "spec": {
+                "host": "h.example",
+                "path-prefix": "/a/",
+                "kind": "safe",
+                "timeout-ms": 1000,
+                "target-latency-ms": 400,
+                "priority": 2,
+                "weighted-split": [
+                    {"service": "s1", "weight": 90},
+                    {"service": "s2", "weight": 10},
+                ],
+                "max-attempts": 2,
+            },
+        },
+        {
+            "resource-type": "routes",
+            "metadata": {"name": "r2"},
+            "spec": {
+                "host": "h.example",
+                "path-prefix": "/a/b/",
+                "kind": "unsafe",
+                "timeout-ms": 1200,
+                "target-latency-ms": 500,
+                "priority": 1,
+                "service": "s2",
+                "max-attempts": 1,
+            },
+        },
+        {
+            "resource-type": "services",
+            "metadata": {"name": "s1"},
+            "spec": {"max-connections": 110, "sharded": True, "warmup-s": 5.0},
+        },
+        {"resource-type": "services", "metadata": {"name": "s2"}, "spec": {"max-connections": 9}},
+        {
+            "resource-type": "limits",
+            "metadata": {},
+            "spec": {
+                "max-header-bytes": 16384,
+                "max-body-bytes": 1000,
+                "header-timeout-ms": 3000,
+                "idle-timeout-ms": 15000,
+            },
+        },
+        {"resource-type": "something-new", "metadata": {"name": "x"}, "spec": {"y": 1}},
+    ],
+}
+
+
+class BootFileTest(unittest.TestCase):
+    """The settings file of a process."""
+
+    def load(self, content: object):
+        """Writes and reads a settings file."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.json"
+            path.write_bytes(msgspec.json.encode(content))
+            return load_boot_file(path)
+
+    def test_fields_become_the_products_settings(self):
+        """Guards against addresses that are taken for one another."""
+        boot = self.load(BOOT)
+        self.assertEqual(boot.node.data_address, "10.1.0.41:1")
+        self.assertEqual(boot.node.caller_address, "10.1.0.41:2")
+        self.assertEqual(boot.node.control_address, "10.1.0.41:7600")
+        self.assertEqual((boot.ready_address, boot.report_address), ("10.1.0.41:3", "10.1.0.41:4"))
+        self.assertEqual((boot.retry_ratio, boot.retry_reserve), (0.2, 56.0))
+
+    def test_a_missing_or_wrong_field_is_named(self):
+        """Guards against a node that starts with half of its settings."""
+        for name in ("node-name", "listen", "platform", "service"):
+            with self.assertRaisesRegex(SettingsError, name):
+                self.load({key: value for key, value in BOOT.items() if key != name})
+        with self.assertRaises(SettingsError):
+            self.load(BOOT | {"bounds": ["retry-budget-ratio=many"]})
+        with self.assertRaises(SettingsError):
+            load_boot_file(Path("/nonexistent/boot.json"))
+
+
+class DesiredStateTest(unittest.TestCase):
+    """The operators' desired state."""
+
+    def test_routes_services_and_limits(self):
+        """Guards against a route, service or limit that is lost on the way."""
+        settings = decode_desired_state(msgspec.json.encode(STATE), RETRIES)
+        self.assertEqual(settings.version, 7)
+        safe = settings.routes.find("h.example:80", "/a/x")
+        self.assertEqual([part.service for part in safe.parts], ["s1", "s2"])
+        self.assertTrue(safe.idempotent)
+        unsafe = settings.routes.find("H.example", "/a/b/c/d")
+        self.assertEqual((unsafe.name, unsafe.idempotent), ("r2", False))
+        self.assertEqual(unsafe.policy.max_deadline_ms, 1200)
+        self.assertIsNone(settings.routes.find("h.example", "/b/"))
+        self.assertIsNone(settings.routes.find("other.example", "/a/x"))
+        self.assertTrue(settings.tree.services["s1"].keyed)
+        self.assertFalse(settings.tree.services["s2"].keyed)
+        stated = settings.tree.statements[Scope(service="s2")]
+        self.assertEqual(stated["upstream.connections"], 9)
+        self.assertEqual(settings.limits.idle_timeout_ms, 15000)
+
+    def test_weights_divide_requests(self):
+        """Guards against parts that get another share than their weight."""
+        route = decode_desired_state(msgspec.json.encode(STATE), RETRIES).routes.find(
+            "h.example", "/a/x"
+        )
+        chosen = [route.choose(number / 1000) for number in range(1000)]
+        self.assertEqual(chosen.count("s1"), 900)
+
+    def test_an_unreadable_state_is_an_error_that_names_the_entry(self):
+        """Guards against a node that drops a state without a word."""
+        for data in (b"", b"{", b"[]", b'{"version":"x","resources":[]}'):
+            with self.assertRaises(SettingsError):
+                decode_desired_state(data, RETRIES)
+        broken = {
+            "version": 8,
+            "resources": [{"resource-type": "routes", "metadata": {"name": "q"}}],
+        }
+        with self.assertRaisesRegex(SettingsError, "'q'"):
+            decode_desired_state(msgspec.json.encode(broken), RETRIES)
+
+
+class FakeControl:
+    """Takes reports."""
+
+    def __init__(self) -> None:
+        self.reports: list = []
+        self.left: list[str] = []
+
+    def report(self, announcement):
+        """See `NodeControl.report`."""
+        self.reports.append(announcement)
+        return Grants((GrantedRow(0, 9, 3, "h"),), 1200)
+
+    def withdraw(self, instance: str) -> None:
+        """See `NodeControl.withdraw`."""
+        self.left.append(instance)
+
+
+class ReportTest(unittest.TestCase):
+    """Liveness reports."""
+
+    def setUp(self):
+        """Builds the application."""
+        self.control = FakeControl()
+        self.application = ReportApplication(self.control, "s1")
+
+    def call(self, path: str, body: bytes) -> tuple[str, object]:
+        """Makes a call and returns status and decoded body."""
+        found: list[str] = []
+
+        class Body:
+            """The body of a call."""
+
+            def read(self, size: int) -> bytes:
+                """Returns it."""
+                return body[:size]
+
+        environ = {"REQUEST_METHOD": "POST", "PATH_INFO": path, "wsgi.input": Body()}
+        parts = self.application(environ, lambda status, headers: found.append(status))
+        return found[0], msgspec.json.decode(b"".join(parts))
+
+    def test_a_report_is_decoded_and_answered_with_grants(self):
+        """Guards against grants in another form than upstreams read."""
+        status, body = self.call("/Instances.Heartbeat/i-1", msgspec.json.encode(REPORT))
+        self.assertEqual(status, "200 OK")
+        self.assertEqual(body, {"holds": [[0, 9, 3, "h"]], "hold-ms": 1200})
+        (report,) = self.control.reports
+        self.assertEqual((report.instance, report.slots, report.sequence), ("i-1", 6, 4))
+        self.assertEqual(report.lifetime, "i-1@1700000000000")
+        self.assertEqual(report.holds[0].fence, 7)
+        self.assertEqual(report.freed[0].token, "5c0e")
+
+    def test_what_cannot_be_read_names_no_upstream(self):
+        """Guards against a node that serves for an upstream that nobody described."""
+        bad = [b"", b"\xff", b"[]", b"{}"]
+        for path, value in (
+            (("info", "slots"), "six"),
+            (("info", "slots"), 0),
+            (("info", "service"), "other"),
+            (("status", "state"), "sleeping"),
+            (("status", "sequence"), None),
+            (("born",), 1.5),
+            (("born",), 0),
+            (("holds",), [[1]]),
+        ):
+            report = msgspec.json.decode(msgspec.json.encode(REPORT))
+            place = report
+            for name in path[:-1]:
+                place = place[name]
+            place[path[-1]] = value
+            bad.append(msgspec.json.encode(report))
+        for body in bad:
+            with self.subTest(body=body):
+                self.assertEqual(self.call("/Instances.Heartbeat/i-1", body)[0], "400 Bad Request")
+        self.assertEqual(self.control.reports, [])
+
+    def test_a_deregistration_is_passed_on(self):
+        """Guards against an upstream that leaves unnoticed."""
+        self.assertEqual(self.call("/Instances.Deregister/i-1", b"")[0], "200 OK")
+        self.assertEqual(self.control.left, ["i-1"])
+
+    def test_an_answer_without_a_hold_renews_nothing(self):
+        """Guards against an empty list of holds, which would take all keys away."""
+        self.assertEqual(encode_grants(Grants()), b"{}")
+        self.assertEqual(encode_grants(None), b"{}")
+
+    def test_decoding_is_strict_about_types(self):
+        """Guards against a report whose numbers are texts."""
+        with self.assertRaises(ValueError):
+            decode_report("", msgspec.json.encode(REPORT))
+
+
+class DialectTest(unittest.TestCase):
+    """Headers of callers and refusals."""
+
+    def test_headers_that_the_node_sets_are_not_passed_on(self):
+        """Guards against a caller that names itself another service or another instance."""
+        head = parse_head(
+            b"GET /a/ HTTP/1.1\r\nHost: h\r\nX-Auburnsail-Attempt-Id: 1\r\n"
+            b"X-Auburnsail-Caller-Service: forged\r\nX-Auburnsail-Expect-Instance: i-9\r\nX-Y: z",
+            DIALECT,
+        )
+        self.assertEqual(head.lines, ["X-Y: z"])
+        self.assertEqual(head.special[DIALECT.request_id], "1")
+
+    def test_refusals_keep_the_callers_promises(self):
+        """Guards against a status that promises "not run" for a request that may have run."""
+        refusal = not_run("deadline", "late", "x", status="504 Gateway Timeout").refusal
+        text = refusal.encode(close=False, dialect=DIALECT)
+        self.assertTrue(text.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"retry-after: 0.25\r\n", text)
+        maybe = unknown("no-answer", "lost", "x").refusal.encode(close=False, dialect=DIALECT)
+        self.assertTrue(maybe.startswith(b"HTTP/1.1 502 "))
+        gone = refused("404 Not Found", "no-route", "none").refusal
+        self.assertTrue(gone.encode(close=False, dialect=DIALECT).startswith(b"HTTP/1.1 404 "))
+        self.assertIn(b"retry-after: 1\r\n", refusal.encode(close=False, dialect=OWN))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,195 @@
+"""The client of the platform's store, against a stand-in that speaks its protocol."""
+
+import base64
+import unittest
+from urllib.parse import parse_qs
+
+import gevent
+import msgspec
+from gevent.pywsgi import WSGIServer
+
+from auburnsail._log import VersionedLog
+from auburnsail._store import Check, Committed, Conflict, Put, Transaction
+from auburnsail.exceptions import OutcomeUnknownError, StoreUnavailableError
+from auburnsail.platform._desired_state import DesiredStateSettings, RetryLimits
+from auburnsail.platform._store import PlatformObjects, PlatformStore, PlatformTable
+
+
+class StoreStandIn:
+    """Rows, feeds and objects in memory, with faults."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], dict] = {}
+        self.blobs: dict[str, bytes] = {}
+        self.version = 0
+        self.oldest = 0
+        self.status = 0
+        self.silent = False
+        self.page = 500
+        self._server = WSGIServer(("127.0.0.1", 0), self._serve, log=None, error_log=None)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Stops listening."""
+        self._server.stop(timeout=0)
+
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row as the operator does."""
+        self.version += 1
+        encoded = base64.b64encode(value).decode()
+        self.rows[table, key] = {
+            "table": table,
+            "part": "",
+            "key": key,
+            "value": encoded,
+            "ver": self.version,
+        }
+
+    def _serve(self, environ, start_response):
+        while self.silent:
+            gevent.sleep(0.05)
+        path = environ["PATH_INFO"]
+        query = {k: v[0] for k, v in parse_qs(environ["QUERY_STRING"]).items()}
+        body = environ["wsgi.input"].read()
+        status, answer = (self.status, b"") if self.status else self._answer(path, query, body)
+        start_response(f"{status} X", [("content-length", str(len(answer)))])
+        return [answer]
+
+    def _answer(self, path: str, query: dict, body: bytes) -> tuple[int, bytes]:
+        if path == "/rows-tx":
+            return self._transaction(msgspec.json.decode(body))
+        if path == "/rows-get":
+            keys = sorted(
+                key
+                for table, key in self.rows
+                if table == query["table"]
+                and query.get("from", "") <= key < query.get("target", "\U0010ffff")
+            )
+            page = min(self.page, int(query["limit"]))
+            rows = [self.rows[query["table"], key] for key in keys[:page]]
+            content = {"rows": rows, "has-more": len(keys) > page, "ver": self.version}
+            return 200, msgspec.json.encode(content)
+        if path == "/rows-feed":
+            return self._feed(query)
+        name = path.rpartition("/")[2]
+        if path.startswith("/blob-put/"):
+            self.blobs[name] = body
+            return 200, b"{}"
+        if path.startswith("/blob-get/"):
+            return (200, self.blobs[name]) if name in self.blobs else (404, b"")
+        names = sorted(n for n in self.blobs if n.startswith(query["path-prefix"]))
+        return 200, msgspec.json.encode({"names": names, "has-more": False})
+
+    def _feed(self, query: dict) -> tuple[int, bytes]:
+        after = int(query["after"])
+        if after < self.oldest:
+            return 410, b""
+        with gevent.Timeout(int(query["wait-ms"]) / 1000, False):
+            while not self._changed(query["table"], after):
+                gevent.sleep(0.01)
+        rows = self._changed(query["table"], after)
+        return 200, msgspec.json.encode({"rows": rows, "ver": self.version})
+
+    def _changed(self, table: str, after: int) -> list[dict]:
+        return [row for row in self.rows.values() if row["table"] == table and row["ver"] > after]
+
+    def _transaction(self, call: dict) -> tuple[int, bytes]:
+        for item in call["expected-revision"]:
+            row = self.rows.get((item["table"], item["key"]))
+            if (row["ver"] if row else 0) != item["ver"]:
+                return 412, b"{}"
+        for item in call["puts"]:
+            self.put(item["table"], item["key"], base64.b64decode(item["value"]))
+        return 200, msgspec.json.encode({"ver": self.version})
+
+
+def state(version: int) -> bytes:
+    """Returns a desired state without routes."""
+    return msgspec.json.encode({"version": version, "resources": []})
+
+
+class PlatformStoreTest(unittest.TestCase):
+    """Rows, log, feed and objects."""
+
+    def setUp(self):
+        """Starts the stand-in."""
+        self.standin = StoreStandIn()
+        self.addCleanup(self.standin.stop)
+        self.store = PlatformStore(self.standin.address)
+        self.table = PlatformTable(self.store)
+
+    def test_the_log_is_written_once_and_read_in_pages(self):
+        """Guards against two entries at one version, and against a log cut at the first page."""
+        self.standin.page = 2
+        log = VersionedLog(self.table, "fleet")
+        for number in range(5):
+            self.assertEqual(log.append(number, f"id{number}", b"%d" % number), number + 1)
+        with self.assertRaisesRegex(Exception, "was taken"):
+            log.append(2, "other", b"x")
+        self.assertEqual(log.append(2, "id2", b"2"), 3)
+        self.assertEqual([record.data for record in log.read_after(1)], [b"1", b"2", b"3", b"4"])
+
+    def test_conditions_name_the_stores_version(self):
+        """Guards against a condition on a count of writes, which the store does not keep."""
+        self.standin.put("t", "other", b"x")
+        check = Check("t/k", 0)
+        put = (Put("t/k", b"v"),)
+        self.assertEqual(self.table.commit(Transaction((check,), put)), Committed())
+        self.assertIsInstance(self.table.commit(Transaction((check,), put)), Conflict)
+        row = self.table.read("t/k")
+        self.assertEqual((row.version, row.value), (2, b"v"))
+        self.assertIsNone(self.table.read("t/none"))
+
+    def test_a_refusal_is_definite_and_a_lost_answer_is_not(self):
+        """Guards against repeating under a new condition what may still be carried out."""
+        transaction = Transaction((), (Put("t/k", b"v"),))
+        for status in (429, 503):
+            self.standin.status = status
+            with self.assertRaises(StoreUnavailableError):
+                self.table.commit(transaction)
+        self.standin.status = 0
+        self.standin.silent = True
+        with self.assertRaises(OutcomeUnknownError):
+            self.table.commit(transaction)
+        with self.assertRaises(StoreUnavailableError):
+            self.table.read("t/k")
+        self.standin.silent = False
+
+    def test_objects(self):
+        """Guards against names that lose their place in the order."""
+        objects = PlatformObjects(self.store)
+        objects.put("fleet/checkpoint/1", b"one")
+        self.assertEqual(objects.get("fleet/checkpoint/1"), b"one")
+        self.assertIsNone(objects.get("fleet/checkpoint/2"))
+        self.assertEqual(objects.keys("fleet/checkpoint/"), ["fleet/checkpoint/1"])
+
+    def test_a_change_of_the_desired_state_ends_the_wait(self):
+        """Guards against a state that is in force only after the next poll."""
+        settings = DesiredStateSettings(self.table, RetryLimits(0.2, 10))
+        self.assertEqual(settings.wait_after(0), [])
+        gevent.spawn_later(0.1, self.standin.put, "op", "config", state(3))
+        with gevent.Timeout(2):
+            self.assertEqual(settings.wait_after(0), [(3, state(3))])
+        self.standin.put("op", "config", state(2))
+        self.assertEqual(settings.wait_after(3), [], "an older state must not come back")
+
+    def test_a_dropped_history_and_an_outage_lead_to_a_plain_read(self):
+        """Guards against a change that falls into the gap of a feed."""
+        settings = DesiredStateSettings(self.table, RetryLimits(0.2, 10))
+        settings.wait_after(0)
+        self.standin.put("op", "config", state(5))
+        self.standin.oldest = self.standin.version + 1
+        self.assertEqual(settings.wait_after(0), [])
+        self.assertEqual(settings.wait_after(0), [(5, state(5))])
+        self.standin.oldest = 0
+        self.standin.status = 503
+        with self.assertRaises(StoreUnavailableError):
+            settings.wait_after(5)
+        self.standin.status = 0
+        self.standin.put("op", "config", state(6))
+        self.assertEqual(settings.wait_after(5), [(6, state(6))])
+
+
+if __name__ == "__main__":
+    unittest.main()
