Send nothing to an upstream that leaves once its bound has passed

Change: the address of a leaving upstream is withheld from drain.stop_work_ms after its word, which nodes now read; 2,000 ms on the platform.

--- a/src/auburnsail/_beside.py
+++ b/src/auburnsail/_beside.py
@@ -59,7 +59,9 @@
         self._started_ns = clock.now_ns()
         self._refuses = False
         self._next_probe_ns = 0
+        self._draining_since_ns = 0
         self.lost_after_ms = 1000
+        self.stop_work_ms = 1000
 
     @property
     def announcement(self) -> Announcement | None:
@@ -67,8 +69,16 @@
         return self._announcement
 
     def address(self) -> str | None:
-        """Returns the upstream's address, or None without an upstream."""
-        return self._announcement.address if self._announcement else None
+        """Returns the upstream's address, or None if nothing may be sent to it."""
+        announcement = self._announcement
+        if announcement is None:
+            return None
+        if announcement.lifetime and announcement.state == "draining":
+            # The session may have ended, and with it the drain; the upstream still leaves.
+            leaving_ns = self._clock.now_ns() - self._draining_since_ns
+            if leaving_ns >= self.stop_work_ms * NS_PER_MS:
+                return None
+        return announcement.address
 
     def announce(self, announcement: Announcement) -> bool:
         """Takes an announcement; an upstream that refused connections has to accept one first.
@@ -86,6 +96,7 @@
             self._journal.record("upstream", "another life", lifetime=announcement.lifetime)
             self._begin_life()
         self._refuses = False
+        self._note_draining(announcement, now_ns)
         self._announcement = announcement
         self._announced_ns = now_ns
         if announcement.state == "draining":
@@ -101,8 +112,10 @@
             # It holds its keys until it is gone, which a refused connection proves.
             gevent.spawn_later(GONE_CHECK_S, self._probe, announcement)
             return
-        self._announcement = self._newest = _draining(announcement)
-        self._mover.drain(reason, stopping=False, now_ns=self._clock.now_ns())
+        now_ns, draining = self._clock.now_ns(), _draining(announcement)
+        self._note_draining(draining, now_ns)
+        self._announcement = self._newest = draining
+        self._mover.drain(reason, stopping=False, now_ns=now_ns)
 
     def grants(self) -> Grants:
         """Returns what the upstream is to hold, in answer to the report that has just arrived."""
@@ -190,6 +203,14 @@
             return False
         return silent_ns > (ANNOUNCE_SLACK_MS + self.lost_after_ms) * NS_PER_MS
 
+    def _note_draining(self, announcement: Announcement, now_ns: int) -> None:
+        before = self._announcement
+        was_draining = before is not None and before.state == "draining"
+        if announcement.state == "draining" and not (
+            was_draining and before.lifetime == announcement.lifetime
+        ):
+            self._draining_since_ns = now_ns
+
     def _hold_table(self, service: str) -> HoldTable | None:
         return self._mover.holds if service in self._fleet.tables else None
 
@@ -199,7 +220,10 @@
         self._mover.cancel_drain()
 
     def _probe(self, announcement: Announcement) -> None:
-        if not accepts(announcement.address) and announcement.address == self.address():
+        current = self._announcement
+        if current is None or current.lifetime != announcement.lifetime:
+            return
+        if not accepts(announcement.address) and current is self._announcement:
             self._refuses = True
             self._lose("upstream refuses connections")
             if announcement.lifetime:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -304,6 +304,7 @@
             return
         values = effective(tree, service, self._settings.region, self._settings.domain)
         self._upstream.lost_after_ms = values.upstream.lost_after_ms
+        self._upstream.stop_work_ms = values.drain.stop_work_ms
         self._mover.hold_ms = values.drain.hold_ms
         self._rebalancer.set_limits(values.placement)
         store_region = values.fleet.store_region or self._settings.store_region
--- a/src/auburnsail/_sections.py
+++ b/src/auburnsail/_sections.py
@@ -360,7 +360,6 @@
     {
         "drain.hold_max_requests",
         "drain.overdue_s",
-        "drain.stop_work_ms",
         "fleet.checkpoint_entries",
         "fleet.kept_entries",
         "fleet.recorder_timeout_ms",
--- a/src/auburnsail/platform/_desired_state.py
+++ b/src/auburnsail/platform/_desired_state.py
@@ -20,6 +20,8 @@
 # Busy stretches have a few dozen keys, and a part of one has to be movable.
 SHARDS = 4_096
 FEED_WAIT_MS = 10_000
+# Half a second below the platform's bound on work for a leaving upstream.
+STOP_WORK_MS = 2_000
 # Each repeat of a request repeats its calls to other services.
 USED_SHARE = 0.4
 STEP = "settings.decode"
@@ -159,6 +161,7 @@
         "queue.max_wait_ms": 10_000,
         "upstream.slow_start_s": 0,
         "placement.plan_interval_ms": 750,
+        "drain.stop_work_ms": STOP_WORK_MS,
         "upstream.eject_ms": 500,
     }
 
--- /dev/null
+++ b/tests/test_beside.py
@@ -0,0 +1,116 @@
+"""The upstream beside a node: lifetimes, late reports, drains."""
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+from auburnsail._beside import UpstreamBeside
+from auburnsail._clock import ManualClock
+from auburnsail._control import Announcement
+from auburnsail._fleet import FleetState
+from auburnsail._journal import Journal
+from auburnsail._session import OwnSession
+
+STOP_WORK_MS = 2_000
+
+
+class FakeMover:
+    """Notes what the upstream's announcements lead to."""
+
+    def __init__(self) -> None:
+        self.drains: list[str] = []
+        self.cancelled = 0
+        self.holds = None
+
+    def drain(self, reason: str, *, stopping: bool, now_ns: int = 0) -> None:
+        """See `Mover.drain`."""
+        self.drains.append(reason)
+
+    def cancel_drain(self) -> None:
+        """See `Mover.cancel_drain`."""
+        self.cancelled += 1
+
+
+def report(
+    sequence: int, state: str = "ready", born_ms: int = 1000, instance: str = "i"
+) -> Announcement:
+    """Returns a report of an upstream."""
+    return Announcement(
+        "s", "127.0.0.1:1", 4, state=state, instance=instance, born_ms=born_ms, sequence=sequence
+    )
+
+
+class UpstreamBesideTest(unittest.TestCase):
+    """Reports in and out of order."""
+
+    def setUp(self):
+        """Builds the object under test."""
+        self.clock = ManualClock(10**12)
+        self.mover = FakeMover()
+        session = mock.create_autospec(OwnSession, instance=True)
+        membership = SimpleNamespace(session=session, own_id=None)
+        self.upstream = UpstreamBeside(
+            membership, self.mover, FleetState(), Journal(self.clock), self.clock
+        )
+        self.upstream.stop_work_ms = STOP_WORK_MS
+
+    def test_a_leaving_upstream_gets_nothing_after_the_bound(self):
+        """Guards against new work for an upstream whose session has ended with its drain."""
+        self.upstream.announce(report(1))
+        self.upstream.announce(report(2, "draining"))
+        self.clock.advance_ms(STOP_WORK_MS - 1)
+        self.upstream.announce(report(3, "draining"))
+        self.assertIsNotNone(self.upstream.address())
+        self.clock.advance_ms(1)
+        self.assertIsNone(self.upstream.address())
+
+    def test_a_deregistration_counts_as_a_drain(self):
+        """Guards against work for an upstream that leaves without a word before."""
+        self.upstream.announce(report(1))
+        self.upstream.withdraw("it ends")
+        self.assertEqual(len(self.mover.drains), 1)
+        self.clock.advance_ms(STOP_WORK_MS)
+        self.assertIsNone(self.upstream.address())
+
+    def test_late_reports_change_nothing(self):
+        """Guards against a report of an ended life or an older one that undoes a newer."""
+        self.assertTrue(self.upstream.announce(report(5)))
+        self.assertTrue(self.upstream.announce(report(6, "draining")))
+        self.assertFalse(self.upstream.announce(report(4)))
+        self.assertFalse(self.upstream.announce(report(6)))
+        self.assertEqual(self.upstream.announcement.state, "draining")
+        self.assertTrue(self.upstream.announce(report(1, born_ms=2000)))
+        self.assertFalse(self.upstream.announce(report(9, born_ms=1000)))
+        self.assertEqual(self.upstream.announcement.born_ms, 2000)
+
+    def test_another_life_under_the_same_id_ends_the_drain(self):
+        """Guards against a node that drains a new life because the last one did."""
+        self.upstream.announce(report(1, "draining"))
+        self.upstream.announce(report(1, born_ms=2000))
+        self.assertEqual(self.mover.cancelled, 1)
+        self.clock.advance_ms(STOP_WORK_MS + 500)
+        self.assertIsNotNone(self.upstream.address())
+
+    def test_another_instance_at_the_address_ends_this_life(self):
+        """Guards against requests for an upstream whose address another one has."""
+        self.upstream.announce(report(1))
+        self.upstream.on_misdirected("i")
+        self.assertIsNotNone(self.upstream.address())
+        self.upstream.on_misdirected("other")
+        self.assertIsNone(self.upstream.address())
+
+    def test_an_upstream_cut_off_from_its_node_serves_on_while_it_answers(self):
+        """Guards against giving up an upstream only because its reports do not arrive."""
+        self.upstream.announce(report(1))
+        for _ in range(10):
+            self.clock.advance_ms(1000)
+            self.upstream.on_answer()
+            self.upstream.follow(self.clock.now_ns())
+        self.assertIsNotNone(self.upstream.address())
+        self.clock.advance_ms(3500)
+        self.upstream.follow(self.clock.now_ns())
+        self.assertIsNone(self.upstream.address())
+
+
+if __name__ == "__main__":
+    unittest.main()
