Ask another source while an answer is out; log decisions, show metrics; a lease of 4 s

A node that is told to stop is back after 3.5 s, so a lease of 2.5 s made its keys move. An engineer had no line about a request. Change: a fetch without an answer after 600 ms is followed by one from another source; a node whose lease lapsed polls the store each second. LEASE_MS 4,000 on the platform.

--- a/src/auburnsail/_adapter.py
+++ b/src/auburnsail/_adapter.py
@@ -112,6 +112,7 @@
         reports_grant: Whether upstreams take their keys from answers to their reports, and are told
             apart by lifetime.
         servers: Builds further servers, for example for the platform's checks.
+        gauges: Returns values for the metrics address.
     """
 
     table: TableStore
@@ -121,6 +122,7 @@
     routed: bool = False
     reports_grant: bool = False
     servers: Callable[[object], list] = field(default=lambda node: [])
+    gauges: Callable[[], dict[str, float]] = dict
 
 
 def own_adapter(settings: NodeSettings) -> Adapter:
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -319,6 +319,7 @@
             local: Target at the upstream beside this node, or None for another node.
             owner: Header line for the caller.
         """
+        flight.peer = address
         exchange = self._open(flight, address)
         flight.exchange = exchange
         try:
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from dataclasses import asdict
 
 import gevent
 
@@ -118,6 +119,16 @@
         """Load of the shards that the upstream beside this node serves."""
         return self._admission.shard_loads
 
+    def gauges(self) -> dict[str, float]:
+        """Returns the state of the request path for the metrics address."""
+        return {
+            "upstream_in_flight": self._admission.in_flight,
+            "upstream_queued": self._admission.queued,
+            "shard_load": self._admission.shard_loads.total,
+            "crash_suspects": self._crashes.quarantine.suspects,
+            **{f"path_{name}": value for name, value in asdict(self._application.counters).items()},
+        }
+
     def set_settings(self, settings: SettingsInForce) -> None:
         """Puts a version of the settings in force."""
         self.set_tree(settings.tree)
--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -8,6 +8,7 @@
 from ._entrance import Destination
 from ._hop import Hop
 from ._http_server import Request
+from ._outcome import RequestFailedError
 from ._pool import Exchange
 from ._retry import AttemptLog, RetryBudget
 
@@ -46,6 +47,8 @@
         caller_service: Service of the VM on which the request arose.
         request_id: Identifies the caller's attempt in logs.
         wanted_ns: When the answer loses most of its worth.
+        failures: Attempts that failed.
+        peer: Address of the last attempt.
         upstreams: How many upstreams the request was offered to.
         local_service: Service of the request if it was sent to the upstream beside this node.
         attempt_by_ns: When silence ends the current attempt, 0 for never.
@@ -62,6 +65,7 @@
         "deadline_ns",
         "destination",
         "exchange",
+        "failures",
         "hop",
         "is_body_consumed",
         "is_sending",
@@ -69,6 +73,7 @@
         "local_service",
         "outcome",
         "owner_hint",
+        "peer",
         "prefix",
         "progress_by_ns",
         "reason",
@@ -118,6 +123,8 @@
         self.local_service = ""
         self.caller_service = ""
         self.request_id = ""
+        self.failures: list[RequestFailedError] = []
+        self.peer = ""
         self.upstreams = 0
         wanted_ms = destination.wanted_ms
         self.wanted_ns = started_ns + wanted_ms * NS_PER_MS if wanted_ms else deadline_ns
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -1,6 +1,7 @@
 """The HTTP data path: receives requests, routes them and passes answers back."""
 
 import random
+import zlib
 from collections.abc import Callable
 from typing import Protocol
 
@@ -46,6 +47,8 @@
 RESERVE_SHARE = 0.5
 # An outage fails thousands of requests per second; one line per second shows it.
 LOG_EVERY_NS = 1_000 * NS_PER_MS
+# Of answers at the first attempt one in this many is logged, the same ones on every node.
+SAMPLED_ONE_IN = 64
 EXPIRE_EVERY_NS = 5_000 * NS_PER_MS
 CANCELLED = "cancelled"
 CUT_SHORT = "cut-short"
@@ -181,6 +184,8 @@
                 request.refuse(unknown("internal", detail, "forward", status=status).refusal)
         finally:
             self._flights.discard(flight)
+            if flight.request_id and not flight.outcome:
+                self._log_answered(flight)
             if self._observer is not None:
                 self._observe(flight, self._observer)
 
@@ -291,7 +296,7 @@
             self._observer.on_answer(service, -1, outcome, 0, 0, refusal.reason)
 
     def _run(self, flight: Flight) -> None:
-        failures: list[RequestFailedError] = []
+        failures = flight.failures
         while True:
             try:
                 self._runner.run(flight)
@@ -353,6 +358,23 @@
         self._log_refused(flight, refusal, failures)
         flight.request.refuse(refusal)
 
+    def _log_answered(self, flight: Flight) -> None:
+        """Writes a line on an answered request that was not plain, and on a sample of the others."""
+        sampled = not zlib.crc32(flight.request_id.encode()) % SAMPLED_ONE_IN
+        if not (flight.failures or flight.status >= 500 or sampled):
+            return
+        self._log.info(
+            "request answered",
+            id=flight.request_id,
+            service=flight.destination.service,
+            status=flight.status,
+            peer=flight.peer,
+            attempts=_attempts_of(flight.failures),
+            hop=flight.hop is not None,
+            age_ms=(self._clock.now_ns() - flight.started_ns) // NS_PER_MS,
+            map_version=self._router.map_version,
+        )
+
     def _log_refused(
         self, flight: Flight, refusal: Refusal, failures: list[RequestFailedError]
     ) -> None:
@@ -361,10 +383,6 @@
             # Requests without an id cannot be looked up; one line per second shows an outage.
             self._unlogged += 1
             return
-        attempts = [
-            f"{error.refusal.step} {error.refusal.peer}: {error.refusal.reason}"
-            for error in failures
-        ]
         self._log.warning(
             "request failed",
             id=flight.request_id,
@@ -372,7 +390,8 @@
             outcome=refusal.outcome.value,
             reason=refusal.reason,
             detail=refusal.detail,
-            attempts=attempts,
+            peer=flight.peer,
+            attempts=_attempts_of(failures),
             upstreams=flight.upstreams,
             hop=flight.hop is not None,
             kind=flight.destination.kind,
@@ -393,6 +412,13 @@
                 self._on_violation(error)
 
 
+def _attempts_of(failures: list[RequestFailedError]) -> list[str]:
+    """Returns the failed attempts as the log shows them."""
+    return [
+        f"{error.refusal.step} {error.refusal.peer}: {error.refusal.reason}" for error in failures
+    ]
+
+
 def _final_refusal(flight: Flight, failures: list[RequestFailedError]) -> Refusal:
     """Returns what the caller is told after the last attempt failed."""
     last = failures[-1].refusal
--- a/src/auburnsail/_gossip.py
+++ b/src/auburnsail/_gossip.py
@@ -1,7 +1,7 @@
 """Follows the two versioned logs: what is held, what peers have, what to fetch. No I/O."""
 
 from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -15,7 +15,11 @@
 
 RECENT_ENTRIES = 512
 RECENT_BYTES = 1 << 20
+# A fetch without an answer for this long is given up.
 FETCH_TIMEOUT_MS = 3000
+# Another source is asked after this time, well within the bounds on changes.
+OTHER_SOURCE_MS = 600
+SOURCES_KEPT = 3
 FETCH_AGAIN_MS = 100
 
 
@@ -23,6 +27,9 @@
 class LogFetcher:
     """Decides when and from whom to fetch one log.
 
+    A peer that does not answer must not hold the log back, so another source is asked while the
+    answer of the first one is out.
+
     Attributes:
         log: Name of the log.
         newest: The newest version that anyone reported.
@@ -30,8 +37,8 @@
 
     log: str
     newest: int = 0
-    _source: str = ""
-    _busy_until_ns: int = 0
+    _sources: deque[str] = field(default_factory=lambda: deque(maxlen=SOURCES_KEPT))
+    _outstanding: dict[str, int] = field(default_factory=dict)
     _next_ns: int = 0
     _asked: str | None = None
 
@@ -39,7 +46,8 @@
         """Notes that a peer has a version."""
         if version > self.newest:
             self.newest = version
-            self._source = address
+        if version == self.newest and address not in self._sources:
+            self._sources.appendleft(address)
 
     def ask(self, address: str) -> None:
         """Makes the next fetch go to an address, empty for the store, whatever the peers have."""
@@ -48,25 +56,41 @@
     def due(self, have: int, now_ns: int) -> FetchLog | None:
         """Returns the fetch to start now, if any."""
         behind = self.newest > have
-        if now_ns < max(self._busy_until_ns, self._next_ns) or not (
-            behind or self._asked is not None
-        ):
+        if now_ns < self._next_ns or not (behind or self._asked is not None):
+            return None
+        limit_ns = now_ns - FETCH_TIMEOUT_MS * NS_PER_MS
+        self._outstanding = {a: t for a, t in self._outstanding.items() if t > limit_ns}
+        newest_ns = max(self._outstanding.values(), default=0)
+        if self._outstanding and now_ns - newest_ns < OTHER_SOURCE_MS * NS_PER_MS:
             return None
-        address = self._source if self._asked is None else self._asked
-        self._asked = None
-        self._busy_until_ns = now_ns + FETCH_TIMEOUT_MS * NS_PER_MS
+        address = self._choose()
+        if address is None:
+            return None
+        self._outstanding[address] = now_ns
         return FetchLog(self.log, have, address)
 
     def done(self, address: str, succeeded: bool, have: int, now_ns: int) -> None:
         """Notes the end of a fetch; the store is asked next if a peer did not help."""
-        self._busy_until_ns = 0
-        self._next_ns = now_ns + FETCH_AGAIN_MS * NS_PER_MS if not succeeded else 0
+        self._outstanding.pop(address, None)
+        if succeeded:
+            self._next_ns = 0
+        else:
+            self._next_ns = now_ns + FETCH_AGAIN_MS * NS_PER_MS
+            if address in self._sources:
+                self._sources.remove(address)
         if address and not succeeded and self.newest > have:
             self._asked = ""
         if not address and succeeded and self.newest > have:
             # The store is the authority: a higher version reported by a peer does not exist.
             self.newest = have
 
+    def _choose(self) -> str | None:
+        """Returns the next source that owes no answer, empty for the store, None if all do."""
+        asked, self._asked = self._asked, None
+        candidates = [asked] if asked is not None else []
+        candidates += [*self._sources, ""]
+        return next((a for a in candidates if a not in self._outstanding), None)
+
 
 class FleetFollower:
     """Applies entries of the fleet log in order and keeps the newest for peers.
--- a/src/auburnsail/_journal.py
+++ b/src/auburnsail/_journal.py
@@ -1,6 +1,7 @@
 """A bounded journal of decisions with their reasons."""
 
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ._clock import Clock
@@ -35,9 +36,16 @@
     Args:
         clock: Source of time.
         kept: How many to keep.
+        on_record: Called with each decision, for the log.
     """
 
-    def __init__(self, clock: Clock, kept: int = KEPT) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        kept: int = KEPT,
+        on_record: Callable[[JournalItem], None] = lambda item: None,
+    ) -> None:
+        self._on_record = on_record
         self._clock = clock
         self._items: deque[JournalItem] = deque(maxlen=kept)
         self._count = 0
@@ -45,7 +53,9 @@
     def record(self, kind: str, reason: str, **facts: object) -> None:
         """Adds a decision."""
         self._count += 1
-        self._items.append(JournalItem(self._count, self._clock.now_ns(), kind, reason, facts))
+        item = JournalItem(self._count, self._clock.now_ns(), kind, reason, facts)
+        self._items.append(item)
+        self._on_record(item)
 
     def items(self, after: int = 0) -> list[JournalItem]:
         """Returns the decisions after a position, oldest first."""
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -407,7 +407,8 @@
         self._outbox.send_to(sorted(edges), message, but=source)
 
     def _fetch(self, now_ns: int) -> None:
-        often = self.own_id is None or self._recording.polls(self.own_id, now_ns)
+        # A node whose lease has lapsed may hear from nobody what it missed.
+        often = self._lapsed or self._recording.polls(self.own_id, now_ns) or self.own_id is None
         if self._replica.poll_due(now_ns, often):
             self._replica.poll(now_ns, often, self._poll_address())
         self._outbox.add(*self._replica.fetches(now_ns))
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -22,9 +22,10 @@
 from ._holds import HoldTable
 from ._http_server import ControlServer
 from ._io import Callbacks, NodeIo, Records, UdpSocket
-from ._journal import Journal
+from ._journal import Journal, JournalItem
 from ._membership import Membership
 from ._messages import Codec
+from ._metrics import Metrics, MetricsApplication, Observers
 from ._model import Transfer
 from ._moves import Mover
 from ._node_control import NodeControl, NodeParts
@@ -53,7 +54,9 @@
 RESTART_LIMIT_S = 2.5
 SETTINGS_WAIT_AGAIN_S = 0.2
 _RANDOM = random.SystemRandom()
-QUIET_KINDS = frozenset({"watchers", "move"})
+# Decisions that are only kept in the journal: several a second on every node of a large fleet.
+QUIET_KINDS = frozenset({"watchers", "SetWatchers"})
+LINE_FIELDS = frozenset({"kind", "reason", "map_version", "settings_version", "event"})
 
 
 class Node:
@@ -71,8 +74,9 @@
         self._adapter = adapter
         self._clock = BootClock()
         self._timers = Timers()
-        self._journal = Journal(self._clock)
+        self._journal = Journal(self._clock, on_record=self._log_decision)
         self._log = structlog.get_logger(node=settings.node)
+        self._metrics = Metrics(self._gauges)
         self._fleet = FleetState()
         self._codec = Codec(settings.fleet_secret, _RANDOM.getrandbits(48))
         self._membership = Membership(
@@ -118,7 +122,7 @@
             lambda error: self._violate(str(error)),
             self._on_crash,
             self._upstream.on_failed_attempt,
-            self._snapshots.measurements,
+            Observers((self._snapshots.measurements, self._metrics)),
             adapter,
             UpstreamLink(self._instance, self._upstream.on_answer, self._upstream.on_misdirected),
         )
@@ -248,7 +252,6 @@
     def _on_crash(self, notice: CrashNotice) -> None:
         suspects = len(notice.fingerprints)
         self._journal.record("crash", "the upstream crashed", id=notice.id, suspects=suspects)
-        self._log.error("the upstream crashed", id=notice.id, suspects=suspects)
         self._run_effects(self._membership.push_crash(notice, ""))
 
     def _on_applied(self, applied: Applied) -> None:
@@ -274,7 +277,6 @@
             # An accepted version was checked before; one that this program cannot read keeps the
             # last tree in force and is reported.
             self._journal.record("settings", "not readable", error=str(error))
-            self._log.error("settings not readable", version=changed.version, error=str(error))
             return
         tree = settings.tree
         self._router.tree = tree
@@ -286,7 +288,6 @@
                 self._fleet.add_service(name, service.shards, service.keys)
         self._add_holds(tree)
         self._journal.record("settings", "in force", version=changed.version)
-        self._log.info("settings in force", version=changed.version)
 
     def _add_holds(self, tree: TreeSettings) -> None:
         """Follows what the upstream holds, if its service is divided and reports grant keys."""
@@ -312,14 +313,46 @@
 
     def _on_note(self, note: Note) -> None:
         self._journal.record(note.kind, note.reason, **note.facts)
-        if note.kind not in QUIET_KINDS:
-            self._log.info(f"{note.kind}: {note.reason}", **note.facts)
 
     def _take_notes(self) -> None:
         notes, self._mover.notes = self._mover.notes, []
         for note in notes:
             self._on_note(note)
 
+    def _log_decision(self, item: JournalItem) -> None:
+        """Writes a decision of the journal as a line; a node's bookkeeping is left to the journal."""
+        if item.kind in QUIET_KINDS:
+            return
+        self._log.info(
+            "decision",
+            kind=item.kind,
+            reason=item.reason,
+            map_version=self._fleet.version,
+            settings_version=self._membership.replica.settings_version,
+            **{name: value for name, value in item.facts.items() if name not in LINE_FIELDS},
+        )
+
+    def _gauges(self) -> dict[str, float]:
+        """Returns the node's state for the metrics address."""
+        now_ns = self._clock.now_ns()
+        own_id = self._membership.own_id
+        row = self._fleet.sessions.get(own_id) if own_id is not None else None
+        lease_ms = max(0, self._membership.expires_ns() - now_ns) / NS_PER_MS
+        return {
+            "fleet_version": self._fleet.version,
+            "settings_version": self._membership.replica.settings_version,
+            "sessions": len(self._fleet.sessions),
+            "lease_left_ms": min(lease_ms, self._settings.lease_ms),
+            "shards_owned": self._fleet.shard_count(row) if row is not None else 0,
+            "shards_moving": self._mover.moving,
+            "in_flight": self._data.in_flight,
+            "draining": float(bool(self._mover.draining)),
+            "datagrams_sent": self._udp.traffic.sent,
+            "datagrams_received": self._udp.traffic.received,
+            **self._data.gauges(),
+            **self._adapter.gauges(),
+        }
+
     def _guard(self, step: Callable[[], None]) -> None:
         """Runs a step; a violated promise stops this node's work, other errors are logged."""
         try:
@@ -347,6 +380,10 @@
         application = ControlApplication(self._control, self._codec)
         self._servers = [ControlServer(control, application, log=None, error_log=None)]
         self._servers += self._adapter.servers(self._control)
+        if self._settings.metrics_address:
+            address = endpoint(self._settings.metrics_address)
+            shown = MetricsApplication(self._metrics)
+            self._servers.append(ControlServer(address, shown, log=None, error_log=None))
         for server in self._servers:
             server.start()
         self._data.start()
--- a/src/auburnsail/_settings.py
+++ b/src/auburnsail/_settings.py
@@ -65,6 +65,7 @@
             keys from answers to reports need it longer than the time between two reports.
         max_hold_ms: Longest time for which an upstream is told to hold keys.
         snapshots: Whether measurements are written to the object store.
+        metrics_address: ``ip:port`` that shows counters and histograms, empty for none.
     """
 
     node: Name
@@ -84,6 +85,7 @@
     lease_ms: Annotated[int, msgspec.Meta(ge=150, le=60_000)] = 600
     max_hold_ms: Annotated[int, msgspec.Meta(ge=150, le=60_000)] = 10_000
     snapshots: bool = True
+    metrics_address: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-fA-F:.]+:[0-9]{1,5})?$")] = ""
 
     def reach(self, address: str) -> str:
         """Returns where to connect for an address."""
--- a/src/auburnsail/platform/_boot_file.py
+++ b/src/auburnsail/platform/_boot_file.py
@@ -10,8 +10,11 @@
 
 __all__ = ["BootFile", "load_boot_file"]
 
-# A report arrives about every 0.9 s and may be late; a lease outlasts two of them.
-LEASE_MS = 2_500
+# A node is back 3.5 s after it was told to stop, and a report is due every 0.9 s; within a lease the
+# upstream beside it keeps its keys.
+LEASE_MS = 4_000
+# As in deploy/system.toml.
+METRICS_PORT = 9_464
 # The platform gives no secret: the tag of messages between nodes guards against damaged and foreign
 # datagrams, not against an attacker, who would have to be on the VMs' own network.
 FLEET_SECRET = "auburnsail on the users' platform"
@@ -110,6 +113,7 @@
         lease_ms=LEASE_MS,
         max_hold_ms=min(LEASE_MS, int(bounds.get("hold-max-ms", LEASE_MS))),
         snapshots=False,
+        metrics_address=f"{boot.ip}:{METRICS_PORT}",
     )
     return BootFile(
         node=node,
--- a/src/auburnsail/platform/_desired_state.py
+++ b/src/auburnsail/platform/_desired_state.py
@@ -163,6 +163,8 @@
         "placement.plan_interval_ms": 750,
         "drain.stop_work_ms": STOP_WORK_MS,
         "upstream.eject_ms": 500,
+        "balance.leave_domain_at_percent": 90.0,
+        "balance.leave_region_at_percent": 100.0,
     }
 
 
--- a/src/auburnsail/platform/_program.py
+++ b/src/auburnsail/platform/_program.py
@@ -48,6 +48,9 @@
         routed=True,
         reports_grant=True,
         servers=servers,
+        gauges=lambda: {
+            f"store_calls_{step.replace('.', '_')}": count for step, count in store.calls.items()
+        },
     )
 
 
--- /dev/null
+++ b/tests/test_log_lines.py
@@ -0,0 +1,70 @@
+"""Log lines and metrics."""
+
+import os
+import unittest
+
+from auburnsail._log_lines import BURST_LINES, LineWriter
+from auburnsail._metrics import Metrics
+
+
+class LineWriterTest(unittest.TestCase):
+    """Lines are bounded and never block."""
+
+    def setUp(self):
+        """Opens a pipe."""
+        self.reader, self.descriptor = os.pipe()
+        os.set_blocking(self.reader, False)
+        self.addCleanup(os.close, self.descriptor)
+        self.addCleanup(os.close, self.reader)
+        self.now_s = 0.0
+        self.writer = LineWriter(self.descriptor, lambda: self.now_s)
+
+    def read(self) -> bytes:
+        """Returns what was written."""
+        try:
+            return os.read(self.reader, 1 << 20)
+        except BlockingIOError:
+            return b""
+
+    def test_a_reader_that_stopped_costs_lines_and_nothing_else(self):
+        """Guards against a node that stands still because nobody reads its log."""
+        line = b"x" * 1000
+        for _ in range(1000):
+            self.now_s += 1
+            self.writer.write(line)
+        self.assertGreater(self.writer.dropped, 500)
+        while self.read():
+            pass
+        self.now_s += 1
+        self.writer.write(b"after", is_important=True)
+        text = self.read()
+        self.assertIn(b"after\n", text)
+        self.assertIn(b'"log lines dropped"', text)
+
+    def test_the_number_of_lines_is_bounded_and_failures_come_last(self):
+        """Guards against a log that takes the processor from requests during an outage."""
+        taken = sum(self.writer.write(b"a") for _ in range(2 * BURST_LINES))
+        self.assertLess(taken, BURST_LINES)
+        self.assertTrue(self.writer.write(b"failure", is_important=True))
+        self.assertIn(b"failure", self.read())
+
+
+class MetricsTest(unittest.TestCase):
+    """The text of the metrics address."""
+
+    def test_counts_and_latencies_by_service(self):
+        """Guards against a complaint that no metric shows."""
+        metrics = Metrics(lambda: {"lease_left_ms": 12.5})
+        metrics.on_answer("pledge", -1, "", 200, 30_000_000, "")
+        metrics.on_answer("pledge", -1, "", 503, 600_000_000, "")
+        metrics.on_answer("pledge", -1, "not-run", 0, 0, "deadline")
+        text = metrics.render()
+        self.assertIn('requests_total{service="pledge",outcome="answered",reason=""} 1', text)
+        self.assertIn('outcome="not-run",reason="deadline"} 1', text)
+        self.assertIn('request_seconds_bucket{service="pledge",le="0.05"} 1', text)
+        self.assertIn('request_seconds_bucket{service="pledge",le="+Inf"} 2', text)
+        self.assertIn("auburnsail_lease_left_ms 12.5", text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -5,9 +5,10 @@
 from tools.soak import run_seed
 from tools.soak_mutations import MUTATIONS, find
 
-SUB_SEEDS = (2, 3, 5)
+# The last two once left a node behind: one late answer of a peer held back every further fetch.
+SUB_SEEDS = (2, 3, 5, 1542588269, 4031118404)
 # Mutations that the first run notices within the first second of simulated time.
-QUICK = ("a lost answer counts as written", "settings appended without the head's condition")
+QUICK = ("a lost answer counts as written", "settings appended where a record exists")
 
 
 class SoakTest(unittest.TestCase):
