Split the request path, membership and node by job; explain requests and keys from logs

Change: answers of upstreams, ownership, lines on requests, watch duty, the wait for settings, silence and the server of a node's own addresses have modules of their own. Entries are logged with sessions, service and key ranges; auburnsail explain-request and explain-key read such lines.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -2,9 +2,7 @@
 
 import os
 from collections import Counter
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
+from dataclasses import dataclass
 
 from . import _headers
 from ._admission import Admission, Chooser, Result, Use
@@ -17,33 +15,21 @@
 from ._hop import Hop, HopSigner
 from ._model import Session
 from ._outcome import RETRY_HINT_MS, Outcome, RequestFailedError, not_run, parse_refusal, unknown
+from ._ownership import Ownership
 from ._peers import PeerTable
 from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange
 from ._relay import BUFFERED_BYTES, failure_of, pass_on, read_small, request_head, send_request
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
+from ._silence import silence_limit_ns
+from ._upstream_answer import MISDIRECTED, NOT_RUN_STATUSES, check_proof, refusal_of, says_not_run
 from .exceptions import CallerGoneError, NoRoomError, NotRunError, OutcomeUnknownError
 
-__all__ = ["SHED", "AttemptRunner", "Counters", "Gate", "Ownership", "UpstreamLink"]
+__all__ = ["AttemptRunner", "Counters"]
 
 # The other node gives up a little earlier, so that its more exact outcome still arrives.
 HOP_MARGIN_MS = 10
 # A request that cannot be sent again only uses a connection that worked this recently.
 FRESH_IDLE_NS = 1_000 * NS_PER_MS
-MIN_SILENCE_NS = 500 * NS_PER_MS
-SILENCE_FACTOR = 8
-# Share of the time left that one silent attempt may use. The owner's node decides first, so that
-# the first node learns which connection was silent.
-SILENCE_DIVISOR_LOCAL = 4
-SILENCE_DIVISOR_NODE = 2
-SHED_STATUSES = frozenset({429, 503})
-MISDIRECTED = 421
-# Statuses with which an upstream may say that it did not run a request.
-NOT_RUN_STATUSES = frozenset({400, MISDIRECTED, 429, 503})
-# Statuses that tell a caller that its request was not run, whoever sends them.
-PROMISING_STATUSES = frozenset({408, MISDIRECTED, 429, 503})
-# A key that the upstream does not hold yet is granted with its next report.
-HELD_HINT_MS = 200
-SHED = "upstream-shed"
 CONNECT_FAILED = "connect-failed"
 
 
@@ -69,58 +55,6 @@
 }
 
 
-class Gate(Protocol):
-    """Knows whether this node may serve; `RequestGate` implements it."""
-
-    def enter(self, service: str, shard: int) -> str:
-        """Admits a request; returns the reason if it must not run, or an empty string."""
-
-    def confirm(self, service: str, shard: int, epoch: int) -> str:
-        """Checks an admitted request again right before bytes go to the upstream."""
-
-    def leave(self, service: str, shard: int) -> None:
-        """Notes that an admitted request has ended."""
-
-    def expires_ns(self) -> int:
-        """Returns when a grant that is given now ends."""
-
-
-def _ignore(*_: object) -> None:
-    """Does nothing."""
-
-
-@dataclass(frozen=True, slots=True)
-class UpstreamLink:
-    """What the exchange with the upstream beside this node tells and asks.
-
-    Attributes:
-        instance: Returns the instance that alone may run requests here, empty for any.
-        on_answer: Called when the upstream answered a request.
-        on_misdirected: Called with the instance that answered that it is not the expected one.
-    """
-
-    instance: Callable[[], str] = str
-    on_answer: Callable[[], None] = _ignore
-    on_misdirected: Callable[[str], None] = _ignore
-
-
-@dataclass(slots=True)
-class Ownership:
-    """What this node may serve now.
-
-    Attributes:
-        upstream_address: Returns the address of the upstream beside this node, or None.
-        gate: Knows whether this node may serve.
-        own_address: Address at which this node serves, named as the owner of its keys.
-        link: What an adapter adds to the exchange with the upstream.
-    """
-
-    upstream_address: Callable[[], str | None]
-    gate: Gate
-    own_address: str = ""
-    link: UpstreamLink = field(default_factory=lambda: UpstreamLink())
-
-
 class AttemptRunner:
     """Runs single attempts.
 
@@ -393,10 +327,9 @@
             return
         if not (flight.attempts.repeatable and exchange.is_reused and flight.budget.tokens >= 1.0):
             return
-        divisor = SILENCE_DIVISOR_LOCAL if local is not None else SILENCE_DIVISOR_NODE
-        now_ns = self._clock.now_ns()
-        usual_ns = int(self._peers.get(address).slowest_recent_ns * SILENCE_FACTOR)
-        wait_ns = min((flight.deadline_ns - now_ns) // divisor, max(MIN_SILENCE_NS, usual_ns))
+        now_ns, slowest_ns = self._clock.now_ns(), self._peers.get(address).slowest_recent_ns
+        left_ns = flight.deadline_ns - now_ns
+        wait_ns = silence_limit_ns(left_ns, slowest_ns, is_local=local is not None)
         flight.attempt_by_ns = now_ns + wait_ns
 
     def _on_silence(self, flight: Flight, exchange: Exchange) -> None:
@@ -418,21 +351,16 @@
             if answer.status not in NOT_RUN_STATUSES and not self._dialect.seal:
                 return
             fields = {name.lower(): value for name, value in answer.fields}
-            if not self._says_not_run(answer.status, fields):
-                self._check_proof(flight, answer.status, fields, address)
+            if not says_not_run(self._dialect, answer.status, fields):
+                repeatable = flight.attempts.repeatable
+                check_proof(self._dialect, answer.status, fields, address, repeatable=repeatable)
                 return
             read_small(exchange)
             exchange.finish()
             flight.attempts.on_not_run()
-            hint = fields.get("retry-after", "")
-            wait_ms = int(hint) * 1000 if hint.isdecimal() and len(hint) < 6 else 1000
-            status = f"{answer.status} {answer.phrase}"
             if answer.status == MISDIRECTED:
                 self._ownership.link.on_misdirected(fields.get(self._dialect.instance, ""))
-                detail = "the upstream says that it is another one or does not hold the key"
-                raise not_run("not-held", detail, "upstream", address, retry_after_ms=HELD_HINT_MS)
-            detail = "the upstream answered that it did not run the request"
-            raise not_run(SHED, detail, "upstream", address, status=status, retry_after_ms=wait_ms)
+            raise refusal_of(answer.status, answer.phrase, fields, address)
         fields = {}
         for name, value in answer.fields:
             lower = name.lower()
@@ -450,33 +378,6 @@
             flight.attempts.on_not_run()
         raise RequestFailedError(refusal)
 
-    def _says_not_run(self, status: int, fields: dict[str, str]) -> bool:
-        """Whether an upstream's answer says that it did not run the request."""
-        dialect = self._dialect
-        if not dialect.expected_instance:
-            return status in SHED_STATUSES and fields.get(dialect.not_run) == "1"
-        if status == MISDIRECTED:
-            return True
-        return status in NOT_RUN_STATUSES and dialect.not_run in fields
-
-    def _check_proof(
-        self, flight: Flight, status: int, fields: dict[str, str], address: str
-    ) -> None:
-        """Raises if an answer cannot be passed on as the upstream's own.
-
-        Raises:
-            OutcomeUnknownError: The request may have run and this is no answer to pass on.
-        """
-        dialect = self._dialect
-        if not dialect.seal:
-            return
-        if 200 <= status < 300 and (dialect.seal not in fields or "content-encoding" in fields):
-            detail = "the answer carries no proof that it is the upstream's"
-            raise OutcomeUnknownError(detail, step="http.receive", peer=address)
-        if status in PROMISING_STATUSES and not flight.attempts.repeatable:
-            detail = f"status {status} says that a request was not run that may have run"
-            raise OutcomeUnknownError(detail, step="http.receive", peer=address)
-
     def _read_prefix(self, flight: Flight) -> None:
         if flight.prefix is not None:
             return
--- /dev/null
+++ b/src/auburnsail/_cli_explain.py
@@ -0,0 +1,112 @@
+"""Commands that explain a request or a key from the nodes' log lines."""
+
+import sys
+from collections.abc import Iterable, Iterator
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+__all__ = ["explain_key", "explain_request"]
+
+# A call's id is the id of the request that makes it, this separator and its own.
+CALL_SEPARATOR = "."
+
+
+def read_lines(paths: Iterable[Path]) -> Iterator[dict[str, Any]]:
+    """Yields the log lines of files, of standard input if there is none; other text is skipped.
+
+    A collector may put its own words before the JSON object of a line.
+    """
+    files = [path.open("rb") for path in paths] or [sys.stdin.buffer]
+    for file in files:
+        with file:
+            for raw in file:
+                start = raw.find(b"{")
+                if start < 0:
+                    continue
+                try:
+                    line = msgspec.json.decode(raw[start:])
+                except msgspec.DecodeError:
+                    continue
+                if isinstance(line, dict) and "event" in line:
+                    yield line
+
+
+def lines_of_request(lines: Iterable[dict[str, Any]], request_id: str) -> list[dict[str, Any]]:
+    """Returns the lines of a request and of the calls that it made, in order of time."""
+    calls = request_id + CALL_SEPARATOR
+    found = [
+        line
+        for line in lines
+        if line.get("id") == request_id or str(line.get("id", "")).startswith(calls)
+    ]
+    return sorted(found, key=lambda line: line.get("ts", 0.0))
+
+
+def lines_of_key(lines: Iterable[dict[str, Any]], service: str, key: int) -> list[dict[str, Any]]:
+    """Returns the first line on each change of a key's owner, in order of versions."""
+    found: dict[object, dict[str, Any]] = {}
+    for line in lines:
+        for first, last, owner in line.get("owners") or ():
+            if line.get("service", service) == service and first <= key <= last:
+                entry = {"owner": owner, **line}
+                known = found.setdefault(line.get("version"), entry)
+                if entry.get("ts", 0.0) < known.get("ts", 0.0):
+                    found[line.get("version")] = entry
+    return [found[version] for version in sorted(found, key=lambda v: (v is None, v))]
+
+
+def _describe(line: dict[str, Any]) -> str:
+    where = line.get("node") or line.get("address") or ""
+    role = "upstream's node" if line.get("hop") else "first node"
+    parts = [f"{line.get('ts', 0.0):.3f} {where} ({role}): {line['event']}"]
+    for name in ("id", "service", "outcome", "reason", "detail", "status", "peer"):
+        if line.get(name) not in (None, ""):
+            parts.append(f"{name}={line[name]}")
+    for attempt in line.get("attempts") or ():
+        parts.append(f"after {attempt}")
+    for name in ("age_ms", "left_ms", "wanted_ms", "map_version"):
+        if name in line:
+            parts.append(f"{name}={line[name]}")
+    return ", ".join(parts)
+
+
+def _show(lines: list[dict[str, Any]], as_json: bool, missing: str, texts: list[str]) -> None:
+    if as_json:
+        click.echo(msgspec.json.encode(lines).decode())
+    elif not lines:
+        click.echo(missing)
+    else:
+        for text in texts:
+            click.echo(text)
+    if not lines:
+        sys.exit(1)
+
+
+@click.command("explain-request")
+@click.argument("request_id")
+@click.argument("logs", nargs=-1, type=click.Path(path_type=Path, exists=True))
+@click.option("--json", "as_json", is_flag=True, help="Print the lines as JSON.")
+def explain_request(request_id: str, logs: tuple[Path, ...], as_json: bool) -> None:
+    """Shows what the nodes decided about a request, from their logs or standard input."""
+    found = lines_of_request(read_lines(logs), request_id)
+    missing = f"no line about {request_id}: it was answered at its first attempt, or not sampled"
+    _show(found, as_json, missing, [_describe(line) for line in found])
+
+
+@click.command("explain-key")
+@click.argument("service")
+@click.argument("key", type=int)
+@click.argument("logs", nargs=-1, type=click.Path(path_type=Path, exists=True))
+@click.option("--json", "as_json", is_flag=True, help="Print the lines as JSON.")
+def explain_key(service: str, key: int, logs: tuple[Path, ...], as_json: bool) -> None:
+    """Shows who owned a key of an ordered key space, from the nodes' logs or standard input."""
+    found = lines_of_key(read_lines(logs), service, key)
+    texts = [
+        f"{line.get('ts', 0.0):.3f} version {line.get('version')}: {line.get('kind')} to "
+        f"{line['owner']} ({line.get('reason')})"
+        for line in found
+    ]
+    _show(found, as_json, f"no line about key {key} of {service}", texts)
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -8,7 +8,6 @@
 
 from ._adapter import Adapter, SettingsInForce
 from ._admission import ObservedAdmission
-from ._attempt import Gate, UpstreamLink
 from ._balance import BalanceLimits, ServiceChooser
 from ._clock import Clock
 from ._control import Announcement
@@ -20,6 +19,7 @@
 from ._http_server import HttpServer
 from ._limits import LOAD_HALF_LIFE_MS, Limits, SlotAdmission
 from ._model import SessionId
+from ._ownership import Gate, UpstreamLink
 from ._quarantine import CrashNotice, QuarantineLimits
 from ._request_policy import policies_of
 from ._routing import Router
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -1,16 +1,14 @@
 """The HTTP data path: receives requests, routes them and passes answers back."""
 
 import random
-import zlib
 from collections.abc import Callable
 from typing import Protocol
 
 import gevent
-import structlog
 
 from . import _headers
 from ._admission import Admission, Chooser, CountingAdmission, RotatingChooser
-from ._attempt import SHED, AttemptRunner, Counters, Gate, Ownership, UpstreamLink
+from ._attempt import AttemptRunner, Counters
 from ._clock import NS_PER_MS, BootClock, Clock
 from ._crash_monitor import CrashMonitor
 from ._dialect import OWN, Dialect
@@ -27,10 +25,13 @@
     refused,
     unknown,
 )
+from ._ownership import Gate, Ownership, UpstreamLink
 from ._peers import PeerTable
+from ._request_lines import RequestLines
 from ._request_policy import RequestPolicy
 from ._retry import AttemptLog, RetryBudget, backoff_ms
 from ._routing import Router
+from ._upstream_answer import SHED
 from .exceptions import (
     CallerGoneError,
     InvariantViolation,
@@ -45,10 +46,6 @@
 NO_ROOM = frozenset({"deadline", "no-slots", "queue-full", "queue-timeout"})
 # Part of the shared reserve that is used; requests that a retried one makes count as retries, too.
 RESERVE_SHARE = 0.5
-# An outage fails thousands of requests per second; one line per second shows it.
-LOG_EVERY_NS = 1_000 * NS_PER_MS
-# Of answers at the first attempt one in this many is logged, the same ones on every node.
-SAMPLED_ONE_IN = 64
 EXPIRE_EVERY_NS = 5_000 * NS_PER_MS
 CANCELLED = "cancelled"
 CUT_SHORT = "cut-short"
@@ -124,9 +121,7 @@
         self._flights = FlightTable()
         self._peers = PeerTable(self._clock, reach=reach)
         self._next_expiry_ns = 0
-        self._log = structlog.get_logger(address=own_address)
-        self._next_log_ns = 0
-        self._unlogged = 0
+        self._lines = RequestLines(own_address, router, self._clock)
         self.counters = Counters()
         self._runner = AttemptRunner(
             router,
@@ -174,7 +169,7 @@
         except Exception as error:
             # A fault of a hook or of this program ends one request and not the connection's greenlet
             # with a stack on the console; what it had sent is not known here.
-            self._log.exception("request failed inside the node")
+            self._lines.internal_error(flight)
             flight.outcome, flight.reason = Outcome.UNKNOWN.value, "internal"
             if request.is_answered:
                 request.break_off()
@@ -184,8 +179,8 @@
                 request.refuse(unknown("internal", detail, "forward", status=status).refusal)
         finally:
             self._flights.discard(flight)
-            if flight.request_id and not flight.outcome:
-                self._log_answered(flight)
+            if not flight.outcome:
+                self._lines.answered(flight)
             if self._observer is not None:
                 self._observe(flight, self._observer)
 
@@ -307,7 +302,7 @@
                 # The answer was cut short after a part of it had been passed on.
                 self.counters.cut_short += 1
                 flight.outcome, flight.reason = Outcome.UNKNOWN.value, CUT_SHORT
-                self._log.warning("answer cut short", error=str(error))
+                self._lines.cut_short(flight, error)
                 return
             if not self._prepare_retry(flight, failures):
                 self._refuse(flight, failures)
@@ -355,70 +350,17 @@
             case Outcome.REFUSED:
                 self.counters.refused += 1
         flight.outcome, flight.reason = refusal.outcome.value, refusal.reason
-        self._log_refused(flight, refusal, failures)
+        self._lines.failed(flight, refusal)
         flight.request.refuse(refusal)
 
-    def _log_answered(self, flight: Flight) -> None:
-        """Writes a line on an answered request that was not plain, and on a sample of the others."""
-        sampled = not zlib.crc32(flight.request_id.encode()) % SAMPLED_ONE_IN
-        if not (flight.failures or flight.status >= 500 or sampled):
-            return
-        self._log.info(
-            "request answered",
-            id=flight.request_id,
-            service=flight.destination.service,
-            status=flight.status,
-            peer=flight.peer,
-            attempts=_attempts_of(flight.failures),
-            hop=flight.hop is not None,
-            age_ms=(self._clock.now_ns() - flight.started_ns) // NS_PER_MS,
-            map_version=self._router.map_version,
-        )
-
-    def _log_refused(
-        self, flight: Flight, refusal: Refusal, failures: list[RequestFailedError]
-    ) -> None:
-        now_ns = self._clock.now_ns()
-        if not flight.request_id and now_ns < self._next_log_ns:
-            # Requests without an id cannot be looked up; one line per second shows an outage.
-            self._unlogged += 1
-            return
-        self._log.warning(
-            "request failed",
-            id=flight.request_id,
-            service=flight.destination.service,
-            outcome=refusal.outcome.value,
-            reason=refusal.reason,
-            detail=refusal.detail,
-            peer=flight.peer,
-            attempts=_attempts_of(failures),
-            upstreams=flight.upstreams,
-            hop=flight.hop is not None,
-            kind=flight.destination.kind,
-            wanted_ms=flight.destination.wanted_ms,
-            age_ms=(now_ns - flight.started_ns) // NS_PER_MS,
-            left_ms=(flight.deadline_ns - now_ns) // NS_PER_MS,
-            map_version=self._router.map_version,
-            unlogged=self._unlogged,
-        )
-        self._next_log_ns = now_ns + LOG_EVERY_NS
-        self._unlogged = 0
-
     def _violate(self, error: InvariantViolation) -> None:
         if self.violation is None:
             self.violation = error
-            self._log.error("guarantee violated", error=str(error))
+            self._lines.violation(error)
             if self._on_violation is not None:
                 self._on_violation(error)
 
 
-def _attempts_of(failures: list[RequestFailedError]) -> list[str]:
-    """Returns the failed attempts as the log shows them."""
-    return [
-        f"{error.refusal.step} {error.refusal.peer}: {error.refusal.reason}" for error in failures
-    ]
-
-
 def _final_refusal(flight: Flight, failures: list[RequestFailedError]) -> Refusal:
     """Returns what the caller is told after the last attempt failed."""
     last = failures[-1].refusal
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -24,12 +24,12 @@
 from ._sockets import send_all, shut_down
 from .exceptions import CallerGoneError
 
-__all__ = ["Application", "ControlServer", "HttpServer", "Request"]
+__all__ = ["Application", "HttpServer", "Request"]
 
 # Callers that leave and deadlines that pass are noticed within this time.
 SWEEP_MS = 25
-# 100 wake-ups per second cost 1 % of a core, half of what an idle node may use, so the sweeps rest
-# until a request begins. The rest ends now and then for the sweep of the connections.
+# Wake-ups cost an idle node a part of a core, so the sweeps rest until a request begins. The rest
+# ends now and then for the sweep of the connections.
 IDLE_SWEEP_MS = 100
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
@@ -285,8 +285,8 @@
 
     Attributes:
         draining: Whether the server has stopped accepting.
-        idle_timeout_ms: How long a connection may stay without a request.
-        head_timeout_ms: How long a request's head may take to arrive.
+        idle_timeout_ms: Longest time without a request.
+        head_timeout_ms: Longest time for a head to arrive.
         max_head_bytes: Longest request head.
         drain_idle_now: Whether a connection without a request is closed at once.
     """
@@ -399,12 +399,3 @@
                 for connection in tuple(self.connections):
                     if 0 < connection.head_by_ns <= now_ns:
                         connection.expire()
-
-
-class ControlServer(WSGIServer):
-    """gevent's WSGI server for the control port, with TCP_NODELAY."""
-
-    def handle(self, sock: socket.socket, address: tuple) -> None:
-        """Handles one accepted connection."""
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle(sock, address)
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -52,6 +52,7 @@
 from ._replica import Replica, closes_session, sessions_concerned
 from ._session import NodeFacts, OwnSession
 from ._watch import Ask, Seal, Watcher
+from ._watch_duty import WatchDuty
 from .exceptions import InvariantViolation
 
 __all__ = ["Membership"]
@@ -85,7 +86,7 @@
         self._rng = rng
         self._outbox = Outbox(fleet, codec)
         self._session = OwnSession(facts, rng)
-        self._watcher: Watcher | None = None
+        self._duty = WatchDuty(fleet)
         self._recording = Recording(
             facts.control_address, facts.store_region, fleet, self._outbox, rng, successors
         )
@@ -114,6 +115,10 @@
         """This node's proposals and those that it records."""
         return self._recording
 
+    @property
+    def _watcher(self) -> Watcher | None:
+        return self._duty.watcher
+
     def expires_ns(self) -> int:
         """Returns the end of the lease, 0 without a session."""
         lease = self._session.lease
@@ -201,12 +206,8 @@
         """Follows the state after it was replaced from a checkpoint."""
         self._recording.on_restored(now_ns)
         self._session.on_applied(set(), self._fleet, now_ns)
-        self._follow_own(now_ns)
-        for holder in self._watcher.holders if self._watcher is not None else ():
-            if holder not in self._fleet.sessions:
-                self._watcher.forget(holder)
-        for holder in self._fleet.sessions:
-            self._follow_watchers(holder, now_ns)
+        self._duty.follow_own(self.own_id, now_ns)
+        self._duty.follow_all(now_ns)
 
     def _drain(self) -> list[Effect]:
         notes, self._session.notes = self._session.notes, []
@@ -235,10 +236,7 @@
             return
         own_id = self._watcher.session
         for action in self._watcher.tick(now_ns):
-            row = self._fleet.sessions.get(action.holder)
-            seat = self._watcher.seat(action.holder)
-            watchers = [self._fleet.heir(w) or w for w in row.session.watchers if w != seat]
-            others = [watcher for watcher in watchers if watcher != own_id]
+            seat, others = self._watcher.seat(action.holder), self._duty.others(action.holder)
             match action:
                 case Ask(holder=holder):
                     self._outbox.send_to(others, Query(holder, own_id))
@@ -339,7 +337,7 @@
             self._follow(verdict, now_ns)
         is_own = self._recording.on_applied(entry)
         self._session.on_applied({command.id for command in entry.commands}, self._fleet, now_ns)
-        self._follow_own(now_ns)
+        self._duty.follow_own(self.own_id, now_ns)
         self._outbox.add(Applied(entry, verdicts))
         small = len(data) <= MAX_ENTRY_BYTES
         message: Message = Push(data) if small else Versions(*self._replica.versions)
@@ -358,46 +356,24 @@
         match verdict.command:
             case Join(session=session):
                 self._recording.on_join(now_ns)
-                self._follow_watchers(session.id, now_ns)
+                self._duty.follow(session.id, now_ns)
             case SetWatchers(session=session_id):
-                self._follow_watchers(session_id, now_ns)
+                self._duty.follow(session_id, now_ns)
             case Resume(old=old, session=session):
                 self._recording.on_join(now_ns)
-                self._forget_holder(old)
-                self._follow_watchers(session.id, now_ns)
+                self._forget(old)
+                self._duty.follow(session.id, now_ns)
             case (
                 Close(session=ended)
                 | Leave(session=ended)
                 | DeclareLost(session=ended)
                 | Succeed(old=ended)
             ):
-                self._forget_holder(ended)
+                self._forget(ended)
 
-    def _forget_holder(self, ended: SessionId) -> None:
+    def _forget(self, ended: SessionId) -> None:
         self._close_ns.pop(ended, None)
-        if self._watcher is not None:
-            self._watcher.forget(ended)
-
-    def _follow_watchers(self, holder: SessionId, now_ns: int) -> None:
-        row = self._fleet.sessions.get(holder)
-        if self._watcher is None or row is None:
-            return
-        watchers, own_id = row.session.watchers, self._watcher.session
-        if _rules.counts_as_watcher(own_id, watchers):
-            self._watcher.name(holder, len(watchers) - 1, now_ns)
-        elif seat := next((w for w in watchers if self._fleet.heir(w) == own_id), None):
-            self._watcher.name(holder, len(watchers) - 1, now_ns, seat)
-        else:
-            self._watcher.forget(holder)
-
-    def _follow_own(self, now_ns: int) -> None:
-        own_id = self.own_id
-        if own_id is None:
-            self._watcher = None
-        elif self._watcher is None or self._watcher.session != own_id:
-            self._watcher = Watcher(own_id)
-            for holder in self._fleet.sessions:
-                self._follow_watchers(holder, now_ns)
+        self._duty.forget(ended)
 
     def _push(self, message: Message, source: str) -> None:
         lease = self._session.lease
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -11,16 +11,16 @@
 
 from . import _rules
 from ._adapter import Adapter, own_adapter
-from ._attempt import UpstreamLink
 from ._beside import UpstreamBeside
 from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
+from ._control_server import ControlServer
 from ._data_path import DataPath
+from ._decision_facts import facts_of
 from ._effects import Applied, CrashReported, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState, Verdict
 from ._gate import RequestGate
 from ._holds import HoldTable
-from ._http_server import ControlServer
 from ._io import Callbacks, NodeIo, Records, UdpSocket
 from ._journal import Journal, JournalItem
 from ._membership import Membership
@@ -29,11 +29,13 @@
 from ._model import Transfer
 from ._moves import Mover
 from ._node_control import NodeControl, NodeParts
+from ._ownership import UpstreamLink
 from ._quarantine import CrashNotice
 from ._rebalancer import Rebalancer, Surroundings
 from ._routing import Router
 from ._session import NodeFacts
 from ._settings import NodeSettings, TreeSettings
+from ._settings_wait import SettingsWait
 from ._snapshot_node import NodeSnapshots
 from ._sockets import endpoint
 from ._tree import effective
@@ -52,7 +54,6 @@
 CALLERS_GONE_S = 2.3
 # A stopping process ends within the platform's time limit for a stop, 6 s.
 RESTART_LIMIT_S = 2.5
-SETTINGS_WAIT_AGAIN_S = 0.2
 _RANDOM = random.SystemRandom()
 # Decisions that are only kept in the journal: several a second on every node of a large fleet.
 QUIET_KINDS = frozenset({"watchers", "SetWatchers"})
@@ -76,7 +77,7 @@
         self._timers = Timers()
         self._journal = Journal(self._clock, on_record=self._log_decision)
         self._log = structlog.get_logger(node=settings.node)
-        self._metrics = Metrics(self._gauges)
+        self._metrics = Metrics(lambda: self._control.gauges())
         self._fleet = FleetState()
         self._codec = Codec(settings.fleet_secret, _RANDOM.getrandbits(48))
         self._membership = Membership(
@@ -261,7 +262,8 @@
             self._expect_handovers(verdict)
             kind = type(verdict.command).__name__
             reason = verdict.reason or "applied"
-            facts = {"id": verdict.command.id, "version": applied.entry.version}
+            facts = facts_of(verdict.command, self._fleet)
+            facts |= {"id": verdict.command.id, "version": applied.entry.version}
             self._journal.record(kind, reason, **facts)
 
     def _expect_handovers(self, verdict: Verdict) -> None:
@@ -332,27 +334,6 @@
             **{name: value for name, value in item.facts.items() if name not in LINE_FIELDS},
         )
 
-    def _gauges(self) -> dict[str, float]:
-        """Returns the node's state for the metrics address."""
-        now_ns = self._clock.now_ns()
-        own_id = self._membership.own_id
-        row = self._fleet.sessions.get(own_id) if own_id is not None else None
-        lease_ms = max(0, self._membership.expires_ns() - now_ns) / NS_PER_MS
-        return {
-            "fleet_version": self._fleet.version,
-            "settings_version": self._membership.replica.settings_version,
-            "sessions": len(self._fleet.sessions),
-            "lease_left_ms": min(lease_ms, self._settings.lease_ms),
-            "shards_owned": self._fleet.shard_count(row) if row is not None else 0,
-            "shards_moving": self._mover.moving,
-            "in_flight": self._data.in_flight,
-            "draining": float(bool(self._mover.draining)),
-            "datagrams_sent": self._udp.traffic.sent,
-            "datagrams_received": self._udp.traffic.received,
-            **self._data.gauges(),
-            **self._adapter.gauges(),
-        }
-
     def _guard(self, step: Callable[[], None]) -> None:
         """Runs a step; a violated promise stops this node's work, other errors are logged."""
         try:
@@ -378,37 +359,24 @@
     def _start_servers(self) -> None:
         control = endpoint(self._settings.control_address)
         application = ControlApplication(self._control, self._codec)
-        self._servers = [ControlServer(control, application, log=None, error_log=None)]
+        self._servers = [ControlServer(control, application)]
         self._servers += self._adapter.servers(self._control)
         if self._settings.metrics_address:
             address = endpoint(self._settings.metrics_address)
             shown = MetricsApplication(self._metrics)
-            self._servers.append(ControlServer(address, shown, log=None, error_log=None))
+            self._servers.append(ControlServer(address, shown))
         for server in self._servers:
             server.start()
         self._data.start()
         if self._adapter.routed:
-            gevent.spawn(self._wait_settings)
-
-    def _wait_settings(self) -> None:
-        """Waits at the source for newer settings while this node polls for all others."""
-        replica, recording = self._membership.replica, self._membership.recording
-        while not self._stopped.is_set():
-            own_id, now_ns = self._membership.own_id, self._clock.now_ns()
-            records = None
-            if own_id is None or recording.polls(own_id, now_ns) or self._is_alone(now_ns):
-                try:
-                    records = self._adapter.settings.wait_after(replica.settings_version)
-                except AuburnsailError as error:
-                    self._on_failure(error)
-            if records:
-                self.on_records(LogName.SETTINGS, records, "")
-            elif records is None:
-                gevent.sleep(SETTINGS_WAIT_AGAIN_S)
-
-    def _is_alone(self, now_ns: int) -> bool:
-        """Whether no peer tells this node of newer versions."""
-        return not self._membership.may_serve(now_ns)
+            wait = SettingsWait(
+                self._adapter.settings,
+                self._membership,
+                self._clock,
+                lambda records: self.on_records(LogName.SETTINGS, records, ""),
+                self._on_failure,
+            )
+            gevent.spawn(wait.run)
 
     def _wait_callers_gone(self) -> None:
         # The upstream lives on, and so does its session: another process will take its place.
@@ -450,6 +418,7 @@
             journal=self._journal,
             snapshots=self._snapshots,
             rebalancer=self._rebalancer,
+            adapter=self._adapter,
             node=self,
         )
 
--- a/src/auburnsail/_node_control.py
+++ b/src/auburnsail/_node_control.py
@@ -3,9 +3,10 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from ._adapter import Adapter
 from ._beside import UpstreamBeside
 from ._checkpoint import dump_fleet
-from ._clock import Clock
+from ._clock import NS_PER_MS, Clock
 from ._control import Announcement
 from ._data_path import DataPath
 from ._effects import LogName
@@ -57,6 +58,7 @@
     journal: Journal
     snapshots: NodeSnapshots
     rebalancer: Rebalancer
+    adapter: Adapter
     node: NodeEvents
 
 
@@ -181,3 +183,25 @@
         parts = self._parts
         has_settings = bool(parts.membership.replica.settings_version)
         return has_settings and not parts.node.stopping and not parts.node.violation
+
+    def gauges(self) -> dict[str, float]:
+        """Returns the node's state for the metrics address."""
+        parts = self._parts
+        now_ns = parts.clock.now_ns()
+        own_id = parts.membership.own_id
+        row = parts.fleet.sessions.get(own_id) if own_id is not None else None
+        lease_ms = max(0, parts.membership.expires_ns() - now_ns) / NS_PER_MS
+        return {
+            "fleet_version": parts.fleet.version,
+            "settings_version": parts.membership.replica.settings_version,
+            "sessions": len(parts.fleet.sessions),
+            "lease_left_ms": min(lease_ms, parts.settings.lease_ms),
+            "shards_owned": parts.fleet.shard_count(row) if row is not None else 0,
+            "shards_moving": parts.mover.moving,
+            "in_flight": parts.data.in_flight,
+            "draining": float(bool(parts.mover.draining)),
+            "datagrams_sent": parts.udp.traffic.sent,
+            "datagrams_received": parts.udp.traffic.received,
+            **parts.data.gauges(),
+            **parts.adapter.gauges(),
+        }
--- /dev/null
+++ b/src/auburnsail/_request_lines.py
@@ -0,0 +1,98 @@
+"""Log lines on requests: every failure, answers that were not plain, and a sample of the others."""
+
+import zlib
+
+import structlog
+
+from ._clock import NS_PER_MS, Clock
+from ._flights import Flight
+from ._outcome import Refusal, RequestFailedError
+from ._routing import Router
+
+__all__ = ["RequestLines"]
+
+# An outage fails thousands of requests per second; one line per second shows it for requests that
+# have no id to be looked up by.
+LOG_EVERY_NS = 1_000 * NS_PER_MS
+# Of answers at the first attempt one in this many is logged, the same ones on every node.
+SAMPLED_ONE_IN = 64
+
+
+class RequestLines:
+    """Writes lines on requests.
+
+    Args:
+        address: Address of the node, part of each line.
+        router: Knows the version of the map.
+        clock: Source of time.
+    """
+
+    def __init__(self, address: str, router: Router, clock: Clock) -> None:
+        self._log = structlog.get_logger(address=address)
+        self._router = router
+        self._clock = clock
+        self._next_log_ns = 0
+        self._unlogged = 0
+
+    def answered(self, flight: Flight) -> None:
+        """Notes a request that an upstream answered."""
+        sampled = not zlib.crc32(flight.request_id.encode()) % SAMPLED_ONE_IN
+        if not flight.request_id or not (flight.failures or flight.status >= 500 or sampled):
+            return
+        self._log.info(
+            "request answered",
+            id=flight.request_id,
+            service=flight.destination.service,
+            status=flight.status,
+            peer=flight.peer,
+            attempts=_attempts_of(flight.failures),
+            hop=flight.hop is not None,
+            age_ms=(self._clock.now_ns() - flight.started_ns) // NS_PER_MS,
+            map_version=self._router.map_version,
+        )
+
+    def failed(self, flight: Flight, refusal: Refusal) -> None:
+        """Notes a request that this node refused or gave up."""
+        now_ns = self._clock.now_ns()
+        if not flight.request_id and now_ns < self._next_log_ns:
+            self._unlogged += 1
+            return
+        self._log.warning(
+            "request failed",
+            id=flight.request_id,
+            service=flight.destination.service,
+            kind=flight.destination.kind,
+            outcome=refusal.outcome.value,
+            reason=refusal.reason,
+            detail=refusal.detail,
+            peer=flight.peer,
+            attempts=_attempts_of(flight.failures),
+            upstreams=flight.upstreams,
+            hop=flight.hop is not None,
+            age_ms=(now_ns - flight.started_ns) // NS_PER_MS,
+            left_ms=(flight.deadline_ns - now_ns) // NS_PER_MS,
+            wanted_ms=flight.destination.wanted_ms,
+            map_version=self._router.map_version,
+            unlogged=self._unlogged,
+        )
+        self._next_log_ns = now_ns + LOG_EVERY_NS
+        self._unlogged = 0
+
+    def cut_short(self, flight: Flight, error: Exception) -> None:
+        """Notes an answer that broke off after a part of it had been passed on."""
+        self._log.warning("answer cut short", id=flight.request_id, error=str(error))
+
+    def internal_error(self, flight: Flight) -> None:
+        """Notes a fault of this program; call it where the exception is handled."""
+        self._log.exception("request failed inside the node", id=flight.request_id)
+
+    def violation(self, error: Exception) -> None:
+        """Notes a guarantee that was found broken."""
+        self._log.error("guarantee violated", error=str(error))
+
+
+def _attempts_of(failures: list[RequestFailedError]) -> list[str]:
+    """Returns the failed attempts as the log shows them."""
+    return [
+        f"{error.refusal.step} {error.refusal.peer}: {error.refusal.reason}" for error in failures
+    ]
--- a/src/auburnsail/platform/_program.py
+++ b/src/auburnsail/platform/_program.py
@@ -7,7 +7,7 @@
 import click
 
 from .._adapter import Adapter
-from .._http_server import ControlServer
+from .._control_server import ControlServer
 from .._log_lines import configure_json_lines
 from .._node import build_node
 from .._node_control import NodeControl
@@ -36,7 +36,7 @@
             boot.ready_address: ReadinessApplication(node),
         }
         return [
-            ControlServer(endpoint(address), application, log=None, error_log=None)
+            ControlServer(endpoint(address), application)
             for address, application in applications.items()
         ]
 
