Let up to 24 nodes wait for settings, not two

Change: in a small fleet every node waits at the source; a wait lasts 4 s, since one whose connection went silent is noticed at its end only. A recorder that has not settled a proposal after 1 s is followed by the next one, not after 3 s.

--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -372,6 +372,7 @@
             wait = SettingsWait(
                 self._adapter.settings,
                 self._membership,
+                self._fleet,
                 self._clock,
                 lambda records: self.on_records(LogName.SETTINGS, records, ""),
                 self._on_failure,
--- a/src/auburnsail/_proposer.py
+++ b/src/auburnsail/_proposer.py
@@ -12,7 +12,7 @@
 DIRECT_ATTEMPT = 2
 # A recorder that has a proposal and cannot settle it may be cut off from the store.
 TAKEN_WAIT_MS = 1000
-TAKEN_ROUNDS = 3
+TAKEN_ROUNDS = 1
 
 
 @dataclass(slots=True)
--- a/src/auburnsail/_settings_wait.py
+++ b/src/auburnsail/_settings_wait.py
@@ -1,4 +1,8 @@
-"""Waits at the source of the settings for newer ones, on behalf of all nodes."""
+"""Waits at the source of the settings for newer ones, on behalf of all nodes.
+
+Load pattern: the store turns away a third of the nodes, among them those that poll it, while operators
+go on. So many nodes wait, in a small fleet all, and the others hear from them.
+"""
 
 from collections.abc import Callable
 
@@ -6,12 +10,17 @@
 
 from ._adapter import SettingsSource
 from ._clock import Clock
+from ._fleet import FleetState
 from ._membership import Membership
+from ._model import SessionId
+from ._recorder import rank_recorders
 from .exceptions import AuburnsailError
 
 __all__ = ["SettingsWait"]
 
 WAIT_AGAIN_S = 0.2
+# Nodes that wait at the source. A change makes each of them read once, well below 2,000 reads/s.
+WAITING_NODES = 24
 
 Records = list[tuple[int, bytes]]
 
@@ -22,6 +31,7 @@
     Args:
         source: Where accepted settings are kept.
         membership: The node's part in the fleet.
+        fleet: State of the fleet.
         clock: Source of time.
         on_records: Receives newer records.
         on_failure: Receives errors of the source.
@@ -31,12 +41,15 @@
         self,
         source: SettingsSource,
         membership: Membership,
+        fleet: FleetState,
         clock: Clock,
         on_records: Callable[[Records], None],
         on_failure: Callable[[AuburnsailError], None],
     ) -> None:
         self._source = source
         self._membership = membership
+        self._fleet = fleet
+        self._ranking: tuple[int, frozenset[SessionId]] = (-1, frozenset())
         self._clock = clock
         self._on_records = on_records
         self._on_failure = on_failure
@@ -55,7 +68,10 @@
         own_id = membership.own_id
         if own_id is None or not membership.may_serve(now_ns):
             return True
-        return membership.recording.polls(own_id, now_ns)
+        if self._ranking[0] != self._fleet.version:
+            ranked = rank_recorders(self._fleet, "", WAITING_NODES)
+            self._ranking = (self._fleet.version, frozenset(ranked))
+        return own_id in self._ranking[1]
 
     def _wait(self) -> Records | None:
         try:
--- a/src/auburnsail/platform/_desired_state.py
+++ b/src/auburnsail/platform/_desired_state.py
@@ -19,7 +19,8 @@
 KEYS = 65_536
 # Busy stretches have a few dozen keys, and a part of one has to be movable.
 SHARDS = 4_096
-FEED_WAIT_MS = 10_000
+# A wait whose connection went silent is noticed only at its end.
+FEED_WAIT_MS = 4_000
 # Half a second below the platform's bound on work for a leaving upstream.
 STOP_WORK_MS = 2_000
 # Each repeat of a request repeats its calls to other services.
