--- a/Makefile
+++ b/Makefile
@@ -2,13 +2,8 @@
 PY := .venv/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections region-cut
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections
-.PHONY: placement-experiments drain-experiment
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections soak soak-mutations
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance
-.PHONY: test unit check format reference bench demo recovery control-cost silent-connections overload poison balance settings-spread
+.PHONY: format check reference unit test placement-experiments drain-experiment recovery control-cost
+.PHONY: bench silent-connections settings-spread demo region-cut soak soak-mutations overload poison balance capacity
 
 .venv: .venv/.installed
 
@@ -63,6 +58,7 @@
 
 region-cut: .venv
 	$(PY) -m tools.region_cut
+
 SEED ?= 1
 DURATION_S ?= 60
 
@@ -80,6 +76,5 @@
 balance: .venv
 	$(PY) -m tools.balance
 
-.PHONY: capacity
 capacity: .venv
 	$(PY) -m tools.capacity
