Let make demo exit with 3 when a target was missed

Cause: it printed 'missed' for the bound of 1 s and exited with 0. Change: an exit code of its own for a missed target.

--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,12 +14,13 @@
 from standins.ledger import now_ns
 
 from .demo_fleet import DemoFleet, FleetError, Vm
-from .demo_table import Events, elapsed_s, evaluate, is_broken, render
+from .demo_table import Events, elapsed_s, evaluate, is_broken, is_missed, render
 from .processes import Processes
 
 EXIT_HELD = 0
 EXIT_BROKEN = 1
 EXIT_NOT_STARTED = 2
+EXIT_MISSED = 3
 
 RATE_PER_S = 600
 KEYS = 2000
@@ -78,11 +79,11 @@
         self._fleet.start()
         print(f"{len(self._fleet.vms)} VMs serve after {elapsed_s(began_ns):.1f} s", flush=True)
 
-    def run(self) -> bool:
+    def run(self) -> int:
         """Runs the demonstration and prints its table.
 
         Returns:
-            Whether all guarantees held.
+            The exit code.
         """
         began_ns = now_ns()
         self._start_load()
@@ -97,7 +98,9 @@
         rows = evaluate(self.events, self._records(), self._fleet.ledgers(), counters)
         print("\n" + render(rows))
         print(f"\n{elapsed_s(began_ns):.1f} s from the start of the load")
-        return not is_broken(rows)
+        if is_broken(rows):
+            return EXIT_BROKEN
+        return EXIT_MISSED if is_missed(rows) else EXIT_HELD
 
     def _start_load(self) -> None:
         arguments = [vm.data for vm in self._fleet.vms]
@@ -222,7 +225,8 @@
 def main(keep: Path | None) -> None:
     """Runs the demonstration.
 
-    Exit code 0: every guarantee held; 1: one broke or was not measured; 2: the fleet did not start.
+    Exit code 0: every guarantee held; 1: one broke or was not measured; 2: the fleet did not start;
+    3: a target was missed.
     """
     # A terminated demonstration ends its processes like one that fails.
     signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(EXIT_NOT_STARTED))
@@ -237,7 +241,7 @@
                 except FleetError as error:
                     click.echo(f"demo: {error}", err=True)
                     continue
-                sys.exit(EXIT_HELD if demo.run() else EXIT_BROKEN)
+                sys.exit(demo.run())
     sys.exit(EXIT_NOT_STARTED)
 
 
--- a/tools/demo_table.py
+++ b/tools/demo_table.py
@@ -223,6 +223,11 @@
     return any(row.verdict == "BROKEN" for row in rows)
 
 
+def is_missed(rows: list[Row]) -> bool:
+    """Returns whether a target was missed."""
+    return any(row.verdict == "missed" for row in rows)
+
+
 def elapsed_s(since_ns: int) -> float:
     """Returns the seconds since a time of CLOCK_BOOTTIME."""
     return (now_ns() - since_ns) / NS_PER_S
