Fail at once for a peer that did not answer a moment ago

Change: after one connection timed out or its bytes stayed unacknowledged, requests of the next 0.5 s are refused at once, so callers hear when to come back.

--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -4,6 +4,7 @@
 again after a connection error, and a router may not repeat a request whose outcome is unknown.
 """
 
+import errno
 from dataclasses import dataclass
 
 import gevent
@@ -20,6 +21,9 @@
 CONNECT_TIMEOUT_S = 0.4
 # A connection that went silent acknowledges nothing; ten round trips between regions are 0.4 s.
 UNACKNOWLEDGED_MS = 500
+# Load pattern: a VM is cut off and every request to it would wait 0.4 s for a connection. For this
+# time after one did, the others are refused at once; then the next one tries again.
+UNREACHABLE_MS = 500
 BLOCK_BYTES = 64 * 1024
 MAX_IDLE = 64
 # Shorter than the keep-alive time of usual servers, so that the node closes first.
@@ -99,7 +103,7 @@
         except OSError as error:
             is_early = not self.interrupt_reason and self.has_early_answer
             if not (self.sending_stopped or is_early):
-                raise self._failure(str(error), "http.send") from error
+                raise self._failure(str(error), "http.send", error) from error
             # A peer may answer and close before it has read the whole request. What it sent can
             # still be received, and without an answer the receiver reports the failure.
             self.sending_stopped = True
@@ -205,7 +209,7 @@
         try:
             data = self._open_socket().recv(BLOCK_BYTES)
         except OSError as error:
-            raise self._failure(str(error), "http.receive") from error
+            raise self._failure(str(error), "http.receive", error) from error
         if self.interrupt_reason:
             raise self._failure("interrupted", "http.receive")
         if data:
@@ -219,8 +223,10 @@
             raise OSError("the connection is closed")
         return self._connection.sock
 
-    def _failure(self, detail: str, step: str) -> OutcomeUnknownError:
+    def _failure(self, detail: str, step: str, error: OSError | None = None) -> OutcomeUnknownError:
         self.abort()
+        if error is not None and error.errno == errno.ETIMEDOUT:
+            self._peer.on_unreachable()
         if self.interrupt_reason:
             detail = f"stopped: {self.interrupt_reason}"
         return OutcomeUnknownError(detail, step=step, peer=self._peer.address)
@@ -244,6 +250,7 @@
         self._clock = clock or BootClock()
         self._idle: list[_Connection] = []
         self._drops_suspects = drops_suspects
+        self._unreachable_until_ns = 0
         self.address = address
         self.slowest_recent_ns = 0.0
         self.used_ns = self._clock.now_ns()
@@ -267,6 +274,9 @@
         """
         now_ns = self._clock.now_ns()
         self.used_ns = now_ns
+        if now_ns < self._unreachable_until_ns:
+            detail = "the peer did not answer a moment ago"
+            raise NotRunError(detail, step="http.connect", peer=self.address)
         while self._idle:
             connection = self._idle[-1]
             if now_ns - connection.proven_ns > max_idle_ns:
@@ -280,6 +290,11 @@
             self.drop_idle()
         return Exchange(self, self._connect(min(timeout_s, CONNECT_TIMEOUT_S)), now_ns)
 
+    def on_unreachable(self) -> None:
+        """Notes that the peer acknowledges nothing; requests of the next moment fail at once."""
+        self._unreachable_until_ns = self._clock.now_ns() + UNREACHABLE_MS * NS_PER_MS
+        self.drop_idle()
+
     def put_idle(self, connection: _Connection, started_ns: int) -> None:
         """Keeps a connection whose exchange ended cleanly for later use."""
         now_ns = self._clock.now_ns()
@@ -378,6 +393,8 @@
             sock.connect(self._endpoint)
         except OSError as error:
             sock.close()
+            if isinstance(error, TimeoutError):
+                self.on_unreachable()
             raise NotRunError(str(error), step="http.connect", peer=self.address) from error
         except BaseException:
             sock.close()
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,59 @@
+"""Connections to a peer that does not answer."""
+
+import unittest
+
+import gevent
+from gevent import socket
+
+from auburnsail import _pool
+from auburnsail._clock import ManualClock
+from auburnsail._pool import UNREACHABLE_MS, HttpPeer
+from auburnsail.exceptions import NotRunError
+
+
+class UnreachablePeerTest(unittest.TestCase):
+    """A VM that is cut off answers nothing, not even a refusal."""
+
+    def setUp(self):
+        """Fills the queue of a listener, so that further connections are not answered."""
+        self.listener = socket.socket()
+        self.listener.bind(("127.0.0.1", 0))
+        self.listener.listen(0)
+        self.addCleanup(self.listener.close)
+        address = self.listener.getsockname()
+        self.fillers = []
+        for _ in range(4):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self.fillers.append(filler)
+            self.addCleanup(filler.close)
+        gevent.sleep(0.05)
+        self.clock = ManualClock(10**12)
+        self.peer = HttpPeer(f"127.0.0.1:{address[1]}", self.clock)
+
+    def test_only_the_first_request_waits_for_the_connection(self):
+        """Guards against requests that each wait until it is too late to say when to come back."""
+        with self.assertRaises(NotRunError):
+            self.peer.open(timeout_s=0.05)
+        with gevent.Timeout(0.02), self.assertRaisesRegex(NotRunError, "a moment ago"):
+            self.peer.open()
+
+    def test_the_peer_is_tried_again_after_a_while(self):
+        """Guards against a peer that stays left out after its links have healed."""
+        with self.assertRaises(NotRunError):
+            self.peer.open(timeout_s=0.05)
+        self.clock.advance_ms(UNREACHABLE_MS)
+        for filler in self.fillers:
+            filler.close()
+        while True:
+            try:
+                with gevent.Timeout(0.05):
+                    self.listener.accept()[0].close()
+            except gevent.Timeout:
+                break
+        self.peer.open(timeout_s=_pool.CONNECT_TIMEOUT_S).abort()
+
+
+if __name__ == "__main__":
+    unittest.main()
