--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -2,13 +2,13 @@
 
 import os
 from collections import Counter
-from dataclasses import dataclass
 
 from . import _headers
 from ._admission import Admission, Chooser, Result, Use
 from ._admission_queue import Work
 from ._answer_parser import AnswerParser
 from ._clock import NS_PER_MS, Clock
+from ._counters import Counters
 from ._crash_monitor import CrashMonitor
 from ._dialect import OWN, Dialect
 from ._flights import CALLER_GONE, DEADLINE, SILENT, Flight
@@ -24,7 +24,7 @@
 from ._upstream_answer import MISDIRECTED, NOT_RUN_STATUSES, check_proof, refusal_of, says_not_run
 from .exceptions import CallerGoneError, NoRoomError, NotRunError, OutcomeUnknownError
 
-__all__ = ["AttemptRunner", "Counters"]
+__all__ = ["AttemptRunner"]
 
 # The other node gives up a little earlier, so that its more exact outcome still arrives.
 HOP_MARGIN_MS = 10
@@ -33,21 +33,6 @@
 CONNECT_FAILED = "connect-failed"
 
 
-@dataclass(slots=True)
-class Counters:
-    """Counts of the request path since the start of the node."""
-
-    requests: int = 0
-    forwarded: int = 0
-    retries: int = 0
-    silent: int = 0
-    cancelled: int = 0
-    cut_short: int = 0
-    not_run: int = 0
-    unknown: int = 0
-    refused: int = 0
-
-
 _RESULTS = {
     Outcome.NOT_RUN: Result.NOT_RUN,
     Outcome.REFUSED: Result.NOT_RUN,
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -8,8 +8,9 @@
 
 from . import _headers
 from ._admission import Admission, Chooser, CountingAdmission, RotatingChooser
-from ._attempt import AttemptRunner, Counters
+from ._attempt import AttemptRunner
 from ._clock import NS_PER_MS, BootClock, Clock
+from ._counters import Counters
 from ._crash_monitor import CrashMonitor
 from ._dialect import OWN, Dialect
 from ._entrance import Entrance, PathEntrance, RouteEntrance
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -28,8 +28,7 @@
 
 # Callers that leave and deadlines that pass are noticed within this time.
 SWEEP_MS = 25
-# Wake-ups cost an idle node a part of a core, so the sweeps rest until a request begins. The rest
-# ends now and then for the sweep of the connections.
+# An idle node's sweeps rest until a request begins, or a sweep of the connections is due.
 IDLE_SWEEP_MS = 100
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
@@ -328,8 +327,7 @@
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Handles one accepted connection."""
-        # Head and body can leave in two segments; Nagle's algorithm then waits for the delayed
-        # acknowledgement of the first, about 40 ms.
+        # Nagle's algorithm holds a second segment back until the first is acknowledged, 40 ms.
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
 
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -20,7 +20,7 @@
 from ._effects import Applied, CrashReported, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState, Verdict
 from ._gate import RequestGate
-from ._holds import HoldTable
+from ._in_force import SettingsApplier
 from ._io import Callbacks, NodeIo, Records, UdpSocket
 from ._journal import Journal, JournalItem
 from ._membership import Membership
@@ -38,8 +38,7 @@
 from ._settings_wait import SettingsWait
 from ._snapshot_node import NodeSnapshots
 from ._sockets import endpoint
-from ._tree import effective
-from .exceptions import AuburnsailError, InvariantViolation, SettingsError
+from .exceptions import AuburnsailError, InvariantViolation
 
 __all__ = ["Announcement", "Node", "build_node"]
 
@@ -52,8 +51,7 @@
 DRAIN_GRACE_MS = 1_200
 # The platform takes a VM out after two readiness checks, one per second, have failed.
 CALLERS_GONE_S = 2.3
-# A stopping process ends within the platform's time limit for a stop, 6 s.
-RESTART_LIMIT_S = 2.5
+RESTART_LIMIT_S = 2.5  # the platform ends a process 6 s after it told it to stop
 _RANDOM = random.SystemRandom()
 # Decisions that are only kept in the journal: several a second on every node of a large fleet.
 QUIET_KINDS = frozenset({"watchers", "SetWatchers"})
@@ -141,7 +139,9 @@
             self._timers,
             random.Random(_RANDOM.getrandbits(64)),
         )
-        self._control = NodeControl(self._parts())
+        parts = self._parts()
+        self._control = NodeControl(parts)
+        self._settings_applier = SettingsApplier(parts, self._router)
         self._servers: list[WSGIServer] = []
         self._stopped = Event()
         self.stopping = False
@@ -164,7 +164,7 @@
         self._close()
 
     def stop(self) -> None:
-        """Moves everything away, ends the session and then ends the process."""
+        """Ends the process, after everything has moved away unless the upstream lives on."""
         if self.stopping:
             return
         self.stopping = True
@@ -241,7 +241,7 @@
                 case Applied():
                     self._on_applied(effect)
                 case SettingsChanged():
-                    self._on_settings(effect)
+                    self._settings_applier.apply(effect)
                 case CrashReported(notice=notice, address=address):
                     if self._data.merge_crash(notice):
                         self._run_effects(self._membership.push_crash(notice, address))
@@ -272,47 +272,6 @@
                 if self._mover.holds is not None:
                     self._mover.holds.expect(handovers)
 
-    def _on_settings(self, changed: SettingsChanged) -> None:
-        try:
-            settings = self._adapter.settings.decode(changed.version, changed.data)
-        except SettingsError as error:
-            # An accepted version was checked before; one that this program cannot read keeps the
-            # last tree in force and is reported.
-            self._journal.record("settings", "not readable", error=str(error))
-            return
-        tree = settings.tree
-        self._router.tree = tree
-        self._data.set_settings(settings)
-        self._apply_sections(tree)
-        self._snapshots.on_settings(tree)
-        for name, service in tree.services.items():
-            if service.keyed:
-                self._fleet.add_service(name, service.shards, service.keys)
-        self._add_holds(tree)
-        self._journal.record("settings", "in force", version=changed.version)
-
-    def _add_holds(self, tree: TreeSettings) -> None:
-        """Follows what the upstream holds, if its service is divided and reports grant keys."""
-        service = tree.services.get(self._settings.service)
-        if not self._adapter.reports_grant or service is None or not service.keys:
-            return
-        if self._mover.holds is None:
-            shards, keys, most_ms = service.shards, service.keys, self._settings.max_hold_ms
-            self._mover.holds = HoldTable(shards, keys, most_ms)
-
-    def _apply_sections(self, tree: TreeSettings) -> None:
-        announcement = self._upstream.announcement
-        service = announcement.service if announcement else next(iter(tree.services), "")
-        if service not in tree.services:
-            return
-        values = effective(tree, service, self._settings.region, self._settings.domain)
-        self._upstream.lost_after_ms = values.upstream.lost_after_ms
-        self._upstream.stop_work_ms = values.drain.stop_work_ms
-        self._mover.hold_ms = values.drain.hold_ms
-        self._rebalancer.set_limits(values.placement)
-        store_region = values.fleet.store_region or self._settings.store_region
-        self._membership.recording.store_region = store_region
-
     def _on_note(self, note: Note) -> None:
         self._journal.record(note.kind, note.reason, **note.facts)
 
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -1,7 +1,6 @@
 """Connections to one HTTP peer.
 
-The response parser is geventhttpclient's. Its own client is not used, because it sends a request
-again after a connection error, and a router may not repeat a request whose outcome is unknown.
+geventhttpclient's parser is used without its client, which sends a request again after an error.
 """
 
 import errno
@@ -21,12 +20,11 @@
 CONNECT_TIMEOUT_S = 0.4
 # A connection that went silent acknowledges nothing; ten round trips between regions are 0.4 s.
 UNACKNOWLEDGED_MS = 500
-# Load pattern: a VM is cut off and every request to it would wait 0.4 s for a connection. For this
-# time after one did, the others are refused at once; then the next one tries again.
+# Load pattern: a VM is cut off and every request to it would wait 0.4 s for a connection.
 UNREACHABLE_MS = 500
 BLOCK_BYTES = 64 * 1024
 MAX_IDLE = 64
-# Shorter than the keep-alive time of usual servers, so that the node closes first.
+# Shorter than usual servers' keep-alive time, so that the node closes first.
 MAX_IDLE_NS = 30_000 * NS_PER_MS
 PEAK_DECAY = 0.99
 
@@ -52,7 +50,7 @@
 
     Attributes:
         started_ns: When the exchange got its connection.
-        bytes_sent: Bytes of the request handed to the operating system, at least.
+        bytes_sent: Bytes handed to the operating system, at least.
         answered: Whether any byte of an answer arrived.
         interrupt_reason: Why the exchange was interrupted, or an empty string.
         sending_stopped: Whether the rest of the request is not sent.
@@ -104,8 +102,8 @@
             is_early = not self.interrupt_reason and self.has_early_answer
             if not (self.sending_stopped or is_early):
                 raise self._failure(str(error), "http.send", error) from error
-            # A peer may answer and close before it has read the whole request. What it sent can
-            # still be received, and without an answer the receiver reports the failure.
+            # A peer may answer and close before it has read the whole request; the answer can still
+            # be received, and without one the receiver reports the failure.
             self.sending_stopped = True
 
     def receive_head(self, method: str, echo: tuple[str, str] = ("", "")) -> AnswerParser:
@@ -149,9 +147,7 @@
     def finish(self) -> None:
         """Returns the connection to the pool if the exchange ended cleanly."""
         connection = self._connection
-        if connection is None:
-            return
-        if not self._is_clean():
+        if connection is None or not self._is_clean():
             self.abort()
             return
         self._connection = None
@@ -238,8 +234,7 @@
     Args:
         address: ``ip:port`` of the peer.
         clock: Source of time.
-        drops_suspects: Whether a silent time-out drops older idle connections; switched off only
-            to measure what it is worth.
+        drops_suspects: Whether a silent time-out drops older idle connections; off to measure it.
     """
 
     def __init__(
