Reload the settings file on SIGHUP instead of ending

Change: SIGHUP, and a check every 5 s since the file may change without a signal, read the file again; the bound on retries follows, and one line says what changed. An unreadable file leaves the last settings in force and is logged. Measured: tests/test_platform_border.py starts a node and signals it; it fails before.

--- a/src/auburnsail/_adapter.py
+++ b/src/auburnsail/_adapter.py
@@ -113,6 +113,7 @@
             apart by lifetime.
         servers: Builds further servers, for example for the platform's checks.
         gauges: Returns values for the metrics address.
+        reload: Reads the process's own settings again; returns what changed since the last time.
     """
 
     table: TableStore
@@ -123,6 +124,7 @@
     reports_grant: bool = False
     servers: Callable[[object], list] = field(default=lambda node: [])
     gauges: Callable[[], dict[str, float]] = dict
+    reload: Callable[[], dict[str, object]] = dict
 
 
 def own_adapter(settings: NodeSettings) -> Adapter:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -17,12 +17,13 @@
 from ._control_server import ControlServer
 from ._data_path import DataPath
 from ._decision_facts import facts_of
+from ._decision_lines import DecisionLines
 from ._effects import Applied, CrashReported, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState, Verdict
 from ._gate import RequestGate
 from ._in_force import SettingsApplier
 from ._io import Callbacks, NodeIo, Records, UdpSocket
-from ._journal import Journal, JournalItem
+from ._journal import Journal
 from ._membership import Membership
 from ._messages import Codec
 from ._metrics import Metrics, MetricsApplication, Observers
@@ -51,11 +52,9 @@
 DRAIN_GRACE_MS = 1_200
 # The platform takes a VM out after two readiness checks, one per second, have failed.
 CALLERS_GONE_S = 2.3
+RELOAD_CHECK_MS = 5_000
 RESTART_LIMIT_S = 2.5  # the platform ends a process 6 s after it told it to stop
 _RANDOM = random.SystemRandom()
-# Decisions that are only kept in the journal: several a second on every node of a large fleet.
-QUIET_KINDS = frozenset({"watchers", "SetWatchers"})
-LINE_FIELDS = frozenset({"kind", "reason", "map_version", "settings_version", "event"})
 
 
 class Node:
@@ -73,14 +72,16 @@
         self._adapter = adapter
         self._clock = BootClock()
         self._timers = Timers()
-        self._journal = Journal(self._clock, on_record=self._log_decision)
+        self._fleet = FleetState()
+        lines = DecisionLines(settings.node, self._fleet)
+        self._journal = Journal(self._clock, on_record=lines.write)
         self._log = structlog.get_logger(node=settings.node)
         self._metrics = Metrics(lambda: self._control.gauges())
-        self._fleet = FleetState()
         self._codec = Codec(settings.fleet_secret, _RANDOM.getrandbits(48))
         self._membership = Membership(
             _facts(settings), self._fleet, self._codec, random.Random(_RANDOM.getrandbits(64))
         )
+        lines.replica = self._membership.replica
         self._mover = Mover(self._membership, self._fleet)
         if adapter.reports_grant:
             self._mover.unkeyed_needs_lease = False
@@ -149,12 +150,15 @@
         self._timers.subscribe("upstream", _rules.TICK_MS, self._follow_upstream)
         self._timers.subscribe("expiry", EXPIRY_MS, self._expire)
         self._timers.subscribe("waiting", WAITING_LOG_MS, self._report_waiting)
+        # The settings file may change without a signal.
+        self._timers.subscribe("reload", RELOAD_CHECK_MS, lambda now_ns: self._reload("check"))
 
     def run(self) -> None:
         """Serves until the process is told to end."""
         self._start_servers()
         self._udp.start()
         gevent.signal_handler(signal.SIGTERM, self.stop)
+        gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
         self._log.info("node started", address=self._settings.data_address)
         # A timer of the hub costs less per tick than a greenlet that sleeps.
         timer = gevent.get_hub().loop.timer(_rules.TICK_MS / 1000, _rules.TICK_MS / 1000)
@@ -208,6 +212,15 @@
                 peers=list(self._settings.peers),
             )
 
+    def _reload(self, cause: str) -> None:
+        try:
+            changed = self._adapter.reload()
+        except AuburnsailError as error:
+            self._log.error("reload", cause=cause, error=str(error))
+            return
+        if changed or cause == "signal":
+            self._log.info("reload", cause=cause, changed=changed)
+
     # Events.
 
     def on_datagram(self, data: bytes, address: str) -> None:
@@ -280,19 +293,6 @@
         for note in notes:
             self._on_note(note)
 
-    def _log_decision(self, item: JournalItem) -> None:
-        """Writes a decision of the journal as a line; a node's bookkeeping is left to the journal."""
-        if item.kind in QUIET_KINDS:
-            return
-        self._log.info(
-            "decision",
-            kind=item.kind,
-            reason=item.reason,
-            map_version=self._fleet.version,
-            settings_version=self._membership.replica.settings_version,
-            **{name: value for name, value in item.facts.items() if name not in LINE_FIELDS},
-        )
-
     def _guard(self, step: Callable[[], None]) -> None:
         """Runs a step; a violated promise stops this node's work, other errors are logged."""
         try:
--- a/src/auburnsail/platform/_desired_state.py
+++ b/src/auburnsail/platform/_desired_state.py
@@ -205,11 +205,14 @@
     Args:
         table: The platform's rows.
         retries: Bound on attempts beyond the first.
+
+    Attributes:
+        retries: The bound that the next version is decoded with.
     """
 
     def __init__(self, table: PlatformTable, retries: RetryLimits) -> None:
         self._table = table
-        self._retries = retries
+        self.retries = retries
         self._feed_after = -1
 
     def read_after(self, version: int) -> list[tuple[int, bytes]]:
@@ -233,7 +236,7 @@
 
     def decode(self, version: int, data: bytes) -> SettingsInForce:
         """See `SettingsSource.decode`."""
-        return decode_desired_state(data, self._retries)
+        return decode_desired_state(data, self.retries)
 
     def _newer(self, rows: list, version: int) -> list[tuple[int, bytes]]:
         found = []
--- a/src/auburnsail/platform/_program.py
+++ b/src/auburnsail/platform/_program.py
@@ -2,6 +2,7 @@
 
 import os
 import sys
+from dataclasses import fields
 from pathlib import Path
 
 import click
@@ -25,10 +26,42 @@
 EXIT_SETTINGS = 2
 
 
-def adapter_of(boot: BootFile) -> Adapter:
-    """Returns the platform as a node sees it."""
+class _Reload:
+    """Reads the settings file again and hands on what may change while the process runs.
+
+    Args:
+        path: The settings file.
+        boot: What it said at the start.
+        settings: Uses the bound on retries.
+    """
+
+    def __init__(self, path: Path, boot: BootFile, settings: DesiredStateSettings) -> None:
+        self._path = path
+        self._boot = boot
+        self._settings = settings
+
+    def __call__(self) -> dict[str, object]:
+        """Returns the fields that changed, with their new values."""
+        boot, before = load_boot_file(self._path), self._boot
+        self._boot = boot
+        self._settings.retries = RetryLimits(boot.retry_ratio, boot.retry_reserve)
+        return {
+            item.name: str(getattr(boot, item.name))
+            for item in fields(BootFile)
+            if getattr(boot, item.name) != getattr(before, item.name)
+        }
+
+
+def adapter_of(boot: BootFile, path: Path) -> Adapter:
+    """Returns the platform as a node sees it.
+
+    Args:
+        boot: What the settings file says.
+        path: The settings file, which may change.
+    """
     store = PlatformStore(boot.store_address)
     table = PlatformTable(store)
+    settings = DesiredStateSettings(table, RetryLimits(boot.retry_ratio, boot.retry_reserve))
 
     def servers(node: NodeControl) -> list[ControlServer]:
         applications = {
@@ -43,11 +76,12 @@
     return Adapter(
         table=table,
         objects=PlatformObjects(store),
-        settings=DesiredStateSettings(table, RetryLimits(boot.retry_ratio, boot.retry_reserve)),
+        settings=settings,
         dialect=DIALECT,
         routed=True,
         reports_grant=True,
         servers=servers,
+        reload=_Reload(path, boot, settings),
         gauges=lambda: {
             f"store_calls_{step.replace('.', '_')}": count for step, count in store.calls.items()
         },
@@ -71,7 +105,7 @@
             click.echo(f"{settings}: valid")
             return
         configure_json_lines()
-        build_node(boot.node, adapter_of(boot)).run()
+        build_node(boot.node, adapter_of(boot, settings)).run()
     except AuburnsailError as error:
         click.echo(f"auburnsail-platform: {error}", err=True)
         sys.exit(EXIT_SETTINGS)
--- a/tests/test_platform_border.py
+++ b/tests/test_platform_border.py
@@ -1,5 +1,8 @@
 """What the platform sends, decoded once: settings file, desired state, reports, headers."""
 
+import signal
+import subprocess
+import sys
 import tempfile
 import unittest
 from pathlib import Path
@@ -15,7 +18,9 @@
 from auburnsail.platform._boot_file import load_boot_file
 from auburnsail.platform._desired_state import RetryLimits, decode_desired_state
 from auburnsail.platform._names import DIALECT
+from auburnsail.platform._program import adapter_of
 from auburnsail.platform._reports import ReportApplication, decode_report, encode_grants
+from tests.fleet import ROOT, free_port
 
 RETRIES = RetryLimits(0.2, 56)
 BOOT = {
@@ -129,6 +134,55 @@
             load_boot_file(Path("/nonexistent/boot.json"))
 
 
+class ReloadTest(unittest.TestCase):
+    """The settings file changes while the process runs."""
+
+    def test_a_change_is_reported_and_the_bound_on_retries_follows(self):
+        """Guards against a process that ends at SIGHUP or goes on with old bounds."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.json"
+            path.write_bytes(msgspec.json.encode(BOOT))
+            adapter = adapter_of(load_boot_file(path), path)
+            self.assertEqual(adapter.reload(), {})
+            path.write_bytes(msgspec.json.encode(BOOT | {"bounds": ["retry-budget-ratio=0.1"]}))
+            self.assertEqual(set(adapter.reload()), {"retry_ratio", "retry_reserve"})
+            self.assertEqual(adapter.settings.retries.ratio, 0.1)
+            self.assertEqual(adapter.reload(), {})
+            path.write_text("{")
+            with self.assertRaises(SettingsError):
+                adapter.reload()
+            self.assertEqual(adapter.settings.retries.ratio, 0.1)
+
+    def test_a_running_node_survives_the_signal(self):
+        """Guards against the default action of SIGHUP, which ends the process."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "boot.json"
+            ports = {name: f"127.0.0.1:{free_port()}" for name in BOOT["listen"]}
+            store = {"address": f"127.0.0.1:{free_port()}"}
+            content = {"ip": "127.0.0.1", "listen": ports, "platform": store}
+            content["internal-ports"] = [free_port(), free_port()]
+            path.write_bytes(msgspec.json.encode(BOOT | content))
+            process = subprocess.Popen(
+                [sys.executable, "deploy/node.py", "--settings", str(path)],
+                cwd=ROOT,
+                stdout=subprocess.PIPE,
+            )
+            self.addCleanup(process.stdout.close)
+            self.addCleanup(process.kill)
+            self.assertIn(b"node started", process.stdout.readline())
+            process.send_signal(signal.SIGHUP)
+            self.assertIn(b'"event":"reload"', self.line_with(process, b"reload"))
+            process.send_signal(signal.SIGTERM)
+            self.assertEqual(process.wait(10), 0)
+
+    def line_with(self, process: subprocess.Popen, text: bytes) -> bytes:
+        """Returns the first line that contains a text."""
+        for line in process.stdout:
+            if text in line:
+                return line
+        return b""
+
+
 class DesiredStateTest(unittest.TestCase):
     """The operators' desired state."""
 
