Test the commands that explain a request or a key

Cause: they had no test. Change: tests over lines of several nodes with a collector's words before them.

--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -50,10 +50,11 @@
 CLOSE_WAIT_MS = 100
 # Other nodes learn within a second that an upstream leaves.
 DRAIN_GRACE_MS = 1_200
-# The platform takes a VM out after two readiness checks, one per second, have failed.
+# The platform takes a VM out after two failed readiness checks, one per second, and ends a process
+# 6 s after it told it to stop.
 CALLERS_GONE_S = 2.3
 RELOAD_CHECK_MS = 5_000
-RESTART_LIMIT_S = 2.5  # the platform ends a process 6 s after it told it to stop
+RESTART_LIMIT_S = 2.5
 _RANDOM = random.SystemRandom()
 
 
@@ -160,7 +161,6 @@
         gevent.signal_handler(signal.SIGTERM, self.stop)
         gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
         self._log.info("node started", address=self._settings.data_address)
-        # A timer of the hub costs less per tick than a greenlet that sleeps.
         timer = gevent.get_hub().loop.timer(_rules.TICK_MS / 1000, _rules.TICK_MS / 1000)
         timer.start(self._guard, self._run_timers)
         self._stopped.wait()
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -270,8 +270,7 @@
         now_ns = self._clock.now_ns()
         self.used_ns = now_ns
         if now_ns < self._unreachable_until_ns:
-            detail = "the peer did not answer a moment ago"
-            raise NotRunError(detail, step="http.connect", peer=self.address)
+            raise NotRunError("no answer a moment ago", step="http.connect", peer=self.address)
         while self._idle:
             connection = self._idle[-1]
             if now_ns - connection.proven_ns > max_idle_ns:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,90 @@
+"""From an id or a key to the lines of all nodes that are about it."""
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+from click.testing import CliRunner
+
+from auburnsail._cli_operator import main
+from auburnsail._decision_facts import facts_of
+from auburnsail._fleet import FleetState
+from auburnsail._model import Assign, Entry, Grant, Join, Session, SessionId, Transfer
+
+LINES = [
+    {"ts": 2.0, "node": "n2", "event": "request failed", "id": "a1", "hop": True, "reason": "x"},
+    {"ts": 1.0, "node": "n1", "event": "request failed", "id": "a1.c2", "outcome": "not-run"},
+    {"ts": 1.5, "node": "n1", "event": "request failed", "id": "a12", "outcome": "not-run"},
+    {
+        "ts": 3.0,
+        "event": "decision",
+        "kind": "Transfer",
+        "reason": "applied",
+        "service": "s",
+        "version": 9,
+        "owners": [[16, 31, "n2#1"]],
+    },
+    {
+        "ts": 2.5,
+        "event": "decision",
+        "kind": "Assign",
+        "reason": "applied",
+        "service": "s",
+        "version": 4,
+        "owners": [[0, 63, "n1#1"]],
+    },
+]
+
+
+class ExplainTest(unittest.TestCase):
+    """Commands over the lines of several nodes."""
+
+    def setUp(self):
+        """Writes a log with words of a collector before each line, and lines that are none."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "log"
+        text = "".join(f"2.0 host-1 {json.dumps(line)}\n" for line in LINES)
+        self.path.write_text("no line\n{broken\n" + text)
+
+    def run_command(self, *arguments: str):
+        """Runs the operators' program."""
+        return CliRunner().invoke(main, [*arguments, str(self.path)])
+
+    def test_a_request_and_its_calls_in_order_of_time(self):
+        """Guards against an explanation that leaves out the call at fault or adds a stranger's."""
+        result = self.run_command("explain-request", "a1")
+        self.assertEqual(result.exit_code, 0, result.output)
+        first, second = result.output.splitlines()
+        self.assertIn("id=a1.c2", first)
+        self.assertIn("upstream's node", second)
+        found = json.loads(self.run_command("explain-request", "a1", "--json").output)
+        self.assertEqual([line["id"] for line in found], ["a1.c2", "a1"])
+
+    def test_an_unknown_id_is_an_exit_code(self):
+        """Guards against a script that takes silence for an explanation."""
+        self.assertEqual(self.run_command("explain-request", "zz").exit_code, 1)
+
+    def test_owners_of_a_key_by_version(self):
+        """Guards against an owner that is named although another one follows."""
+        lines = self.run_command("explain-key", "s", "20").output.splitlines()
+        self.assertIn("version 4: Assign to n1#1", lines[0])
+        self.assertIn("version 9: Transfer to n2#1", lines[1])
+        self.assertEqual(len(self.run_command("explain-key", "s", "40").output.splitlines()), 1)
+
+    def test_entries_of_the_log_say_what_they_move(self):
+        """Guards against a line on a transfer without its keys."""
+        fleet = FleetState()
+        fleet.add_service("s", 8, 64)
+        ids = [SessionId(f"n{number}", 1) for number in range(2)]
+        joins = [Join(str(i), Session(i, "r", "d", "a:1", f"{i}:2", "s", 4)) for i in ids]
+        assign = Assign("x", "s", (Grant(ids[0], tuple(range(8))),), 8)
+        move = Transfer("t", "s", ids[0], ids[1], (2, 3), (1, 1))
+        fleet.apply(Entry(1, b"", "e", (*joins, assign, move)))
+        self.assertEqual(facts_of(assign, fleet)["owners"], [[0, 63, "n0#1"]])
+        self.assertEqual(facts_of(move, fleet)["owners"], [[16, 31, "n1#1"]])
+
+
+if __name__ == "__main__":
+    unittest.main()
