--- a/src/auburnsail/_cli_explain.py
+++ b/src/auburnsail/_cli_explain.py
@@ -8,7 +8,7 @@
 import click
 import msgspec
 
-__all__ = ["explain_key", "explain_request"]
+__all__ = ["explain_request", "key_history"]
 
 # A call's id is the id of the request that makes it, this separator and its own.
 CALL_SEPARATOR = "."
@@ -96,12 +96,12 @@
     _show(found, as_json, missing, [_describe(line) for line in found])
 
 
-@click.command("explain-key")
+@click.command("key-history")
 @click.argument("service")
 @click.argument("key", type=int)
 @click.argument("logs", nargs=-1, type=click.Path(path_type=Path, exists=True))
 @click.option("--json", "as_json", is_flag=True, help="Print the lines as JSON.")
-def explain_key(service: str, key: int, logs: tuple[Path, ...], as_json: bool) -> None:
+def key_history(service: str, key: int, logs: tuple[Path, ...], as_json: bool) -> None:
     """Shows who owned a key of an ordered key space, from the nodes' logs or standard input."""
     found = lines_of_key(read_lines(logs), service, key)
     texts = [
--- a/src/auburnsail/_cli_operator.py
+++ b/src/auburnsail/_cli_operator.py
@@ -4,7 +4,7 @@
 
 from . import _cli_settings, _cli_settings_read, _cli_status
 from ._cli_common import EXIT_CODES
-from ._cli_explain import explain_key, explain_request
+from ._cli_explain import explain_request, key_history
 
 __all__ = ["main"]
 
@@ -23,7 +23,7 @@
 for _command in (*_cli_settings.COMMANDS, *_cli_settings_read.COMMANDS):
     settings.add_command(_command)
 
-for _command in (*_cli_status.COMMANDS, explain_key, explain_request):
+for _command in (*_cli_status.COMMANDS, key_history, explain_request):
     main.add_command(_command)
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -68,10 +68,10 @@
 
     def test_owners_of_a_key_by_version(self):
         """Guards against an owner that is named although another one follows."""
-        lines = self.run_command("explain-key", "s", "20").output.splitlines()
+        lines = self.run_command("key-history", "s", "20").output.splitlines()
         self.assertIn("version 4: Assign to n1#1", lines[0])
         self.assertIn("version 9: Transfer to n2#1", lines[1])
-        self.assertEqual(len(self.run_command("explain-key", "s", "40").output.splitlines()), 1)
+        self.assertEqual(len(self.run_command("key-history", "s", "40").output.splitlines()), 1)
 
     def test_entries_of_the_log_say_what_they_move(self):
         """Guards against a line on a transfer without its keys."""
