Log the queue of the VM's link, each fetch of settings, and how late a version is

Callers saw: bookings that fail and settings in force seconds late, and no line told a full link from a slow peer. Change: bytes handed to the link are modelled as a queue (decision lines 'link', gauges), fetches have a line with source, reason, bytes and time, 'in force' says how long the version was known.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -11,13 +11,14 @@
 from ._counters import Counters
 from ._crash_monitor import CrashMonitor
 from ._dialect import OWN, Dialect
+from ._exchange import Exchange
 from ._flights import CALLER_GONE, DEADLINE, SILENT, Flight
 from ._hop import Hop, HopSigner
 from ._model import Session
 from ._outcome import RETRY_HINT_MS, Outcome, RequestFailedError, not_run, parse_refusal, unknown
 from ._ownership import Ownership
 from ._peers import PeerTable
-from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS, Exchange
+from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS
 from ._relay import BUFFERED_BYTES, failure_of, pass_on, read_small, request_head, send_request
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from ._silence import silence_limit_ns
--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -8,6 +8,7 @@
 
 from ._holds import HeldRow
 from ._io import LogRecords
+from ._link_sender import LinkSender
 from ._messages import Codec
 from ._model import Handover
 
@@ -121,9 +122,11 @@
     Args:
         node: The node.
         codec: Seals what peers fetch.
+        link: The VM's link.
     """
 
-    def __init__(self, node: ControlledNode, codec: Codec) -> None:
+    def __init__(self, node: ControlledNode, codec: Codec, link: LinkSender) -> None:
+        self._link = link
         self._node = node
         self._codec = codec
         self._routes: dict[tuple[str, str], Callable[[dict, bytes], Answer]] = {
@@ -161,6 +164,7 @@
             except (msgspec.DecodeError, KeyError, ValueError) as error:
                 status, body = 400, str(error).encode()
         start_response(STATUS_LINES[status], [("content-length", str(len(body)))])
+        self._link.note(len(body))
         return [body]
 
     def _announce(self, query: dict, body: bytes) -> Answer:
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -18,6 +18,8 @@
 from ._hop import HopSigner
 from ._http_server import HttpServer
 from ._limits import LOAD_HALF_LIFE_MS, Limits, SlotAdmission
+from ._link_order import BYTES_PER_MBIT
+from ._link_sender import LinkSender
 from ._link_share import LinkTurns
 from ._model import SessionId
 from ._ownership import Gate, UpstreamLink
@@ -35,7 +37,6 @@
 
 
 # Until the upstream announces itself, nothing is sent to it.
-BYTES_PER_MBIT = 125_000
 NO_UPSTREAM = Limits(0, 0)
 # Busy stretches of keys change within seconds, and runs of them move without a cold start.
 QUICK_HALF_LIFE_MS = 2_000
@@ -56,6 +57,7 @@
         observer: Measures requests, or None.
         adapter: The platform that the node runs on; the product's own if None.
         link: What an adapter adds to the exchange with the upstream.
+        sender: The VM's link, None if nothing is counted.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         observer: Observer | None = None,
         adapter: Adapter | None = None,
         link: UpstreamLink | None = None,
+        sender: LinkSender | None = None,
     ) -> None:
         self._settings = settings
         dialect = adapter.dialect if adapter is not None else OWN
@@ -103,12 +106,15 @@
             dialect=dialect,
             own_service=settings.service if adapter is not None else "",
             link=replace(link or UpstreamLink(), turns=LinkTurns(self._link_bytes_per_s)),
+            sender=sender,
         )
         addresses = [settings.data_address]
         if adapter is not None and settings.caller_address:
             addresses.append(settings.caller_address)
         self._servers = [
-            HttpServer(endpoint(address), self._application, clock=clock, dialect=dialect)
+            HttpServer(
+                endpoint(address), self._application, clock=clock, dialect=dialect, link=sender
+            )
             for address in addresses
         ]
 
--- a/src/auburnsail/_decision_facts.py
+++ b/src/auburnsail/_decision_facts.py
@@ -1,8 +1,10 @@
-"""What a log line says about an entry of the fleet log."""
+"""What log lines say about entries of the fleet log and about fetches."""
 
 from collections.abc import Iterable
 
+from ._effects import LogName
 from ._fleet import FleetState
+from ._io import Fetched
 from ._model import (
     Assign,
     Close,
@@ -18,10 +20,12 @@
 )
 from ._shards import range_of_shards, runs_of
 
-__all__ = ["facts_of"]
+__all__ = ["facts_of", "fetch_facts", "is_notable"]
 
 # A spread of many runs would make a line of several kilobytes.
 MOST_RANGES = 16
+# Entries of the fleet log are fetched all the time; only slow fetches of them are worth a line.
+SLOW_FETCH_MS = 250
 
 
 def facts_of(command: Command, fleet: FleetState) -> dict[str, object]:
@@ -55,6 +59,26 @@
     return {}
 
 
+def is_notable(fetched: Fetched) -> bool:
+    """Whether a fetch is worth a line."""
+    is_routine = fetched.fetch.log == LogName.FLEET and fetched.took_ms < SLOW_FETCH_MS
+    return bool(fetched.error) or not is_routine
+
+
+def fetch_facts(fetched: Fetched) -> dict[str, object]:
+    """Returns who was asked for what, why, and how much came how fast."""
+    fetch = fetched.fetch
+    return {
+        "log": fetch.log,
+        "source": fetch.address or "store",
+        "why": fetch.why,
+        "after": fetch.after,
+        "newest": fetch.newest,
+        "bytes": fetched.size,
+        "took_ms": fetched.took_ms,
+    }
+
+
 def _service_of(fleet: FleetState, grants: Iterable[Grant]) -> str:
     rows = (fleet.sessions.get(grant.to) for grant in grants)
     return next((row.session.service for row in rows if row is not None), "")
--- a/src/auburnsail/_effects.py
+++ b/src/auburnsail/_effects.py
@@ -62,11 +62,21 @@
 
 @dataclass(frozen=True, slots=True)
 class FetchLog:
-    """Fetch records after a version from a peer, or from the store if no address is given."""
+    """Fetch records after a version from a peer, or from the store if no address is given.
+
+    Attributes:
+        log: Name of the log.
+        after: The version that this node has.
+        address: The peer, empty for the store.
+        why: What made the fetch due, for the log.
+        newest: The newest version that this node has heard of.
+    """
 
     log: str
     after: int
     address: str
+    why: str = ""
+    newest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/auburnsail/_flights.py
+++ b/src/auburnsail/_flights.py
@@ -5,12 +5,12 @@
 
 from ._admission import Result, Ticket, Use
 from ._admission_queue import Work
+from ._caller_request import Request
 from ._clock import NS_PER_MS
 from ._entrance import Destination
+from ._exchange import Exchange
 from ._hop import Hop
-from ._http_server import Request
 from ._outcome import RequestFailedError
-from ._pool import Exchange
 from ._retry import AttemptLog, RetryBudget
 
 __all__ = ["CALLER_GONE", "DEADLINE", "SILENT", "STALLED", "Flight", "FlightTable"]
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -10,6 +10,7 @@
 from ._admission import Admission, Chooser, CountingAdmission, RotatingChooser
 from ._admission_queue import NO_ROOM
 from ._attempt import AttemptRunner
+from ._caller_request import Request
 from ._clock import NS_PER_MS, BootClock, Clock
 from ._counters import Counters
 from ._crash_monitor import CrashMonitor
@@ -18,7 +19,7 @@
 from ._flights import SILENT, Flight, FlightTable
 from ._hop import HopSigner
 from ._http_head import RequestHead
-from ._http_server import Request
+from ._link_sender import LinkSender
 from ._outcome import (
     Outcome,
     Refusal,
@@ -33,6 +34,7 @@
 from ._request_policy import RequestPolicy
 from ._retry import AttemptLog, RetryBudget, backoff_ms
 from ._routing import Router
+from ._sockets import endpoint
 from ._upstream_answer import SHED
 from .exceptions import (
     CallerGoneError,
@@ -87,6 +89,7 @@
         dialect: Header names of callers and upstreams.
         own_service: Service of this VM, told to upstreams if the dialect has a name for it.
         link: What an adapter adds to the exchange with the upstream.
+        sender: The VM's link, None if nothing is counted.
     """
 
     def __init__(
@@ -109,6 +112,7 @@
         dialect: Dialect = OWN,
         own_service: str = "",
         link: UpstreamLink | None = None,
+        sender: LinkSender | None = None,
     ) -> None:
         self._observer = observer
         self._entrance = entrance or PathEntrance()
@@ -122,7 +126,8 @@
         self._policies: dict[str, RequestPolicy] = {}
         self._budgets: dict[str, RetryBudget] = {}
         self._flights = FlightTable()
-        self._peers = PeerTable(self._clock, reach=reach)
+        own_host = endpoint(own_address)[0] if own_address else ""
+        self._peers = PeerTable(self._clock, reach=reach, link=sender, own_host=own_host)
         self._next_expiry_ns = 0
         self._lines = RequestLines(own_address, router, self._clock)
         self.counters = Counters()
--- a/src/auburnsail/_gossip.py
+++ b/src/auburnsail/_gossip.py
@@ -33,19 +33,21 @@
     Attributes:
         log: Name of the log.
         newest: The newest version that anyone reported.
+        newest_ns: When it was reported first.
     """
 
     log: str
     newest: int = 0
+    newest_ns: int = 0
     _sources: deque[str] = field(default_factory=lambda: deque(maxlen=SOURCES_KEPT))
     _outstanding: dict[str, int] = field(default_factory=dict)
     _next_ns: int = 0
     _asked: str | None = None
 
-    def hint(self, version: int, address: str) -> None:
+    def hint(self, version: int, address: str, now_ns: int = 0) -> None:
         """Notes that a peer has a version."""
         if version > self.newest:
-            self.newest = version
+            self.newest, self.newest_ns = version, now_ns
         if version == self.newest and address not in self._sources:
             self._sources.appendleft(address)
 
@@ -60,14 +62,17 @@
             return None
         limit_ns = now_ns - FETCH_TIMEOUT_MS * NS_PER_MS
         self._outstanding = {a: t for a, t in self._outstanding.items() if t > limit_ns}
-        newest_ns = max(self._outstanding.values(), default=0)
-        if self._outstanding and now_ns - newest_ns < OTHER_SOURCE_MS * NS_PER_MS:
+        asked_ns = max(self._outstanding.values(), default=0)
+        if self._outstanding and now_ns - asked_ns < OTHER_SOURCE_MS * NS_PER_MS:
             return None
+        why = "another source is silent" if self._outstanding else "a peer has more"
+        if self._asked is not None:
+            why = "a source was named"
         address = self._choose()
         if address is None:
             return None
         self._outstanding[address] = now_ns
-        return FetchLog(self.log, have, address)
+        return FetchLog(self.log, have, address, why, self.newest)
 
     def done(self, address: str, succeeded: bool, have: int, now_ns: int) -> None:
         """Notes the end of a fetch; the store is asked next if a peer did not help."""
@@ -160,11 +165,11 @@
         self.version = 0
         self.data = b""
 
-    def offer(self, version: int, data: bytes) -> bool:
+    def offer(self, version: int, data: bytes, now_ns: int = 0) -> bool:
         """Takes a record over if it is newer; returns whether it is."""
         if version <= self.version:
             return False
         self.version = version
         self.data = data
-        self.fetcher.hint(version, "")
+        self.fetcher.hint(version, "", now_ns)
         return True
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -16,15 +16,17 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
+from ._caller_request import Request
 from ._clock import NS_PER_MS, BootClock, Clock
 from ._dialect import OWN, Dialect
-from ._http_body import BLOCK_BYTES, RequestBody
-from ._http_head import MAX_HEAD_BYTES, RequestHead, parse_head
-from ._outcome import Refusal, RequestFailedError, refused
+from ._http_body import BLOCK_BYTES
+from ._http_head import MAX_HEAD_BYTES, parse_head
+from ._link_sender import LinkSender
+from ._outcome import RequestFailedError, refused
 from ._sockets import send_all, shut_down
 from .exceptions import CallerGoneError
 
-__all__ = ["Application", "HttpServer", "Request"]
+__all__ = ["Application", "HttpServer"]
 
 # Callers that leave and deadlines that pass are noticed within this time.
 SWEEP_MS = 25
@@ -45,79 +47,13 @@
 class Application(Protocol):
     """Serves the requests of a server."""
 
-    def __call__(self, request: "Request") -> None:
+    def __call__(self, request: Request) -> None:
         """Answers one request."""
 
     def sweep(self, now_ns: int) -> None:
         """Stops requests whose time is over or whose caller has gone."""
 
 
-class Request:
-    """One request of a caller.
-
-    Attributes:
-        head: The request's head.
-        body: The request's body.
-        is_answered: Whether any byte of an answer was sent.
-    """
-
-    __slots__ = ("_connection", "_is_whole", "body", "head", "is_answered")
-
-    def __init__(self, connection: "_Connection", head: RequestHead) -> None:
-        self._connection = connection
-        self._is_whole = False
-        self.head = head
-        self.body = RequestBody(connection, head, connection.server.max_body_bytes)
-        self.is_answered = False
-
-    @property
-    def can_keep_alive(self) -> bool:
-        """Whether a further request can follow on the caller's connection."""
-        return (
-            self.head.keep_alive and self.body.is_complete and not self._connection.server.draining
-        )
-
-    @property
-    def is_whole(self) -> bool:
-        """Whether the answer is complete and the connection can be used again."""
-        return self._is_whole
-
-    def fileno(self) -> int:
-        """Returns the descriptor of the caller's connection, -1 if it is closed."""
-        return self._connection.sock.fileno()
-
-    def send(self, data: bytes) -> None:
-        """Sends a part of the answer; waits while the caller does not read.
-
-        Raises:
-            CallerGoneError: The caller closed the connection.
-        """
-        self.is_answered = True
-        self._connection.send(data)
-
-    def end(self, *, keep_alive: bool) -> None:
-        """Notes that the answer is complete."""
-        self._is_whole = keep_alive
-
-    def refuse(self, refusal: Refusal) -> None:
-        """Sends an answer of the node's own."""
-        if not self.body.is_complete:
-            self.body.skip_buffered()
-        keep_alive = self.can_keep_alive
-        head_only = self.head.method == "HEAD"
-        dialect = self._connection.server.dialect
-        self.send(refusal.encode(close=not keep_alive, head_only=head_only, dialect=dialect))
-        self.end(keep_alive=keep_alive)
-
-    def break_off(self) -> None:
-        """Resets the caller's connection, so that a partial answer cannot pass for a whole one."""
-        self._connection.reset()
-
-    def interrupt_read(self) -> None:
-        """Makes reading the body fail; an answer can still be sent."""
-        self._connection.read_stopped = True
-
-
 class _Connection:
     """One caller's connection; serves its requests one after another."""
 
@@ -281,6 +217,7 @@
         clock: Source of time.
         max_body_bytes: Longest request body.
         dialect: Header names of the callers.
+        link: The VM's link, None if nothing is counted.
 
     Attributes:
         draining: Whether the server has stopped accepting.
@@ -300,7 +237,9 @@
         clock: Clock | None = None,
         max_body_bytes: int = MAX_BODY_BYTES,
         dialect: Dialect = OWN,
+        link: LinkSender | None = None,
     ) -> None:
+        self.link = link
         super().__init__(listener, application, log=None, error_log=None)
         self.clock = clock or BootClock()
         self.connections: set[_Connection] = set()
--- a/src/auburnsail/_in_force.py
+++ b/src/auburnsail/_in_force.py
@@ -1,5 +1,6 @@
 """Puts a version of the settings in force in the parts of a node."""
 
+from ._clock import NS_PER_MS
 from ._effects import SettingsChanged
 from ._holds import HoldTable
 from ._node_control import NodeParts
@@ -30,6 +31,7 @@
         one in force and is reported.
         """
         parts = self._parts
+        started_ns = parts.clock.now_ns()
         try:
             settings = parts.adapter.settings.decode(changed.version, changed.data)
         except SettingsError as error:
@@ -44,7 +46,15 @@
             if service.keyed:
                 parts.fleet.add_service(name, service.shards, service.keys)
         self._add_holds(tree)
-        parts.journal.record("settings", "in force", version=changed.version)
+        now_ns = parts.clock.now_ns()
+        parts.journal.record(
+            "settings",
+            "in force",
+            version=changed.version,
+            bytes=len(changed.data),
+            known_ms=parts.membership.replica.settings_age_ns(started_ns) // NS_PER_MS,
+            took_ms=(now_ns - started_ns) // NS_PER_MS,
+        )
 
     def _add_holds(self, tree: TreeSettings) -> None:
         """Follows what the upstream holds, if its service is divided and reports grant keys."""
--- a/src/auburnsail/_io.py
+++ b/src/auburnsail/_io.py
@@ -15,6 +15,7 @@
     dump_fleet,
     restore_fleet,
 )
+from ._clock import NS_PER_MS, Clock
 from ._effects import (
     Appended,
     FetchLog,
@@ -29,6 +30,7 @@
     Unsettled,
 )
 from ._fleet import FleetState
+from ._link_sender import LinkSender
 from ._log import VersionedLog
 from ._messages import Codec
 from ._pool import HttpPeer
@@ -41,7 +43,7 @@
     StoreUnavailableError,
 )
 
-__all__ = ["LogRecords", "NodeIo", "UdpSocket"]
+__all__ = ["Fetched", "LogRecords", "NodeIo", "UdpSocket"]
 
 MAX_DATAGRAM_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 1 << 20
@@ -74,6 +76,7 @@
         address: ``ip:port`` to bind.
         on_datagram: Called with data and sender address from the hub; it must not block.
         reach: Returns where to send for an address.
+        link: The VM's link.
     """
 
     def __init__(
@@ -81,7 +84,9 @@
         address: str,
         on_datagram: Callable[[bytes, str], None],
         reach: Callable[[str], str],
+        link: LinkSender,
     ) -> None:
+        self._link = link
         host, port = endpoint(address)
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         self._socket = socket.socket(family, socket.SOCK_DGRAM)
@@ -117,6 +122,7 @@
             return
         self.traffic.sent += 1
         self.traffic.sent_bytes += len(data)
+        self._link.note(len(data))
 
     def close(self) -> None:
         """Stops receiving and closes the socket."""
@@ -125,6 +131,23 @@
         self._socket.close()
 
 
+@dataclass(frozen=True, slots=True)
+class Fetched:
+    """How a fetch ended.
+
+    Attributes:
+        fetch: What was asked for.
+        took_ms: Time until the answer, or until it was given up.
+        size: Bytes of the records.
+        error: Why there are none, empty if the fetch succeeded.
+    """
+
+    fetch: FetchLog
+    took_ms: int
+    size: int
+    error: str = ""
+
+
 @dataclass(slots=True)
 class Callbacks:
     """Where results go; each is called from a greenlet of its own.
@@ -132,12 +155,14 @@
     Attributes:
         on_store_reply: Receives ticket and reply of an append.
         on_records: Receives log name, records or None, and the address that was asked.
+        on_fetched: Receives how each fetch ended, before its records.
         on_restored: Called after the fleet's state was replaced from a checkpoint.
         on_failure: Receives errors that need no other reaction than a log line.
     """
 
     on_store_reply: Callable[[int, StoreReply], None]
     on_records: Callable[[str, Records | None, str], None]
+    on_fetched: Callable[["Fetched"], None]
     on_restored: Callable[[], None]
     on_failure: Callable[[AuburnsailError], None]
 
@@ -154,6 +179,8 @@
         callbacks: Where results go.
         reach: Returns where to connect for the address of a peer.
         settings: Where accepted settings are kept.
+        clock: Source of time.
+        link: The VM's link.
     """
 
     def __init__(
@@ -166,7 +193,11 @@
         callbacks: Callbacks,
         reach: Callable[[str], str],
         settings: SettingsSource,
+        clock: Clock,
+        link: LinkSender,
     ) -> None:
+        self._clock = clock
+        self._link = link
         self._fleet_log = VersionedLog(table, LogName.FLEET)
         self._settings = settings
         self._objects = objects
@@ -220,11 +251,15 @@
             return Superseded(())
 
     def _fetch(self, fetch: FetchLog) -> None:
+        started_ns, error_text = self._clock.now_ns(), ""
         try:
             records = self._from_peer(fetch) if fetch.address else self._from_store(fetch)
         except AuburnsailError as error:
-            self._callbacks.on_failure(error)
+            error_text = str(error)
             records = None
+        size = sum(len(data) for _, data in records or ())
+        took_ms = (self._clock.now_ns() - started_ns) // NS_PER_MS
+        self._callbacks.on_fetched(Fetched(fetch, took_ms, size, error_text))
         self._callbacks.on_records(fetch.log, records, fetch.address)
 
     def _from_store(self, fetch: FetchLog) -> Records:
@@ -259,7 +294,7 @@
         return msgspec.msgpack.decode(body, type=LogRecords).records
 
     def _get(self, address: str, target: str) -> tuple[int, bytes]:
-        peer = HttpPeer(self._reach(address))
+        peer = HttpPeer(self._reach(address), link=self._link)
         try:
             answer = peer.fetch("GET", target, timeout_s=PEER_TIMEOUT_S)
         finally:
@@ -273,7 +308,7 @@
         return answer.status, body
 
     def _post(self, post: Post) -> None:
-        peer = HttpPeer(self._reach(post.address))
+        peer = HttpPeer(self._reach(post.address), link=self._link)
         try:
             peer.fetch("POST", "/v1/message", post.data, timeout_s=PEER_TIMEOUT_S)
         except AuburnsailError as error:
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -264,13 +264,13 @@
     def _on_message(self, message: Message, address: str, now_ns: int) -> None:
         match message:
             case Renewal():
-                self._replica.hint(message.fleet, message.settings, address)
+                self._replica.hint(message.fleet, message.settings, address, now_ns)
                 self._on_renewal(message, address, now_ns)
             case Ack():
-                self._replica.hint(message.fleet, message.settings, address)
+                self._replica.hint(message.fleet, message.settings, address, now_ns)
                 self._on_ack(message, now_ns)
             case Versions():
-                self._replica.hint(message.fleet, message.settings, address)
+                self._replica.hint(message.fleet, message.settings, address, now_ns)
                 self._fetch(now_ns)
             case Push(entry=entry):
                 self._offer(entry, address, now_ns, push=True)
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -16,19 +16,22 @@
 from ._control import Announcement, ControlApplication
 from ._control_server import ControlServer
 from ._data_path import DataPath
-from ._decision_facts import facts_of
+from ._decision_facts import facts_of, fetch_facts, is_notable
 from ._decision_lines import DecisionLines
 from ._effects import Applied, CrashReported, Effect, LogName, Note, SettingsChanged, StoreReply
 from ._fleet import FleetState, Verdict
 from ._gate import RequestGate
 from ._in_force import SettingsApplier
-from ._io import Callbacks, NodeIo, Records, UdpSocket
+from ._io import Callbacks, Fetched, NodeIo, Records, UdpSocket
 from ._journal import Journal
+from ._link_order import BYTES_PER_MBIT, LinkOrder
+from ._link_sender import LinkSender
 from ._membership import Membership
 from ._messages import Codec
 from ._metrics import Metrics, MetricsApplication, Observers
 from ._model import Transfer
 from ._moves import Mover
+from ._node_checks import NodeChecks
 from ._node_control import NodeControl, NodeParts
 from ._ownership import UpstreamLink
 from ._quarantine import CrashNotice
@@ -44,7 +47,6 @@
 __all__ = ["Announcement", "Node", "build_node"]
 
 EXPIRY_MS = 5_000
-WAITING_LOG_MS = 5000
 LEAVE_LIMIT_MS = 60_000
 IN_FLIGHT_LIMIT_S = 3_600.0
 CLOSE_WAIT_MS = 100
@@ -53,7 +55,6 @@
 # The platform takes a VM out after two failed readiness checks, one per second, and ends a process
 # 6 s after it told it to stop.
 CALLERS_GONE_S = 2.3
-RELOAD_CHECK_MS = 5_000
 RESTART_LIMIT_S = 2.5
 _RANDOM = random.SystemRandom()
 
@@ -80,7 +81,7 @@
         self._metrics = Metrics(lambda: self._control.gauges())
         self._codec = Codec(settings.fleet_secret, _RANDOM.getrandbits(48))
         self._membership = Membership(
-            _facts(settings), self._fleet, self._codec, random.Random(_RANDOM.getrandbits(64))
+            NodeFacts.of(settings), self._fleet, self._codec, random.Random(_RANDOM.getrandbits(64))
         )
         lines.replica = self._membership.replica
         self._mover = Mover(self._membership, self._fleet)
@@ -92,20 +93,30 @@
         )
         self._router = Router(self._fleet, TreeSettings({}))
         self._gate = RequestGate(self._mover, self._membership, self._clock)
-        self._udp = UdpSocket(settings.control_address, self.on_datagram, settings.reach)
+        self._link = LinkSender(LinkOrder(settings.link_mbps * BYTES_PER_MBIT), self._clock)
+        self._udp = UdpSocket(
+            settings.control_address, self.on_datagram, settings.reach, self._link
+        )
         self._io = NodeIo(
             adapter.table,
             adapter.objects,
             self._fleet,
             self._codec,
             self._udp,
-            Callbacks(self._on_store_reply, self.on_records, self._on_restored, self._on_failure),
+            Callbacks(
+                self._on_store_reply,
+                self.on_records,
+                self._on_fetched,
+                self._on_restored,
+                self._on_failure,
+            ),
             settings.reach,
             adapter.settings,
+            self._clock,
+            self._link,
         )
         self.violation = ""
         self._fleet_loaded = False
-        self._started_ns = self._clock.now_ns()
         self._snapshots = NodeSnapshots(
             settings,
             self._fleet,
@@ -126,6 +137,7 @@
             Observers((self._snapshots.measurements, self._metrics)),
             adapter,
             UpstreamLink(self._instance, self._upstream.on_answer, self._upstream.on_misdirected),
+            self._link,
         )
         self._rebalancer = Rebalancer(
             Surroundings(
@@ -150,16 +162,14 @@
         self._timers.subscribe("membership", _rules.TICK_MS, self._tick)
         self._timers.subscribe("upstream", _rules.TICK_MS, self._follow_upstream)
         self._timers.subscribe("expiry", EXPIRY_MS, self._expire)
-        self._timers.subscribe("waiting", WAITING_LOG_MS, self._report_waiting)
-        # The settings file may change without a signal.
-        self._timers.subscribe("reload", RELOAD_CHECK_MS, lambda now_ns: self._reload("check"))
+        self._checks = NodeChecks(parts, self._timers, lambda: self._fleet_loaded)
 
     def run(self) -> None:
         """Serves until the process is told to end."""
         self._start_servers()
         self._udp.start()
         gevent.signal_handler(signal.SIGTERM, self.stop)
-        gevent.signal_handler(signal.SIGHUP, self._reload, "signal")
+        gevent.signal_handler(signal.SIGHUP, self._checks.reload, "signal")
         self._log.info("node started", address=self._settings.data_address)
         timer = gevent.get_hub().loop.timer(_rules.TICK_MS / 1000, _rules.TICK_MS / 1000)
         timer.start(self._guard, self._run_timers)
@@ -200,27 +210,6 @@
     def _expire(self, now_ns: int) -> None:
         self._data.expire(now_ns, set(self._fleet.sessions))
 
-    def _report_waiting(self, now_ns: int) -> None:
-        if self._fleet_loaded and self._membership.replica.settings_version:
-            return
-        if now_ns - self._started_ns > WAITING_LOG_MS * NS_PER_MS:
-            missing = "settings" if self._fleet_loaded else "fleet log"
-            self._log.warning(
-                "waiting for the store or a known peer",
-                missing=missing,
-                store=self._settings.store_url,
-                peers=list(self._settings.peers),
-            )
-
-    def _reload(self, cause: str) -> None:
-        try:
-            changed = self._adapter.reload()
-        except AuburnsailError as error:
-            self._log.error("reload", cause=cause, error=str(error))
-            return
-        if changed or cause == "signal":
-            self._log.info("reload", cause=cause, changed=changed)
-
     # Events.
 
     def on_datagram(self, data: bytes, address: str) -> None:
@@ -241,6 +230,10 @@
             lambda: self._run_effects(self._membership.on_records(log, records, address, now_ns))
         )
 
+    def _on_fetched(self, fetched: Fetched) -> None:
+        if is_notable(fetched):
+            self._journal.record("fetch", fetched.error or "answered", **fetch_facts(fetched))
+
     def _on_restored(self) -> None:
         self._journal.record("fleet", "restored from a checkpoint", version=self._fleet.version)
         self._membership.on_restored(self._clock.now_ns())
@@ -317,7 +310,7 @@
 
     def _start_servers(self) -> None:
         control = endpoint(self._settings.control_address)
-        application = ControlApplication(self._control, self._codec)
+        application = ControlApplication(self._control, self._codec, self._link)
         self._servers = [ControlServer(control, application)]
         self._servers += self._adapter.servers(self._control)
         if self._settings.metrics_address:
@@ -378,22 +371,11 @@
             snapshots=self._snapshots,
             rebalancer=self._rebalancer,
             adapter=self._adapter,
+            link=self._link,
             node=self,
         )
 
 
-def _facts(settings: NodeSettings) -> NodeFacts:
-    return NodeFacts(
-        node=settings.node,
-        region=settings.region,
-        domain=settings.domain,
-        data_address=settings.data_address,
-        control_address=settings.control_address,
-        store_region=settings.store_region,
-        peers=settings.peers,
-    )
-
-
 def build_node(settings: NodeSettings, adapter: Adapter | None = None) -> Node:
     """Wires a node from its settings."""
     return Node(settings, adapter)
--- /dev/null
+++ b/src/auburnsail/_node_checks.py
@@ -0,0 +1,62 @@
+"""Periodic checks that change nothing but the log and the process's own settings."""
+
+from collections.abc import Callable
+
+import structlog
+
+from ._clock import NS_PER_MS, Timers
+from ._node_control import NodeParts
+from .exceptions import AuburnsailError
+
+__all__ = ["NodeChecks"]
+
+WAITING_LOG_MS = 5_000
+RELOAD_CHECK_MS = 5_000
+# Full links are noticed within half of the objective of calls, 0.2 s.
+LINK_CHECK_MS = 100
+
+
+class NodeChecks:
+    """Reports a node that waits for others, a full link and changed settings.
+
+    Args:
+        parts: The parts of the node.
+        timers: Calls the checks.
+        fleet_loaded: Whether the node has read the fleet log.
+    """
+
+    def __init__(self, parts: NodeParts, timers: Timers, fleet_loaded: Callable[[], bool]) -> None:
+        self._parts = parts
+        self._fleet_loaded = fleet_loaded
+        self._log = structlog.get_logger(node=parts.settings.node)
+        self._started_ns = parts.clock.now_ns()
+        timers.subscribe("waiting", WAITING_LOG_MS, self._report_waiting)
+        timers.subscribe("link", LINK_CHECK_MS, self._follow_link)
+        # The settings file may change without a signal.
+        timers.subscribe("reload", RELOAD_CHECK_MS, lambda now_ns: self.reload("check"))
+
+    def reload(self, cause: str) -> None:
+        """Reads the process's own settings again."""
+        try:
+            changed = self._parts.adapter.reload()
+        except AuburnsailError as error:
+            self._log.error("reload", cause=cause, error=str(error))
+            return
+        if changed or cause == "signal":
+            self._log.info("reload", cause=cause, changed=changed)
+
+    def _report_waiting(self, now_ns: int) -> None:
+        has_fleet = self._fleet_loaded()
+        if has_fleet and self._parts.membership.replica.settings_version:
+            return
+        if now_ns - self._started_ns > WAITING_LOG_MS * NS_PER_MS:
+            self._log.warning(
+                "waiting for the store or a known peer",
+                missing="settings" if has_fleet else "fleet log",
+                store=self._parts.settings.store_url,
+                peers=list(self._parts.settings.peers),
+            )
+
+    def _follow_link(self, now_ns: int) -> None:
+        if change := self._parts.link.check(now_ns):
+            self._parts.journal.record("link", change, **self._parts.link.facts())
--- a/src/auburnsail/_node_control.py
+++ b/src/auburnsail/_node_control.py
@@ -14,6 +14,7 @@
 from ._holds import Grants
 from ._io import NodeIo, Records, UdpSocket
 from ._journal import Journal
+from ._link_sender import LinkSender
 from ._membership import Membership
 from ._messages import Codec
 from ._moves import Mover
@@ -59,6 +60,7 @@
     snapshots: NodeSnapshots
     rebalancer: Rebalancer
     adapter: Adapter
+    link: LinkSender
     node: NodeEvents
 
 
@@ -202,6 +204,7 @@
             "draining": float(bool(parts.mover.draining)),
             "datagrams_sent": parts.udp.traffic.sent,
             "datagrams_received": parts.udp.traffic.received,
+            **parts.link.facts(),
             **parts.data.gauges(),
             **parts.adapter.gauges(),
         }
--- a/src/auburnsail/_peers.py
+++ b/src/auburnsail/_peers.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 from ._clock import NS_PER_MS, Clock
+from ._link_sender import LinkSender
 from ._pool import MAX_IDLE_NS, HttpPeer
+from ._sockets import endpoint
 
 __all__ = ["PeerTable"]
 
@@ -21,6 +23,8 @@
         clock: Source of time.
         max_idle: Idle connections to all peers together, as enforced by `expire`.
         reach: Returns where to connect for an address.
+        link: The VM's link, None if nothing is counted.
+        own_host: Address of this VM; what stays on it does not cross the link.
     """
 
     def __init__(
@@ -28,7 +32,11 @@
         clock: Clock,
         max_idle: int = MAX_IDLE_TOTAL,
         reach: Callable[[str], str] = str,
+        link: LinkSender | None = None,
+        own_host: str = "",
     ) -> None:
+        self._link = link
+        self._own_host = own_host
         self._clock = clock
         self._reach = reach
         self._max_idle = max_idle
@@ -41,7 +49,9 @@
         """Returns the pool for an address."""
         peer = self._peers.get(address)
         if peer is None:
-            peer = self._peers[address] = HttpPeer(self._reach(address), self._clock)
+            is_local = endpoint(address)[0] == self._own_host
+            link = None if is_local else self._link
+            peer = self._peers[address] = HttpPeer(self._reach(address), self._clock, link=link)
         return peer
 
     def expire(self, now_ns: int) -> None:
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -3,18 +3,18 @@
 geventhttpclient's parser is used without its client, which sends a request again after an error.
 """
 
-import errno
 from dataclasses import dataclass
 
 import gevent
 from gevent import socket
 
-from ._answer_parser import AnswerParser, HTTPParseError
 from ._clock import NS_PER_MS, BootClock, Clock
-from ._sockets import endpoint, is_quiet, probe_when_idle, send_all, set_options, shut_down
+from ._exchange import Connection, Exchange
+from ._link_sender import LinkSender
+from ._sockets import endpoint, is_quiet, probe_when_idle, set_options
 from .exceptions import NotRunError, OutcomeUnknownError
 
-__all__ = ["Answer", "Exchange", "HttpPeer"]
+__all__ = ["Answer", "HttpPeer"]
 
 # Ten round trips between regions; a VM that is cut off answers nothing.
 CONNECT_TIMEOUT_S = 0.4
@@ -22,7 +22,6 @@
 UNREACHABLE_MS = 500
 # Longer waits than those of usual calls are worth the packets of probes.
 PROBED_WAIT_S = 5.0
-BLOCK_BYTES = 64 * 1024
 MAX_IDLE = 64
 # Shorter than usual servers' keep-alive time, so that the node closes first.
 MAX_IDLE_NS = 30_000 * NS_PER_MS
@@ -38,196 +37,6 @@
     body: bytes
 
 
-@dataclass(slots=True)
-class _Connection:
-    sock: socket.socket
-    proven_ns: int
-    is_reused: bool = False
-
-
-class Exchange:
-    """One request on one connection; closed unless the exchange ends cleanly.
-
-    Attributes:
-        started_ns: When the exchange got its connection.
-        bytes_sent: Bytes handed to the operating system, at least.
-        answered: Whether any byte of an answer arrived.
-        interrupt_reason: Why the exchange was interrupted, or an empty string.
-        sending_stopped: Whether the rest of the request is not sent.
-    """
-
-    __slots__ = (
-        "_connection",
-        "_left",
-        "_parser",
-        "_peer",
-        "answered",
-        "bytes_sent",
-        "interrupt_reason",
-        "sending_stopped",
-        "started_ns",
-    )
-
-    def __init__(self, peer: "HttpPeer", connection: _Connection, now_ns: int) -> None:
-        self._peer = peer
-        self._connection: _Connection | None = connection
-        self._parser: AnswerParser | None = None
-        self._left = 0
-        self.started_ns = now_ns
-        self.bytes_sent = 0
-        self.answered = False
-        self.interrupt_reason = ""
-        self.sending_stopped = False
-
-    @property
-    def is_reused(self) -> bool:
-        """Whether the connection served an earlier exchange."""
-        return self._connection is not None and self._connection.is_reused
-
-    @property
-    def has_early_answer(self) -> bool:
-        """Whether the peer sent something, or closed, before the request was sent completely."""
-        return self._connection is not None and not is_quiet(self._connection.sock)
-
-    def send(self, data: bytes) -> None:
-        """Sends raw bytes of the request.
-
-        Raises:
-            OutcomeUnknownError: The connection broke; some of the bytes may have arrived.
-        """
-        self.bytes_sent += len(data)
-        try:
-            send_all(self._open_socket(), data)
-        except OSError as error:
-            is_early = not self.interrupt_reason and self.has_early_answer
-            if not (self.sending_stopped or is_early):
-                raise self._failure(str(error), "http.send", error) from error
-            # A peer may answer and close before it has read the whole request; the answer can still
-            # be received, and without one the receiver reports the failure.
-            self.sending_stopped = True
-
-    def receive_head(self, method: str, echo: tuple[str, str] = ("", "")) -> AnswerParser:
-        """Waits for the status line and the headers of the answer.
-
-        Args:
-            method: The request's method.
-            echo: See `AnswerParser`.
-
-        Raises:
-            OutcomeUnknownError: The connection ended or carried no valid answer.
-        """
-        self._parser = parser = AnswerParser(method, echo)
-        while not parser.head_done:
-            self._receive()
-        if parser.length is not None:
-            self._left = parser.length
-        return parser
-
-    def read(self) -> bytes:
-        """Returns the next part of the body, or empty bytes at its end.
-
-        Raises:
-            OutcomeUnknownError: The body was cut short.
-        """
-        parser = self._parser
-        data = parser.take_body()
-        if parser.length is not None:
-            if not data and self._left:
-                data = self._receive_raw()
-                if len(data) > self._left:
-                    parser.has_excess = True
-                    data = data[: self._left]
-            self._left -= len(data)
-            return data
-        while not data and not parser.done:
-            self._receive()
-            data = parser.take_body()
-        return data
-
-    def finish(self) -> None:
-        """Returns the connection to the pool if the exchange ended cleanly."""
-        connection = self._connection
-        if connection is None or not self._is_clean():
-            self.abort()
-            return
-        self._connection = None
-        self._peer.put_idle(connection, self.started_ns)
-
-    def abort(self) -> None:
-        """Closes the connection."""
-        connection, self._connection = self._connection, None
-        if connection is not None:
-            connection.sock.close()
-
-    def stop_sending(self) -> None:
-        """Gives up the rest of the request and wakes a blocked `send`; the answer can be read."""
-        if self._connection is None or self.sending_stopped:
-            return
-        self.sending_stopped = True
-        shut_down(self._connection.sock, socket.SHUT_WR)
-
-    def interrupt(self, reason: str) -> None:
-        """Makes a blocked call of another greenlet on this exchange fail.
-
-        Args:
-            reason: Kept in `interrupt_reason` and named in the error.
-        """
-        if self._connection is None or self.interrupt_reason:
-            return
-        self.interrupt_reason = reason
-        shut_down(self._connection.sock, socket.SHUT_RDWR)
-
-    def suspect(self) -> None:
-        """Notes that the peer stayed silent on this exchange."""
-        if not self.answered:
-            self._peer.suspect_before(self.started_ns)
-
-    def _is_clean(self) -> bool:
-        parser = self._parser
-        if parser is None or not parser.head_done or not parser.keep_alive or parser.has_excess:
-            return False
-        return self._left == 0 if parser.length is not None else parser.done
-
-    def _receive(self) -> None:
-        data = self._receive_raw(at_end_ok=True)
-        parser = self._parser
-        try:
-            if data:
-                parser.feed(data)
-            elif parser.head_done and parser.length is None and not parser.is_chunked:
-                parser.done = True
-            else:
-                raise HTTPParseError("the connection ended inside the answer")
-        except HTTPParseError as error:
-            raise self._failure(str(error), "http.receive") from error
-
-    def _receive_raw(self, at_end_ok: bool = False) -> bytes:
-        try:
-            data = self._open_socket().recv(BLOCK_BYTES)
-        except OSError as error:
-            raise self._failure(str(error), "http.receive", error) from error
-        if self.interrupt_reason:
-            raise self._failure("interrupted", "http.receive")
-        if data:
-            self.answered = True
-        elif not at_end_ok:
-            raise self._failure("the connection ended inside the body", "http.receive")
-        return data
-
-    def _open_socket(self) -> socket.socket:
-        if self._connection is None:
-            raise OSError("the connection is closed")
-        return self._connection.sock
-
-    def _failure(self, detail: str, step: str, error: OSError | None = None) -> OutcomeUnknownError:
-        self.abort()
-        if error is not None and error.errno == errno.ETIMEDOUT:
-            self._peer.on_unreachable()
-        if self.interrupt_reason:
-            detail = f"stopped: {self.interrupt_reason}"
-        return OutcomeUnknownError(detail, step=step, peer=self._peer.address)
-
-
 class HttpPeer:
     """A pool of connections to one address.
 
@@ -235,15 +44,22 @@
         address: ``ip:port`` of the peer.
         clock: Source of time.
         drops_suspects: Whether a silent time-out drops older idle connections; off to measure it.
+        link: The VM's link, None for a peer on this VM.
     """
 
     def __init__(
-        self, address: str, clock: Clock | None = None, *, drops_suspects: bool = True
+        self,
+        address: str,
+        clock: Clock | None = None,
+        *,
+        drops_suspects: bool = True,
+        link: LinkSender | None = None,
     ) -> None:
+        self.link = link
         self._endpoint = endpoint(address)
         self._family = socket.AF_INET6 if ":" in self._endpoint[0] else socket.AF_INET
         self._clock = clock or BootClock()
-        self._idle: list[_Connection] = []
+        self._idle: list[Connection] = []
         self._drops_suspects = drops_suspects
         self._unreachable_until_ns = 0
         self.address = address
@@ -289,7 +105,7 @@
         self._unreachable_until_ns = self._clock.now_ns() + UNREACHABLE_MS * NS_PER_MS
         self.drop_idle()
 
-    def put_idle(self, connection: _Connection, started_ns: int) -> None:
+    def put_idle(self, connection: Connection, started_ns: int) -> None:
         """Keeps a connection whose exchange ended cleanly for later use."""
         now_ns = self._clock.now_ns()
         self.slowest_recent_ns = max(now_ns - started_ns, self.slowest_recent_ns * PEAK_DECAY)
@@ -379,7 +195,7 @@
             timeout.close()
             exchange.abort()
 
-    def _connect(self, timeout_s: float) -> _Connection:
+    def _connect(self, timeout_s: float) -> Connection:
         sock = socket.socket(self._family, socket.SOCK_STREAM)
         try:
             sock.settimeout(timeout_s)
@@ -394,4 +210,4 @@
             raise
         set_options(sock)
         sock.settimeout(None)
-        return _Connection(sock, self._clock.now_ns())
+        return Connection(sock, self._clock.now_ns())
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -5,10 +5,10 @@
 from ._answer_parser import AnswerParser
 from ._clock import Clock
 from ._dialect import Dialect
+from ._exchange import Exchange
 from ._flights import STALL_TIMEOUT_NS, Flight
 from ._link_share import LinkTurns
 from ._outcome import RequestFailedError, unknown
-from ._pool import Exchange
 from .exceptions import CallerGoneError, OutcomeUnknownError
 
 __all__ = ["BUFFERED_BYTES", "failure_of", "pass_on", "read_small", "request_head", "send_request"]
--- a/src/auburnsail/_replica.py
+++ b/src/auburnsail/_replica.py
@@ -61,12 +61,17 @@
         """Returns entries of the fleet log, or None if they are not kept."""
         return self._entries.after(version)
 
-    def hint(self, fleet: int, settings: int, address: str) -> None:
+    def settings_age_ns(self, now_ns: int) -> int:
+        """Returns how long ago this node first heard of the newest version of the settings."""
+        heard_ns = self._settings.fetcher.newest_ns
+        return now_ns - heard_ns if heard_ns else 0
+
+    def hint(self, fleet: int, settings: int, address: str, now_ns: int) -> None:
         """Notes the versions that a peer has."""
         if fleet > self._fleet.version:
-            self._entries.fetcher.hint(fleet, address)
+            self._entries.fetcher.hint(fleet, address, now_ns)
         if settings > self._settings.version:
-            self._settings.fetcher.hint(settings, address)
+            self._settings.fetcher.hint(settings, address, now_ns)
 
     def ask_store(self) -> None:
         """Makes the next fetch of the fleet log go to the store."""
@@ -82,7 +87,7 @@
 
     def take_settings(self, records: Records | None, address: str, now_ns: int) -> bool:
         """Ends a fetch of the settings log; returns whether a newer version came."""
-        changed = [self._settings.offer(version, data) for version, data in records or ()]
+        changed = [self._settings.offer(version, data, now_ns) for version, data in records or ()]
         _finish(self._settings.fetcher, records, address, self._settings.version, now_ns)
         return any(changed)
 
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -13,6 +13,7 @@
 from ._fleet import FleetState
 from ._lease import LeaseHolder
 from ._model import Command, Join, Leave, Resume, Session, SessionId, SetWatchers, Succeed
+from ._settings import NodeSettings
 
 __all__ = ["NodeFacts", "OwnSession", "Phase", "choose_watchers"]
 
@@ -43,6 +44,19 @@
     store_region: str = ""
     peers: tuple[str, ...] = ()
 
+    @classmethod
+    def of(cls, settings: NodeSettings) -> "NodeFacts":
+        """Returns what the settings say."""
+        return cls(
+            node=settings.node,
+            region=settings.region,
+            domain=settings.domain,
+            data_address=settings.data_address,
+            control_address=settings.control_address,
+            store_region=settings.store_region,
+            peers=settings.peers,
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class Presence:
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -11,6 +11,7 @@
 from auburnsail._forward import ProxyApplication
 from auburnsail._hop import HopSigner
 from auburnsail._http_server import HttpServer
+from auburnsail._link_sender import LinkSender
 from auburnsail._model import Assign, Entry, Grant, Join, Session, SessionId
 from auburnsail._routing import Router
 from auburnsail._settings import ServiceSettings, TreeSettings
@@ -136,7 +137,14 @@
 class PathNode:
     """A node's request path without membership."""
 
-    def __init__(self, name: str, upstream: FakeUpstream | None, service: str, **options) -> None:
+    def __init__(
+        self,
+        name: str,
+        upstream: FakeUpstream | None,
+        service: str,
+        link: LinkSender | None = None,
+        **options,
+    ) -> None:
         self.fleet = FleetState()
         self.fleet.add_service("catalogue", SHARDS)
         self.router = Router(self.fleet, TREE)
@@ -153,9 +161,10 @@
             self.gate,
             signer=HopSigner(SECRET),
             own_address=self.address,
+            sender=link,
             **options,
         )
-        self.server = HttpServer(listener, self.application)
+        self.server = HttpServer(listener, self.application, link=link)
         self.server.start()
         self.session = Session(
             self.router.own_id, "wien", "wien-1", self.address, self.address, service, 4
--- /dev/null
+++ b/tests/test_link_lines.py
@@ -0,0 +1,72 @@
+"""What the log says of a full link and of fetches."""
+
+import unittest
+
+from auburnsail._clock import ManualClock
+from auburnsail._decision_facts import fetch_facts, is_notable
+from auburnsail._effects import FetchLog, LogName
+from auburnsail._gossip import LogFetcher
+from auburnsail._io import Fetched
+from auburnsail._link_order import LinkOrder
+from auburnsail._link_sender import LinkSender
+
+LINK_BYTES_PER_S = 7.5 * 125_000
+
+
+class LinkLinesTest(unittest.TestCase):
+    """An engineer on call has to tell a full link from a slow peer."""
+
+    def test_a_full_link_is_reported_when_it_fills_and_when_it_has_room_again(self):
+        """Guards against calls that are late behind downloads without a line that says so."""
+        clock = ManualClock(10**9)
+        sender = LinkSender(LinkOrder(LINK_BYTES_PER_S), clock)
+        sender.note(400)
+        self.assertEqual(sender.check(clock.now_ns()), "")
+        sender.note(180_000)
+        self.assertEqual(sender.check(clock.now_ns()), "full")
+        self.assertAlmostEqual(sender.facts()["link_queue_ms"], 209, delta=5)
+        clock.advance_ms(50)
+        self.assertEqual(sender.check(clock.now_ns()), "")
+        clock.advance_ms(200)
+        self.assertEqual(sender.check(clock.now_ns()), "has room again")
+        self.assertEqual(sender.facts()["link_queue_ms"], 0)
+        self.assertGreater(sender.facts()["link_longest_queue_ms"], 200)
+
+    def test_a_link_of_unknown_width_is_never_full(self):
+        """Guards against lines on links that nobody described."""
+        sender = LinkSender(LinkOrder(), ManualClock(1))
+        sender.note(10**9)
+        self.assertEqual(sender.check(2), "")
+
+    def test_a_fetch_says_whom_it_asked_why_and_how_long_it_took(self):
+        """Guards against a late version of which nobody can tell who was asked for it."""
+        fetcher = LogFetcher(LogName.SETTINGS)
+        fetcher.hint(9, "a:1", 50)
+        fetcher.hint(9, "b:1", 60)
+        first, second = fetcher.due(7, 100), fetcher.due(7, 100 + 10**9)
+        self.assertEqual(fetcher.newest_ns, 50)
+        self.assertEqual(
+            fetch_facts(Fetched(first, 12, 3_000)),
+            {
+                "log": "settings",
+                "source": first.address,
+                "why": "a peer has more",
+                "after": 7,
+                "newest": 9,
+                "bytes": 3_000,
+                "took_ms": 12,
+            },
+        )
+        self.assertEqual(second.why, "another source is silent")
+
+    def test_routine_fetches_of_the_fleet_log_have_no_line(self):
+        """Guards against a line for each entry of the fleet log on each node."""
+        fleet, settings = FetchLog(LogName.FLEET, 1, "a:1"), FetchLog(LogName.SETTINGS, 1, "a:1")
+        self.assertFalse(is_notable(Fetched(fleet, 20, 300)))
+        self.assertTrue(is_notable(Fetched(fleet, 400, 300)))
+        self.assertTrue(is_notable(Fetched(fleet, 20, 0, "status 503")))
+        self.assertTrue(is_notable(Fetched(settings, 20, 300)))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -13,7 +13,7 @@
 
 import click
 
-from auburnsail import _attempt, _forward, _gossip, _http_server, _log, _pool, _recorder, _rules
+from auburnsail import _attempt, _exchange, _forward, _gossip, _http_server, _log, _recorder, _rules
 from auburnsail._clock import NS_PER_MS
 from auburnsail._data_path import DataPath
 from auburnsail._effects import Appended, Unsettled
@@ -69,11 +69,11 @@
         return _APPEND(self, expected, append_id, data, checks)
 
 
-def _take_any_settings(self, version: int, data: bytes) -> bool:
+def _take_any_settings(self, version: int, data: bytes, now_ns: int = 0) -> bool:
     if version == self.version:
         return False
     self.version, self.data = version, data
-    self.fetcher.hint(version, "")
+    self.fetcher.hint(version, "", now_ns)
     return True
 
 
@@ -162,8 +162,8 @@
         "P3",
         "connection reused after a time-out",
         (
-            (_pool.Exchange, "abort", _keep_connection),
-            (_pool, "shut_down", lambda sock, how: sock.interrupt()),
+            (_exchange.Exchange, "abort", _keep_connection),
+            (_exchange, "shut_down", lambda sock, how: sock.interrupt()),
         ),
     ),
     Mutation(
--- a/tools/soak_patches.py
+++ b/tools/soak_patches.py
@@ -8,7 +8,16 @@
 
 import structlog
 
-from auburnsail import _crash_monitor, _forward, _gate, _http_server, _limits, _node, _pool
+from auburnsail import (
+    _crash_monitor,
+    _exchange,
+    _forward,
+    _gate,
+    _http_server,
+    _limits,
+    _node,
+    _pool,
+)
 from auburnsail._clock import Clock
 from tools.soak_net import Net, Task
 from tools.soak_nodes import FakeNode
@@ -28,6 +37,7 @@
         for module in (_crash_monitor, _forward, _gate, _http_server, _node):
             stack.enter_context(mock.patch.object(module, "gevent", waits))
         for module, name, replacement in (
+            (_exchange, "is_quiet", lambda sock: sock.is_quiet),
             (_pool, "is_quiet", lambda sock: sock.is_quiet),
             (_limits, "AsyncResult", lambda: _Result(net)),
             (_crash_monitor, "accepts", lambda address: address in net.listeners),
@@ -93,4 +103,4 @@
 
     def _connect(self, timeout_s: float) -> object:
         sock = self._net.connect(self.address, self._node, timeout_s)
-        return _pool._Connection(sock, self._clock.now_ns())
+        return _exchange.Connection(sock, self._clock.now_ns())
