Send large messages in turns behind small ones on the VM's link

Callers saw: bookings that failed with 500 after 0.5 s, because the calls of ledger to archive ended at their time limit; and settings in force seconds late at the nodes beside archive. Cause: a node handed whole downloads to the system, two at a time and more when it passed them on, without a bound on the bytes queued for its link. Up to 3.0 s of bytes stood before every call, connect, renewal and fetch of these nodes. Fix: everything that leaves the VM passes LinkSender. It models the link's queue; large messages (50 ms of the link and more) are handed over in blocks of 15 ms when at most 10 ms are queued, first come first served, control before answers, at least a tenth of the link; small ones go at once. So a small message waits 25 ms at most, whatever is queued. Answers passed on for others, request bodies and control answers are covered as well, not only answers of the upstream beside the node. LinkTurns is gone; its test is replaced by tests/test_link_order.py, which bounds bytes and not their number. Ruled out on the way: answers to clients on the same VM cross its link, too (trial with link limits off, one zone). Downloads lose what the link cannot carry beside calls; what they get can be better used.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -269,7 +269,7 @@
                 self._check_answer(flight, exchange, answer, local, address)
                 flight.attempts.on_possibly_run()
                 flight.status, flight.answer_bytes = answer.status, answer.length or 0
-                pass_on(flight, exchange, answer, owner, self._clock, self._ownership.link.turns)
+                pass_on(flight, exchange, answer, owner, self._clock)
             except OutcomeUnknownError as error:
                 flight.attempts.on_possibly_run()
                 if flight.request.is_answered:
--- a/src/auburnsail/_caller_request.py
+++ b/src/auburnsail/_caller_request.py
@@ -7,7 +7,7 @@
 from ._dialect import Dialect
 from ._http_body import ByteSource, RequestBody
 from ._http_head import RequestHead
-from ._link_sender import LinkSender
+from ._link_sender import LinkSender, Message
 from ._outcome import Refusal
 
 __all__ = ["CallerConnection", "Request"]
@@ -45,11 +45,12 @@
         is_answered: Whether any byte of an answer was sent.
     """
 
-    __slots__ = ("_connection", "_is_whole", "body", "head", "is_answered")
+    __slots__ = ("_connection", "_is_whole", "_message", "body", "head", "is_answered")
 
     def __init__(self, connection: "CallerConnection", head: RequestHead) -> None:
         self._connection = connection
         self._is_whole = False
+        self._message: Message | None = None
         self.head = head
         self.body = RequestBody(connection, head, connection.server.max_body_bytes)
         self.is_answered = False
@@ -70,16 +71,24 @@
         """Returns the descriptor of the caller's connection, -1 if it is closed."""
         return self._connection.sock.fileno()
 
-    def send(self, data: bytes) -> None:
-        """Sends a part of the answer; waits while the caller does not read.
+    def send(self, data: bytes, of_bytes: int = 0) -> None:
+        """Sends a part of the answer; waits while the caller does not read or the link is full.
+
+        Args:
+            data: The part.
+            of_bytes: Size of the whole answer, if it is larger.
 
         Raises:
             CallerGoneError: The caller closed the connection.
         """
         self.is_answered = True
-        if (link := self._connection.server.link) is not None:
-            link.note(len(data))
-        self._connection.send(data)
+        connection = self._connection
+        if connection.server.link is None:
+            connection.send(data)
+            return
+        if self._message is None:
+            self._message = connection.server.link.begin(max(of_bytes, len(data)))
+        self._message.send(connection.send, data)
 
     def end(self, *, keep_alive: bool) -> None:
         """Notes that the answer is complete."""
@@ -98,6 +107,8 @@
     def break_off(self) -> None:
         """Resets the caller's connection, so that a partial answer cannot pass for a whole one."""
         self._connection.reset()
+        if self._message is not None:
+            self._message.cancel()
 
     def interrupt_read(self) -> None:
         """Makes reading the body fail; an answer can still be sent."""
--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -1,6 +1,6 @@
 """Control HTTP of a node: announcements, status, logs for peers, drain and explanations."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Protocol
 from urllib.parse import parse_qs
 
@@ -8,6 +8,7 @@
 
 from ._holds import HeldRow
 from ._io import LogRecords
+from ._link_order import LinkRank
 from ._link_sender import LinkSender
 from ._messages import Codec
 from ._model import Handover
@@ -148,7 +149,7 @@
         }
         self._paths = {path for _, path in self._routes}
 
-    def __call__(self, environ: dict, start_response) -> list[bytes]:
+    def __call__(self, environ: dict, start_response) -> Iterable[bytes]:
         """Serves one request."""
         method, path = environ["REQUEST_METHOD"], environ["PATH_INFO"]
         route = self._routes.get((method, path))
@@ -164,8 +165,8 @@
             except (msgspec.DecodeError, KeyError, ValueError) as error:
                 status, body = 400, str(error).encode()
         start_response(STATUS_LINES[status], [("content-length", str(len(body)))])
-        self._link.note(len(body))
-        return [body]
+        message = self._link.begin(len(body), LinkRank.CONTROL)
+        return (bytes(block) for block in message.blocks(body))
 
     def _announce(self, query: dict, body: bytes) -> Answer:
         self._node.announce(msgspec.json.decode(body, type=Announcement))
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -2,7 +2,7 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import asdict, replace
+from dataclasses import asdict
 
 import gevent
 
@@ -20,7 +20,6 @@
 from ._limits import LOAD_HALF_LIFE_MS, Limits, SlotAdmission
 from ._link_order import BYTES_PER_MBIT
 from ._link_sender import LinkSender
-from ._link_share import LinkTurns
 from ._model import SessionId
 from ._ownership import Gate, UpstreamLink
 from ._quarantine import CrashNotice, QuarantineLimits
@@ -105,7 +104,7 @@
             entrance=self._entrance,
             dialect=dialect,
             own_service=settings.service if adapter is not None else "",
-            link=replace(link or UpstreamLink(), turns=LinkTurns(self._link_bytes_per_s)),
+            link=link,
             sender=sender,
         )
         addresses = [settings.data_address]
--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -7,7 +7,7 @@
 from gevent import socket
 
 from ._answer_parser import AnswerParser, HTTPParseError
-from ._link_sender import LinkSender
+from ._link_sender import LinkSender, Message
 from ._sockets import is_quiet, send_all, shut_down
 from .exceptions import OutcomeUnknownError
 
@@ -61,6 +61,7 @@
     __slots__ = (
         "_connection",
         "_left",
+        "_message",
         "_parser",
         "_peer",
         "answered",
@@ -75,6 +76,7 @@
         self._connection: Connection | None = connection
         self._parser: AnswerParser | None = None
         self._left = 0
+        self._message: Message | None = None
         self.started_ns = now_ns
         self.bytes_sent = 0
         self.answered = False
@@ -98,10 +100,8 @@
             OutcomeUnknownError: The connection broke; some of the bytes may have arrived.
         """
         self.bytes_sent += len(data)
-        if self._peer.link is not None:
-            self._peer.link.note(len(data))
         try:
-            send_all(self._open_socket(), data)
+            self._hand_over(data)
         except OSError as error:
             is_early = not self.interrupt_reason and self.has_early_answer
             if not (self.sending_stopped or is_early):
@@ -110,6 +110,14 @@
             # be received, and without one the receiver reports the failure.
             self.sending_stopped = True
 
+    def _hand_over(self, data: bytes) -> None:
+        link, sock = self._peer.link, self._open_socket()
+        if link is None:
+            send_all(sock, data)
+            return
+        self._message = link.begin(len(data))
+        self._message.send(lambda block: send_all(sock, block), data)
+
     def receive_head(self, method: str, echo: tuple[str, str] = ("", "")) -> AnswerParser:
         """Waits for the status line and the headers of the answer.
 
@@ -169,6 +177,7 @@
             return
         self.sending_stopped = True
         shut_down(self._connection.sock, socket.SHUT_WR)
+        self._end_wait()
 
     def interrupt(self, reason: str) -> None:
         """Makes a blocked call of another greenlet on this exchange fail.
@@ -180,6 +189,11 @@
             return
         self.interrupt_reason = reason
         shut_down(self._connection.sock, socket.SHUT_RDWR)
+        self._end_wait()
+
+    def _end_wait(self) -> None:
+        if self._message is not None:
+            self._message.cancel()
 
     def suspect(self) -> None:
         """Notes that the peer stayed silent on this exchange."""
--- a/src/auburnsail/_link_share.py
+++ b/src/auburnsail/_link_share.py
@@ -5,24 +5,16 @@
 and bytes queued in the link delay the short answers behind them.
 """
 
-import contextlib
 from collections import Counter
-from collections.abc import Iterator
-
-from gevent.lock import BoundedSemaphore
 
 from ._clock import NS_PER_S
 
-__all__ = ["LinkShare", "LinkTurns"]
+__all__ = ["LinkShare"]
 
 # An answer that keeps the link busy for longer delays the small ones behind it noticeably.
 LARGE_TRANSFER_S = 0.05
 # Weight of a new answer in the moving mean of its kind.
 SIZE_GAIN = 0.1
-# Large answers that are sent at once: a receiver that is slow to read must not idle the link.
-TURNS = 2
-# A receiver that does not read at all must not stop the others.
-TURN_TIMEOUT_S = 1.0
 
 
 class LinkShare:
@@ -65,26 +57,3 @@
             ahead: Requests of the kind that wait for a slot and go first.
         """
         return (self._unsent[kind] + ahead) * self.transfer_ns(kind)
-
-
-class LinkTurns:
-    """Sends few large answers at once.
-
-    Args:
-        bytes_per_s: What the link carries, 0 if that is not known.
-    """
-
-    def __init__(self, bytes_per_s: float) -> None:
-        self._bytes_per_s = bytes_per_s
-        self._turns = BoundedSemaphore(TURNS)
-
-    @contextlib.contextmanager
-    def sending(self, answer_bytes: int) -> Iterator[None]:
-        """Waits for a turn if the answer is large for the link."""
-        is_large = answer_bytes >= LARGE_TRANSFER_S * self._bytes_per_s > 0
-        has_turn = is_large and self._turns.acquire(timeout=TURN_TIMEOUT_S)
-        try:
-            yield
-        finally:
-            if has_turn:
-                self._turns.release()
--- a/src/auburnsail/_ownership.py
+++ b/src/auburnsail/_ownership.py
@@ -4,8 +4,6 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from ._link_share import LinkTurns
-
 __all__ = ["Gate", "Ownership", "UpstreamLink"]
 
 
@@ -37,13 +35,11 @@
         instance: Returns the instance that alone may run requests here, empty for any.
         on_answer: Called when the upstream answered a request.
         on_misdirected: Called with the instance that answered that it is not the expected one.
-        turns: Turns of large answers on the VM's link.
     """
 
     instance: Callable[[], str] = str
     on_answer: Callable[[], None] = _ignore
     on_misdirected: Callable[[str], None] = _ignore
-    turns: LinkTurns = field(default_factory=lambda: LinkTurns(0))
 
 
 @dataclass(slots=True)
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -7,7 +7,6 @@
 from ._dialect import Dialect
 from ._exchange import Exchange
 from ._flights import STALL_TIMEOUT_NS, Flight
-from ._link_share import LinkTurns
 from ._outcome import RequestFailedError, unknown
 from .exceptions import CallerGoneError, OutcomeUnknownError
 
@@ -19,6 +18,8 @@
 # Answers up to this size are read from the upstream beside this node before they are sent. With 12 slots
 # and 100 answers that wait for a narrow link this is less than half of the smallest VM's memory.
 HELD_BYTES = 768 * 1024
+# An answer of unknown length counts as large for every link.
+UNKNOWN_BYTES = 1 << 30
 _LAST_CHUNK = b"0\r\n\r\n"
 _DROPPED = _headers.HOP_BY_HOP
 
@@ -105,7 +106,6 @@
     answer: AnswerParser,
     extra: str,
     clock: Clock,
-    turns: LinkTurns,
 ) -> None:
     """Passes an answer on to the caller.
 
@@ -119,7 +119,6 @@
         answer: The answer's head.
         extra: Further header lines, each with its line end.
         clock: Source of time.
-        turns: Turns of large answers on the VM's link.
 
     Raises:
         OutcomeUnknownError: The answer was cut short before a byte of it was passed on.
@@ -139,8 +138,7 @@
         flight.release(Result.ANSWERED)
         if len(body) > BUFFERED_BYTES:
             flight.progress_by_ns = clock.now_ns() + STALL_TIMEOUT_NS
-        with turns.sending(len(body)):
-            request.send(head + body if body else head)
+        request.send(head + body if body else head)
         request.end(keep_alive=keep_alive)
         return
     flight.progress_by_ns = clock.now_ns() + STALL_TIMEOUT_NS
@@ -166,13 +164,13 @@
     pending = head
     while block := exchange.read():
         pending += _chunk(block) if is_chunked else block
-        request.send(pending)
+        request.send(pending, answer.length or UNKNOWN_BYTES)
         pending = b""
         flight.progress_by_ns = clock.now_ns() + STALL_TIMEOUT_NS
     if is_chunked:
         pending += _LAST_CHUNK
     if pending:
-        request.send(pending)
+        request.send(pending, answer.length or UNKNOWN_BYTES)
 
 
 def _finish(flight: Flight, exchange: Exchange) -> None:
--- /dev/null
+++ b/tests/test_link_order.py
@@ -0,0 +1,128 @@
+"""The order of bytes on a narrow link: decisions in virtual time, and waits of real greenlets."""
+
+import unittest
+
+import gevent
+from gevent.event import Event
+
+from auburnsail._clock import NS_PER_MS, BootClock
+from auburnsail._link_order import LinkOrder, LinkRank
+from auburnsail._link_sender import LinkSender
+
+LINK_BYTES_PER_S = 7.5 * 125_000
+DOWNLOAD, CALL = 90_000, 400
+# A call's objective is 173 ms, of which it works 26 ms and is 40 ms on its way between regions.
+CALL_BOUND_MS = 100
+
+
+class LinkOrderTest(unittest.TestCase):
+    """Replays downloads for one and a half times the link, with calls between them."""
+
+    def setUp(self):
+        self.order = LinkOrder(LINK_BYTES_PER_S)
+        self.now_ns = 10**9
+
+    def _run(self, length_ms: int, small_per_ms: float, large: list) -> list[int]:
+        """Sends blocks of the transfers in turn and small messages; returns the small ones' waits in ms."""
+        left = {transfer.number: DOWNLOAD for transfer in large}
+        for transfer in large:
+            self.order.wait(transfer, self.order.block_bytes, self.now_ns)
+        waits, due = [], 0.0
+        for _ in range(length_ms):
+            self.now_ns += NS_PER_MS
+            while (transfer := self.order.take(self.now_ns)) is not None:
+                left[transfer.number] -= transfer.size
+                self.finished = [n for n, size in left.items() if size <= 0]
+                if left[transfer.number] > 0:
+                    size = min(self.order.block_bytes, left[transfer.number])
+                    self.order.wait(transfer, size, self.now_ns)
+            due += small_per_ms
+            while due >= 1:
+                due -= 1
+                waits.append(self.order.queue_ns(self.now_ns) // NS_PER_MS)
+                self.order.pass_small(CALL, self.now_ns)
+        return waits
+
+    def test_calls_wait_for_one_block_and_not_for_downloads(self):
+        """Guards against a queue in the link in front of calls, renewals and settings."""
+        downloads = [self.order.begin(LinkRank.REQUEST) for _ in range(20)]
+        waits = self._run(1_000, 0.1, downloads)
+        self.assertLess(max(waits), CALL_BOUND_MS / 2)
+        self.assertGreater(self.order.sent_bytes, 0.85 * LINK_BYTES_PER_S)
+
+    def test_downloads_end_one_after_another(self):
+        """Guards against downloads that share the link evenly, so that all of them are late."""
+        downloads = [self.order.begin(LinkRank.REQUEST) for _ in range(5)]
+        self._run(350, 0, downloads)
+        self.assertEqual(self.finished, [transfer.number for transfer in downloads[:3]])
+
+    def test_control_messages_go_before_downloads(self):
+        """Guards against a fleet log or a checkpoint that waits for downloads after a restart of all."""
+        downloads = [self.order.begin(LinkRank.REQUEST) for _ in range(5)]
+        control = self.order.begin(LinkRank.CONTROL)
+        self._run(150, 0, [*downloads, control])
+        self.assertEqual(self.finished, [control.number])
+
+    def test_small_messages_do_not_starve_downloads(self):
+        """Guards against downloads that never end while small messages fill the link."""
+        download = self.order.begin(LinkRank.REQUEST)
+        self._run(2_000, 1.2 * LINK_BYTES_PER_S / CALL / 1_000, [download])
+        self.assertEqual(self.finished, [download.number])
+        share = self.order.large_rate(self.now_ns) / LINK_BYTES_PER_S
+        self.assertAlmostEqual(share, 0.1, delta=0.02)
+
+    def test_a_wide_or_unknown_link_makes_nothing_wait(self):
+        """Guards against delays where the link is not what binds."""
+        self.assertFalse(LinkOrder(100 * 125_000).is_large(DOWNLOAD))
+        self.assertFalse(LinkOrder().is_large(1 << 40))
+        self.assertTrue(self.order.is_large(DOWNLOAD))
+
+
+class LinkSenderTest(unittest.TestCase):
+    """Greenlets that send."""
+
+    def setUp(self):
+        self.sender = LinkSender(LinkOrder(LINK_BYTES_PER_S), BootClock())
+        self.written: list[str] = []
+
+    def _send(self, name: str, size: int, write=lambda block: None) -> gevent.Greenlet:
+        def run() -> None:
+            self.sender.begin(size).send(write, b"x" * size)
+            self.written.append(name)
+
+        return gevent.spawn(run)
+
+    def test_a_receiver_that_does_not_read_does_not_stop_the_others(self):
+        """Guards against one caller with a full window that holds all other downloads back."""
+        reads = Event()
+        stuck = self._send("stuck", DOWNLOAD, lambda block: reads.wait())
+        others = [self._send(str(n), DOWNLOAD) for n in range(2)]
+        small = self._send("small", CALL)
+        gevent.joinall([*others, small], timeout=1)
+        self.assertEqual(self.written, ["small", "0", "1"])
+        reads.set()
+        gevent.joinall([stuck], timeout=1)
+        self.assertEqual(self.written[-1], "stuck")
+
+    def test_a_message_of_a_closed_connection_gives_its_turns_up(self):
+        """Guards against turns, and memory, for answers whose callers have left."""
+        message = self.sender.begin(DOWNLOAD)
+        blocks = []
+        ahead = [self._send(str(n), DOWNLOAD) for n in range(3)]
+
+        def write(block: memoryview) -> None:
+            blocks.append(block)
+            raise OSError("closed")
+
+        gevent.sleep(0.01)
+        leaving = gevent.spawn(message.send, write, b"x" * DOWNLOAD)
+        gevent.sleep(0.02)
+        message.cancel()
+        with gevent.Timeout(0.05), self.assertRaises(OSError):
+            leaving.get()
+        self.assertEqual(len(blocks), 1)
+        gevent.joinall(ahead)
+
+
+if __name__ == "__main__":
+    unittest.main()
