Do not take a peer for silent that has answered since a connection attempt began

Cause: a connect that timed out, or a connection with nothing acknowledged for 0.5 s, made all requests to that peer fail for 0.5 s, even while the peer was answering on other connections. With a full link of the node's own, that is evidence against the wrong side. Fix: the pool notes when the peer last sent something; a time-out counts against it only if nothing has come since the attempt began. A VM that is cut off sends nothing, so its time-outs count as before. Test: test_a_peer_that_answers_elsewhere_is_not_given_up_when_a_connection_times_out fails before ('no answer a moment ago').

--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -7,8 +7,9 @@
 from gevent import socket
 
 from ._answer_parser import AnswerParser, HTTPParseError
+from ._clock import NS_PER_MS
 from ._link_sender import LinkSender, Message
-from ._sockets import is_quiet, send_all, shut_down
+from ._sockets import UNACKNOWLEDGED_MS, is_quiet, send_all, shut_down
 from .exceptions import OutcomeUnknownError
 
 __all__ = ["Connection", "Exchange"]
@@ -28,8 +29,14 @@
     def suspect_before(self, limit_ns: int) -> None:
         """Notes that the peer stayed silent on an exchange that began at a time."""
 
-    def on_unreachable(self) -> None:
-        """Notes that the peer acknowledges nothing."""
+    def now_ns(self) -> int:
+        """Returns the current time."""
+
+    def on_heard(self) -> None:
+        """Notes that the peer sent something."""
+
+    def on_unreachable(self, since_ns: int) -> None:
+        """Notes that the peer acknowledged nothing since a time."""
 
 
 @dataclass(slots=True)
@@ -228,6 +235,7 @@
             raise self._failure("interrupted", "http.receive")
         if data:
             self.answered = True
+            self._peer.on_heard()
         elif not at_end_ok:
             raise self._failure("the connection ended inside the body", "http.receive")
         return data
@@ -240,7 +248,7 @@
     def _failure(self, detail: str, step: str, error: OSError | None = None) -> OutcomeUnknownError:
         self.abort()
         if error is not None and error.errno == errno.ETIMEDOUT:
-            self._peer.on_unreachable()
+            self._peer.on_unreachable(self._peer.now_ns() - UNACKNOWLEDGED_MS * NS_PER_MS)
         if self.interrupt_reason:
             detail = f"stopped: {self.interrupt_reason}"
         return OutcomeUnknownError(detail, step=step, peer=self._peer.address)
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -62,10 +62,15 @@
         self._idle: list[Connection] = []
         self._drops_suspects = drops_suspects
         self._unreachable_until_ns = 0
+        self._heard_ns = -1
         self.address = address
         self.slowest_recent_ns = 0.0
         self.used_ns = self._clock.now_ns()
 
+    def now_ns(self) -> int:
+        """Returns the current time of the pool's clock."""
+        return self._clock.now_ns()
+
     @property
     def idle(self) -> int:
         """Number of idle connections."""
@@ -100,8 +105,21 @@
             self.drop_idle()
         return Exchange(self, self._connect(min(timeout_s, CONNECT_TIMEOUT_S)), now_ns)
 
-    def on_unreachable(self) -> None:
-        """Notes that the peer acknowledges nothing; requests of the next moment fail at once."""
+    def on_heard(self) -> None:
+        """Notes that the peer sent something."""
+        self._heard_ns = self._clock.now_ns()
+
+    def on_unreachable(self, since_ns: int) -> None:
+        """Notes that the peer acknowledged nothing; requests of the next moment fail at once.
+
+        A peer that has sent something since then can be reached: what was lost or late is this one
+        connection, or it waited behind other bytes in a full link, possibly this VM's own.
+
+        Args:
+            since_ns: Since when it acknowledged nothing.
+        """
+        if self._heard_ns >= since_ns:
+            return
         self._unreachable_until_ns = self._clock.now_ns() + UNREACHABLE_MS * NS_PER_MS
         self.drop_idle()
 
@@ -197,13 +215,14 @@
 
     def _connect(self, timeout_s: float) -> Connection:
         sock = socket.socket(self._family, socket.SOCK_STREAM)
+        started_ns = self._clock.now_ns()
         try:
             sock.settimeout(timeout_s)
             sock.connect(self._endpoint)
         except OSError as error:
             sock.close()
             if isinstance(error, TimeoutError):
-                self.on_unreachable()
+                self.on_unreachable(started_ns)
             raise NotRunError(str(error), step="http.connect", peer=self.address) from error
         except BaseException:
             sock.close()
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -6,6 +6,7 @@
 from gevent import socket
 
 __all__ = [
+    "UNACKNOWLEDGED_MS",
     "accepts",
     "endpoint",
     "is_quiet",
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -7,6 +7,7 @@
 
 from auburnsail import _pool
 from auburnsail._clock import ManualClock
+from auburnsail._exchange import Connection, Exchange
 from auburnsail._pool import UNREACHABLE_MS, HttpPeer
 from auburnsail.exceptions import NotRunError
 
@@ -39,6 +40,28 @@
         with gevent.Timeout(0.02), self.assertRaisesRegex(NotRunError, "a moment ago"):
             self.peer.open()
 
+    def test_a_peer_that_answers_elsewhere_is_not_given_up_when_a_connection_times_out(self):
+        """Guards against healthy peers that a node with a full link of its own takes for silent ones."""
+        near, far = socket.socketpair()
+        self.addCleanup(far.close)
+        exchange = Exchange(self.peer, Connection(near, self.clock.now_ns()), self.clock.now_ns())
+
+        def answer() -> None:
+            gevent.sleep(0.02)
+            self.clock.advance_ms(20)
+            far.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+
+        gevent.spawn(answer)
+        receiving = gevent.spawn(exchange.receive_head, "GET")
+        with self.assertRaisesRegex(NotRunError, "timed out"):
+            self.peer.open(timeout_s=0.1)
+        receiving.get()
+        self.clock.advance_ms(1)
+        with self.assertRaisesRegex(NotRunError, "timed out"):
+            self.peer.open(timeout_s=0.05)
+        with self.assertRaisesRegex(NotRunError, "a moment ago"):
+            self.peer.open(timeout_s=0.05)
+
     def test_the_peer_is_tried_again_after_a_while(self):
         """Guards against a peer that stays left out after its links have healed."""
         with self.assertRaises(NotRunError):
