Close upstreams that send bytes without end which are no answer

Cause: only the head was bounded; what follows it was read until the deadline, trailers were collected like headers, and a failure inside a body reset the caller even if nothing had been passed on. Fix: framing is bounded, 64 KiB plus 16 bytes for each byte of body; trailers, which are not passed on, are not kept; whole answers that the node fetches for itself are bounded at 32 MiB; a failure before the first byte went out is reported as unknown. A body without end ended at the deadline with a reset before, too, and heads were bounded.

--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -9,6 +9,10 @@
 __all__ = ["AnswerParser", "HTTPParseError"]
 
 MAX_HEAD_BYTES = 64 * 1024
+# Bytes of chunk sizes, extensions and trailers that are read without a byte of the body between them, and for
+# each byte of it: a chunk of one byte has five others.
+MAX_FRAMING_BYTES = 64 * 1024
+FRAMING_PER_BODY_BYTE = 16
 NO_CONTENT_STATUSES = frozenset({204, 304})
 
 
@@ -44,6 +48,7 @@
         self._name = ""
         self._value: str | None = None
         self._head_bytes = 0
+        self._framing_left = MAX_FRAMING_BYTES
         self._body: list[bytes] = []
         self.status = 0
         self.phrase = ""
@@ -65,6 +70,8 @@
             self._head_bytes += len(data)
             if self._head_bytes > MAX_HEAD_BYTES + len(data):
                 raise HTTPParseError("the head of the answer is too large")
+        else:
+            self._framing_left -= len(data)
         try:
             super().feed(data)
         except HTTPParseError:
@@ -72,6 +79,8 @@
             if not self.done:
                 raise
             self.has_excess = True
+        if self._framing_left < 0 and not self.done:
+            raise HTTPParseError("the answer has more framing than body")
 
     def take_body(self) -> bytes:
         """Returns and clears the body bytes parsed so far."""
@@ -92,7 +101,8 @@
             self.phrase = text
 
     def _on_header_field(self, text: str) -> None:
-        if self.done:
+        if self.done or self.head_done:
+            # Trailers are not passed on.
             return
         if self._value is None:
             self._name += text
@@ -101,6 +111,8 @@
             self._name, self._value = text, None
 
     def _on_header_value(self, text: str) -> None:
+        if self.head_done:
+            return
         self._value = text if self._value is None else self._value + text
 
     def _on_headers_complete(self) -> bool:
@@ -157,6 +169,7 @@
     def _on_body(self, data: bytes) -> None:
         if self.head_done and not self.done:
             self._body.append(data)
+            self._framing_left += FRAMING_PER_BODY_BYTE * len(data)
 
     def _on_message_complete(self) -> None:
         if self._is_other:
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -23,6 +23,8 @@
 # Longer waits than those of usual calls are worth the packets of probes.
 PROBED_WAIT_S = 5.0
 MAX_IDLE = 64
+# Answers that are read as a whole: objects of the store have 8 MiB, checkpoints and logs less.
+MAX_FETCH_BYTES = 32 << 20
 # Shorter than usual servers' keep-alive time, so that the node closes first.
 MAX_IDLE_NS = 30_000 * NS_PER_MS
 PEAK_DECAY = 0.99
@@ -196,9 +198,13 @@
             if timeout_s > PROBED_WAIT_S:
                 probe_when_idle(exchange._open_socket())
             response = exchange.receive_head(method)
-            parts = []
+            parts, size = [], 0
             while part := exchange.read():
                 parts.append(part)
+                size += len(part)
+                if size > MAX_FETCH_BYTES:
+                    detail = f"the answer is longer than {MAX_FETCH_BYTES} bytes"
+                    raise OutcomeUnknownError(detail, step="http.fetch", peer=self.address)
             exchange.finish()
             fields = [(name.lower(), value) for name, value in response.fields]
             return Answer(response.status, fields, b"".join(parts))
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -145,7 +145,8 @@
     try:
         _stream(flight, exchange, answer, head, not ends_with_close, clock)
     except OutcomeUnknownError:
-        request.break_off()
+        if request.is_answered:
+            request.break_off()
         raise
     _finish(flight, exchange)
     request.end(keep_alive=keep_alive)
--- /dev/null
+++ b/tests/test_endless_answers.py
@@ -0,0 +1,176 @@
+"""Upstreams and peers whose answers have no end."""
+
+import unittest
+
+import gevent
+from gevent import socket
+
+from auburnsail._answer_parser import MAX_FRAMING_BYTES, AnswerParser, HTTPParseError
+from auburnsail._pool import MAX_FETCH_BYTES, HttpPeer
+from auburnsail.exceptions import OutcomeUnknownError
+from tests.path_fakes import (
+    OK,
+    FakeUpstream,
+    PathNode,
+    Run,
+    connect,
+    exchange,
+    reason_of,
+    request,
+    wait_for,
+)
+
+DEADLINE_MS = 600
+# The end of a request is noticed within half a second.
+NOTICE_S = 0.5
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+RESET = (0, "", "reset")
+BLOCK = b"x" * 16_384
+# What may be in flight on loopback beside the bytes that the node reads.
+SOCKET_BYTES = 8 << 20
+# Beginning of an answer and what follows it for ever; no part of its body can be passed on.
+NO_ANSWER = {
+    "noise instead of a head": (b"", b"\0\xff noise \r\n" * 1_000),
+    "line ends before a head": (b"", b"\r\n" * 8_000),
+    "a reason phrase": (b"HTTP/1.1 200 ", BLOCK),
+    "a header": (b"HTTP/1.1 200 OK\r\nx-long: ", BLOCK),
+    "headers": (b"HTTP/1.1 200 OK\r\n", b"x-more: 1\r\n" * 1_000),
+    "interim answers": (b"", b"HTTP/1.1 103 Early Hints\r\n\r\n" * 500),
+    "a chunk size": (CHUNKED, b"0" * 16_384),
+    "a chunk extension": (CHUNKED + b"5;x=", BLOCK),
+}
+# The same after a part of the body has been passed on.
+BROKEN_OFF = {
+    "trailers": (CHUNKED + b"2\r\nok\r\n0\r\n", b"x-more: 1\r\n" * 1_000),
+    "a trailer": (CHUNKED + b"2\r\nok\r\n0\r\nx-long: ", BLOCK),
+}
+
+
+class EndlessAnswerTest(unittest.TestCase):
+    """An upstream in trouble sends bytes that are no answer until the node closes."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream()
+        self.node, self.other = (PathNode(name, self.upstream, "catalogue") for name in "ab")
+        connect(self.node, self.other, owner=self.node)
+        for thing in (self.upstream, self.node, self.other):
+            self.addCleanup(thing.stop)
+        self.sent_bytes = 0
+
+    def _send_for_ever(self, begin: bytes, block: bytes, pause_s: float = 0.0):
+        def script(sock: socket.socket, run: Run) -> None:
+            sock.sendall(begin)
+            while True:
+                sock.sendall(block)
+                self.sent_bytes += len(block)
+                gevent.sleep(pause_s)
+
+        self.upstream.script = script
+
+    def _ask(self, node: PathNode, method: str = "GET") -> bytes:
+        data = request(method, "/catalogue/k1", f"auburnsail-deadline-ms: {DEADLINE_MS}")
+        return exchange(node.address, data)
+
+    def _assert_closed_after(self, closed: int) -> None:
+        """Checks that the node closes a connection to the upstream soon.
+
+        Args:
+            closed: Connections that it had closed before.
+        """
+        self.assertTrue(wait_for(lambda: self.upstream.closed_by_peer > closed, NOTICE_S))
+
+    def _ending(self, node: PathNode, method: str = "GET") -> tuple[int, str, str]:
+        """Returns status, outcome and reason of the answer, or that the connection was reset."""
+        try:
+            return reason_of(self._ask(node, method))
+        except ConnectionResetError:
+            return RESET
+
+    def test_endless_bytes_that_are_no_answer_end_early_and_use_little_memory(self):
+        """Guards against a node that reads them until its memory is used up or its caller leaves."""
+        for node in (self.node, self.other):
+            for name, (begin, block) in (NO_ANSWER | BROKEN_OFF).items():
+                with self.subTest(name, node=node.session.id.node):
+                    closed, self.sent_bytes = self.upstream.closed_by_peer, 0
+                    self._send_for_ever(begin, block)
+                    with gevent.Timeout(DEADLINE_MS / 1000 / 2):
+                        ending = self._ending(node, "POST")
+                    self.assertEqual(
+                        ending, (502, "unknown", "no-answer") if name in NO_ANSWER else RESET
+                    )
+                    self._assert_closed_after(closed)
+                    self.assertLess(self.sent_bytes, SOCKET_BYTES)
+
+    def test_endless_bytes_that_come_slowly_end_at_the_deadline(self):
+        """Guards against an upstream that keeps a request, and its slot, with a byte now and then."""
+        late = (504, "unknown", "deadline")
+        for name, expected in (
+            ("a header", late),
+            ("a chunk extension", late),
+            ("trailers", RESET),
+        ):
+            with self.subTest(name):
+                closed = self.upstream.closed_by_peer
+                begin, block = (NO_ANSWER | BROKEN_OFF)[name]
+                self._send_for_ever(begin, block[:11], 0.02)
+                with gevent.Timeout(DEADLINE_MS / 1000 + NOTICE_S):
+                    ending = self._ending(self.node)
+                self.assertEqual(ending, expected)
+                self._assert_closed_after(closed)
+
+    def test_an_endless_body_never_looks_complete_and_ends_at_the_deadline(self):
+        """Guards against a caller that takes the beginning of an endless body for an answer."""
+        heads = (
+            b"HTTP/1.1 200 OK\r\n\r\n",
+            CHUNKED,
+            b"HTTP/1.1 200 OK\r\ncontent-length: 99999999999\r\n\r\n",
+        )
+        for node in (self.node, self.other):
+            for head in heads:
+                with self.subTest(head, node=node.session.id.node):
+                    closed = self.upstream.closed_by_peer
+                    block = b"4000\r\n" + BLOCK + b"\r\n" if head is CHUNKED else BLOCK
+                    self._send_for_ever(head, block, 0.001)
+                    timeout = gevent.Timeout(DEADLINE_MS / 1000 + NOTICE_S)
+                    with timeout, self.assertRaises(ConnectionResetError):
+                        self._ask(node)
+                    self._assert_closed_after(closed)
+
+    def test_bytes_without_end_behind_a_whole_answer_belong_to_nobody(self):
+        """Guards against a connection that is kept although its next bytes answer no request."""
+        self._send_for_ever(OK, BLOCK)
+        for node in (self.node, self.other):
+            closed = self.upstream.closed_by_peer
+            self.assertTrue(self._ask(node).endswith(b"\r\n\r\nok"))
+            self._assert_closed_after(closed)
+
+    def test_a_fetched_answer_without_end_is_given_up(self):
+        """Guards against a peer or a store that fills this node's memory within the time of a call."""
+        self._send_for_ever(b"HTTP/1.1 200 OK\r\n\r\n", BLOCK * 16)
+        with self.assertRaisesRegex(OutcomeUnknownError, "longer than"):
+            HttpPeer(self.upstream.address).fetch("GET", "/", timeout_s=20.0)
+        self.assertLess(self.sent_bytes, MAX_FETCH_BYTES + SOCKET_BYTES)
+
+    def test_small_chunks_are_read_to_their_end(self):
+        """Guards against a bound on framing that whole answers in small chunks exceed."""
+        parser = AnswerParser("GET")
+        parser.feed(CHUNKED)
+        body = b"".join(b"1\r\nx\r\n" for _ in range(MAX_FRAMING_BYTES))
+        for start in range(0, len(body), 4_096):
+            parser.feed(body[start : start + 4_096])
+        parser.feed(b"0\r\nx-trailer: 1\r\n\r\n")
+        self.assertTrue(parser.done)
+        self.assertEqual(parser.take_body(), b"x" * MAX_FRAMING_BYTES)
+        self.assertEqual([name for name, _ in parser.fields], ["transfer-encoding"])
+
+    def test_framing_without_a_body_is_refused(self):
+        """Guards against extensions without end that arrive in many small parts."""
+        parser = AnswerParser("GET")
+        parser.feed(CHUNKED + b"5;x=")
+        with self.assertRaisesRegex(HTTPParseError, "framing"):
+            for _ in range(2 * MAX_FRAMING_BYTES):
+                parser.feed(b"y")
+
+
+if __name__ == "__main__":
+    unittest.main()
