--- a/src/auburnsail/_control_server.py
+++ b/src/auburnsail/_control_server.py
@@ -9,6 +9,9 @@
 class ControlServer(WSGIServer):
     """gevent's WSGI server with TCP_NODELAY and without a log of its own."""
 
+    # A further accept that finds nobody is one system call for each connection.
+    max_accept = 1
+
     def __init__(self, address: tuple[str, int], application) -> None:
         super().__init__(address, application, log=None, error_log=None)
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -29,6 +29,7 @@
 from ._settings import EffectiveSettings, NodeSettings, TreeSettings
 from ._sketch import ShardLoads
 from ._sockets import endpoint
+from ._sweeper import Sweeper
 from ._tree import effective
 from .exceptions import InvariantViolation
 
@@ -111,9 +112,15 @@
         addresses = [settings.data_address]
         if adapter is not None and settings.caller_address:
             addresses.append(settings.caller_address)
+        sweeper = Sweeper(self._application, clock)
         self._servers = [
             HttpServer(
-                endpoint(address), self._application, clock=clock, dialect=dialect, link=sender
+                endpoint(address),
+                self._application,
+                clock=clock,
+                dialect=dialect,
+                link=sender,
+                sweeper=sweeper,
             )
             for address in addresses
         ]
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -13,7 +13,6 @@
 
 import gevent
 from gevent import socket
-from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
 from ._caller_request import Request
@@ -24,17 +23,14 @@
 from ._link_sender import LinkSender
 from ._outcome import RequestFailedError, refused
 from ._sockets import send_all, shut_down
+from ._sweeper import Sweeper
 from .exceptions import CallerGoneError
 
 __all__ = ["Application", "HttpServer"]
 
-# Callers that leave and deadlines that pass are noticed within this time.
-SWEEP_MS = 25
-# An idle node's sweeps rest until a request begins, or a sweep of the connections is due.
-IDLE_SWEEP_MS = 100
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
-CONNECTION_SWEEP_MS = 500
+DRAIN_CHECK_S = 0.025
 LINGER_S = 1.0
 BODY_POLL_S = 0.02
 LINGER_BYTES = 1 << 20
@@ -171,7 +167,7 @@
             if not self.receive():
                 return None
         self.is_idle = False
-        self.server.request_begun.set()
+        server.sweeper.wake()
         self.head_by_ns = server.clock.now_ns() + server.head_timeout_ms * NS_PER_MS
         if self.buffered.startswith(b"\r\n"):
             # RFC 9112 section 2.2: an empty line before a request is ignored.
@@ -218,6 +214,7 @@
         max_body_bytes: Longest request body.
         dialect: Header names of the callers.
         link: The VM's link, None if nothing is counted.
+        sweeper: Shared with the application's other servers; one of its own if None.
 
     Attributes:
         draining: Whether the server has stopped accepting.
@@ -228,6 +225,8 @@
     """
 
     handler_class = _Connection
+    # A further accept that finds nobody is one system call for each connection.
+    max_accept = 1
 
     def __init__(
         self,
@@ -238,6 +237,7 @@
         max_body_bytes: int = MAX_BODY_BYTES,
         dialect: Dialect = OWN,
         link: LinkSender | None = None,
+        sweeper: Sweeper | None = None,
     ) -> None:
         self.link = link
         super().__init__(listener, application, log=None, error_log=None)
@@ -250,8 +250,13 @@
         self.idle_timeout_ms = IDLE_TIMEOUT_MS
         self.head_timeout_ms = HEAD_TIMEOUT_MS
         self.max_head_bytes = MAX_HEAD_BYTES
-        self._sweeper: gevent.Greenlet | None = None
-        self.request_begun = Event()
+        self.sweeper = sweeper or Sweeper(application, self.clock)
+        self.sweeper.add(self)
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no connection has a request."""
+        return all(connection.is_idle for connection in self.connections)
 
     @property
     def in_flight(self) -> int:
@@ -261,8 +266,7 @@
     def start(self) -> None:
         """Starts accepting."""
         super().start()
-        if self._sweeper is None:
-            self._sweeper = gevent.spawn(self._sweep_forever)
+        self.sweeper.start()
 
     def handle(self, sock: socket.socket, address: tuple) -> None:
         """Handles one accepted connection."""
@@ -298,17 +302,22 @@
                 break
             if self.clock.now_ns() >= end_ns:
                 return False
-            gevent.sleep(SWEEP_MS / 1000)
+            gevent.sleep(DRAIN_CHECK_S)
         return True
 
     def kill(self) -> None:
         """Stops accepting and resets all connections."""
         self.stop(timeout=0)
-        if self._sweeper is not None:
-            self._sweeper.kill(block=False)
+        self.sweeper.stop()
         for connection in tuple(self.connections):
             connection.reset()
 
+    def expire_connections(self, now_ns: int) -> None:
+        """Ends connections whose next head did not arrive in time."""
+        for connection in tuple(self.connections):
+            if 0 < connection.head_by_ns <= now_ns:
+                connection.expire()
+
     def _accept_queued(self) -> None:
         # gevent hands out only a weak reference to the listening socket.
         listener = socket.socket(fileno=os.dup(self.socket.fileno()))
@@ -321,18 +330,3 @@
             sock.settimeout(None)
             gevent.spawn(self.handle, sock, address)
         listener.close()
-
-    def _sweep_forever(self) -> None:
-        next_connections_ns = 0
-        while True:
-            if all(connection.is_idle for connection in self.connections):
-                self.request_begun.clear()
-                self.request_begun.wait(IDLE_SWEEP_MS / 1000)
-            gevent.sleep(SWEEP_MS / 1000)
-            now_ns = self.clock.now_ns()
-            self.application.sweep(now_ns)
-            if now_ns >= next_connections_ns:
-                next_connections_ns = now_ns + CONNECTION_SWEEP_MS * NS_PER_MS
-                for connection in tuple(self.connections):
-                    if 0 < connection.head_by_ns <= now_ns:
-                        connection.expire()
--- a/src/auburnsail/_io.py
+++ b/src/auburnsail/_io.py
@@ -101,18 +101,27 @@
 
     def start(self) -> None:
         """Starts to receive."""
-        self._watcher.start(self.drain)
+        self._watcher.start(self._receive)
 
     def drain(self) -> None:
         """Handles every datagram that has arrived."""
-        while True:
-            try:
-                data, (host, port, *_) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
-            except (BlockingIOError, InterruptedError, ConnectionRefusedError):
-                return
-            self.traffic.received += 1
-            self.traffic.received_bytes += len(data)
-            self._on_datagram(data, f"{host}:{port}")
+        while self._receive():
+            pass
+
+    def _receive(self) -> bool:
+        """Handles one datagram; returns whether there was one.
+
+        The loop comes back while there are more. They mostly come one at a time, and a second call that
+        finds none would cost as much as the first.
+        """
+        try:
+            data, (host, port, *_) = self._socket.recvfrom(MAX_DATAGRAM_BYTES)
+        except (BlockingIOError, InterruptedError, ConnectionRefusedError):
+            return False
+        self.traffic.received += 1
+        self.traffic.received_bytes += len(data)
+        self._on_datagram(data, f"{host}:{port}")
+        return True
 
     def send(self, address: str, data: bytes) -> None:
         """Sends a datagram; one that the system refuses is lost like any other."""
--- a/src/auburnsail/_link_share.py
+++ b/src/auburnsail/_link_share.py
@@ -40,6 +40,9 @@
     def sent(self, kind: str) -> None:
         """Notes that the answer is out, or that there is none."""
         self._unsent[kind] -= 1
+        if not self._unsent[kind]:
+            # A fleet can have thousands of routes, each a kind of its own.
+            del self._unsent[kind]
 
     @contextlib.contextmanager
     def passing_on(self, kind: str) -> Iterator[None]:
