--- a/tests/test_link_order.py
+++ b/tests/test_link_order.py
@@ -4,9 +4,11 @@
 
 import gevent
 from gevent.event import Event
+from hypothesis import given
+from hypothesis import strategies as st
 
 from auburnsail._clock import NS_PER_MS, BootClock
-from auburnsail._link_order import LinkOrder, LinkRank
+from auburnsail._link_order import BLOCK_NS, QUEUED_NS, LinkOrder, LinkRank, Transfer
 from auburnsail._link_sender import LinkSender
 
 LINK_BYTES_PER_S = 7.5 * 125_000
@@ -78,6 +80,51 @@
         self.assertTrue(self.order.is_large(DOWNLOAD))
 
 
+class LinkOrderRulesTest(unittest.TestCase):
+    """What holds for any mix of messages."""
+
+    @given(
+        st.lists(
+            st.tuples(
+                st.integers(0, 40),  # milliseconds since the message before
+                st.booleans(),  # whether it is large
+                st.sampled_from(LinkRank),
+            ),
+            max_size=60,
+        )
+    )
+    def test_large_messages_keep_their_order_and_the_queue_stays_short(self, arrivals):
+        """Guards against a large message that overtakes an earlier one, or fills the queue before small ones."""
+        order, now_ns, taken = LinkOrder(LINK_BYTES_PER_S), 0, []
+
+        def run_until(end_ns: int) -> None:
+            nonlocal now_ns
+            while order.waiting and (next_ns := max(now_ns, order.next_ns())) <= end_ns:
+                now_ns = next_ns
+                first = min(waiting)
+                transfer = order.take(now_ns)
+                self.assertIs(transfer, first)
+                self.assertLessEqual(order.queue_ns(now_ns), QUEUED_NS + BLOCK_NS + 1)
+                waiting.remove(transfer)
+                taken.append(transfer)
+            now_ns = max(now_ns, end_ns)
+
+        waiting: list[Transfer] = []
+        small_bytes = 0
+        for after_ms, is_large, rank in arrivals:
+            run_until(now_ns + after_ms * NS_PER_MS)
+            if is_large:
+                transfer = order.begin(rank)
+                order.wait(transfer, order.block_bytes, now_ns)
+                waiting.append(transfer)
+            elif order.queue_ns(now_ns) < QUEUED_NS:
+                order.pass_small(CALL, now_ns)
+                small_bytes += CALL
+        run_until(now_ns + 10**12)
+        self.assertEqual(waiting, [])
+        self.assertEqual(order.sent_bytes, small_bytes + len(taken) * order.block_bytes)
+
+
 class LinkSenderTest(unittest.TestCase):
     """Greenlets that send."""
 
