Bound the idle time of a full link without a clock, and test large request bodies

Change: the bound on idle time is in virtual time, 0.94 of the link used instead of 0.85; in real time 1.25. What the test guards against, calls behind downloads, keeps its bound. A test for request bodies in blocks, which nothing covered.

--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -17,6 +17,7 @@
 from auburnsail._link_share import LinkShare
 from auburnsail._messages import Codec
 from auburnsail._model import Join
+from auburnsail._pool import HttpPeer
 from standins.link import StreamRelay
 from standins.link_model import Conditions, Link, Relay
 from tests.path_fakes import SECRET, FakeUpstream, PathNode, connect, exchange, reason_of, request
@@ -28,8 +29,9 @@
 CALL_BOUND_S = 0.1
 # A change is in force everywhere within 3 s, after six hops at most.
 FETCH_BOUND_S = 0.5
-# The link is busy for that long with the downloads; a tenth more may be idle time or headers.
-DOWNLOADS_BOUND_S = 1.1 * DOWNLOADS * len(DOWNLOAD) / LINK_BYTES_PER_S
+# The link is busy for that long with the downloads. On a busy machine each of their 56 blocks may be a few
+# milliseconds late; test_link_order bounds the idle time of the link without a clock.
+DOWNLOADS_BOUND_S = 1.25 * DOWNLOADS * len(DOWNLOAD) / LINK_BYTES_PER_S
 # Without other traffic six hops take a fifth of the 3 s; the rest is for nodes that are cut off or restart.
 QUIET_FETCH_BOUND_S = 0.1
 DOWNLOAD_S = len(DOWNLOAD) / LINK_BYTES_PER_S
@@ -129,6 +131,32 @@
         self.assertEqual(records, [(7, record)])
         self.assertLess(fetched.took_ms / 1000, QUIET_FETCH_BOUND_S)
 
+    def test_large_request_bodies_leave_in_turns_and_whole(self):
+        """Guards against bodies sent to other nodes that fill the link, or of which blocks are lost."""
+        far = FakeUpstream()
+        self.addCleanup(far.stop)
+        peer = HttpPeer(far.address, link=self.sender)
+        self.addCleanup(peer.drop_idle)
+        body = bytes(range(256)) * 800
+        longest_ms = []
+
+        def watch() -> None:
+            while True:
+                longest_ms.append(self.sender.facts()["link_queue_ms"])
+                gevent.sleep(0.002)
+
+        watcher = gevent.spawn(watch)
+        started_s = time.monotonic()
+        sending = peer.open()
+        head = b"POST / HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n" % len(body)
+        sending.send(head + body)
+        took_s = time.monotonic() - started_s
+        self.assertEqual(sending.receive_head("POST").status, 200)
+        watcher.kill()
+        self.assertEqual(far.runs[0].body, body)
+        self.assertLess(max(longest_ms) / 1000, CALL_BOUND_S / 2)
+        self.assertGreater(took_s, 0.8 * len(body) / LINK_BYTES_PER_S)
+
     def _fetch(self, address: str) -> tuple[Fetched, list | None]:
         """Returns what a node that is behind gets from a peer."""
         ended: list[Fetched] = []
--- a/tests/test_link_order.py
+++ b/tests/test_link_order.py
@@ -50,7 +50,7 @@
         downloads = [self.order.begin(LinkRank.REQUEST) for _ in range(20)]
         waits = self._run(1_000, 0.1, downloads)
         self.assertLess(max(waits), CALL_BOUND_MS / 2)
-        self.assertGreater(self.order.sent_bytes, 0.85 * LINK_BYTES_PER_S)
+        self.assertGreater(self.order.sent_bytes, 0.94 * LINK_BYTES_PER_S)
 
     def test_downloads_end_one_after_another(self):
         """Guards against downloads that share the link evenly, so that all of them are late."""
