Do not end a drained server while a request lies in a socket that has not been read

Cause: after its grace a drained server closed its idle connections and, since none of them had a request, returned at once; the process ended 0.1 s later. A request that had arrived by then was read by its greenlet a moment later, passed on, and lost with the process. Fix: the server is done when two checks 25 ms apart find no request in flight; what had arrived has been read by the second one.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -31,6 +31,8 @@
 HEAD_TIMEOUT_MS = 10_000
 IDLE_TIMEOUT_MS = 75_000
 DRAIN_CHECK_S = 0.025
+# Checks without a request in flight after which a drained server has none.
+QUIET_CHECKS = 2
 LINGER_S = 1.0
 BODY_POLL_S = 0.02
 LINGER_BYTES = 1 << 20
@@ -294,14 +296,15 @@
         end_ns = self.clock.now_ns() + int(timeout_s * 1e9)
         gevent.sleep(min(idle_grace_s, timeout_s))
         self.drain_idle_now = True
-        while self.connections:
+        quiet_checks = 0
+        while self.connections and quiet_checks < QUIET_CHECKS:
             for connection in tuple(self.connections):
                 if connection.is_idle and not connection.buffered:
                     shut_down(connection.sock, socket.SHUT_RD)
-            if not self.in_flight:
-                break
+            # A request may lie in a socket that its greenlet has not read yet.
+            quiet_checks = 0 if self.in_flight else quiet_checks + 1
             if self.clock.now_ns() >= end_ns:
-                return False
+                return not self.in_flight
             gevent.sleep(DRAIN_CHECK_S)
         return True
 
