Take no refusal or success for a request whose id it does not repeat

Callers saw: an upstream that writes an earlier refusal once more on a kept connection made the node answer "not run" for a request that ran, and run it a second time (REFUSED, TWICE).

Cause: an answer without the id was accepted as the answer to any request, and 421 was a promise without more. A second copy of a refusal has the id of a further attempt of the same request on the same connection, so the parser could not tell the two apart.

Change: an answer of the upstream counts as "not run", and a success as the request's own, only if it repeats the id that was sent. A connection remembers the ids of the requests that were refused on it (at most 16, then it is closed) and is not used for these again; it stays in use for others, whose answers have another id.

--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -83,6 +83,10 @@
         if self._framing_budget < 0 and not self.is_complete:
             raise HTTPParseError("the answer has more framing than body")
 
+    def field(self, name: str) -> str:
+        """Returns the value of a header by its lower-case name, empty if the answer lacks it."""
+        return next((value for field, value in self.fields if field.lower() == name), "")
+
     def pop_body(self) -> bytes:
         """Returns the body bytes parsed since the last call, and clears them."""
         if not self._body:
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -23,7 +23,7 @@
 from ._relay import BUFFERED_BYTES, failure_of, read_body, relay_answer, request_head, send_request
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from ._silence import silence_limit_ns
-from ._upstream_answer import MISDIRECTED, NOT_RUN_STATUSES, check_seal, is_not_run, refusal_of
+from ._upstream_answer import MISDIRECTED, find_refusal
 from .exceptions import CallerGoneError, NoRoomError, NotRunError, OutcomeUnknownError
 
 __all__ = ["AttemptRunner"]
@@ -310,7 +310,9 @@
         idle_ns = MAX_IDLE_NS if context.attempts.repeatable else FRESH_IDLE_NS
         try:
             return self._peers.get(address).open(
-                max_idle_ns=idle_ns, timeout_s=min(CONNECT_TIMEOUT_S, remaining_s)
+                max_idle_ns=idle_ns,
+                timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
+                request_id=context.request_id,
             )
         except NotRunError as error:
             raise not_run(CONNECT_FAILED, error.detail, error.step, error.peer) from error
@@ -346,19 +348,16 @@
         """Raises an error if the answer must not be relayed to the caller."""
         if local is not None:
             self._ownership.hooks.on_answer()
-            if answer.status not in NOT_RUN_STATUSES and not self._dialect.server_seal:
-                return
-            fields = {name.lower(): value for name, value in answer.fields}
-            if not is_not_run(self._dialect, answer.status, fields):
-                repeatable = context.attempts.repeatable
-                check_seal(self._dialect, answer.status, fields, address, repeatable=repeatable)
+            repeatable, sent_id = context.attempts.repeatable, context.request_id
+            refusal = find_refusal(self._dialect, answer, address, sent_id, repeatable=repeatable)
+            if refusal is None:
                 return
             read_body(exchange)
-            exchange.finish()
+            exchange.finish(refused_id=sent_id)
             context.attempts.on_not_run()
             if answer.status == MISDIRECTED:
-                self._ownership.hooks.on_misdirected(fields.get(self._dialect.instance, ""))
-            raise refusal_of(answer.status, answer.phrase, fields, address)
+                self._ownership.hooks.on_misdirected(answer.field(self._dialect.instance))
+            raise refusal
         lowered = ((name.lower(), value) for name, value in answer.fields)
         fields = {name: value for name, value in lowered if name.startswith(_headers.PREFIX)}
         context.utilisation = Utilisation.decode(fields.get(_headers.UTILISATION, ""))
--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -15,6 +15,8 @@
 __all__ = ["Connection", "Exchange"]
 
 BLOCK_BYTES = 64 * 1024
+# A connection with more refusals is closed, which bounds the ids that are kept.
+MAX_REFUSED_IDS = 16
 
 
 class Pool(Protocol):
@@ -47,11 +49,14 @@
         sock: Connected socket.
         last_used_ns: When the connection was made or its last exchange ended cleanly.
         is_reused: Whether the connection served an earlier exchange.
+        refused_ids: Ids of the requests that the peer refused on this connection. If it writes a
+            refusal once more, the copy looks like the answer to a further attempt of the request.
     """
 
     sock: socket.socket
     last_used_ns: int
     is_reused: bool = False
+    refused_ids: tuple[str, ...] = ()
 
 
 class Exchange:
@@ -172,12 +177,21 @@
             data = parser.pop_body()
         return data
 
-    def finish(self) -> None:
-        """Returns the connection to the pool if the exchange ended cleanly."""
+    def finish(self, *, refused_id: str = "") -> None:
+        """Returns the connection to the pool if the exchange ended cleanly.
+
+        Args:
+            refused_id: Id of the request if the peer refused it.
+        """
         connection = self._connection
         if connection is None or not self._is_clean():
             self.abort()
             return
+        if refused_id:
+            connection.refused_ids += (refused_id,)
+            if len(connection.refused_ids) > MAX_REFUSED_IDS:
+                self.abort()
+                return
         self._connection = None
         self._peer.put_idle(connection, self.started_ns)
 
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -88,13 +88,18 @@
         return len(self._idle)
 
     def open(
-        self, *, max_idle_ns: int = MAX_IDLE_NS, timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        *,
+        max_idle_ns: int = MAX_IDLE_NS,
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        request_id: str = "",
     ) -> Exchange:
         """Returns an exchange on an idle connection, or on a new one if there is none.
 
         Args:
             max_idle_ns: Longest idle time of a connection to reuse.
             timeout_s: Time limit for connecting in seconds, at most `CONNECT_TIMEOUT_S`.
+            request_id: Id of the request; connections on which the peer refused it are not reused.
 
         Raises:
             NotRunError: Connecting failed, or the peer was unreachable within the last
@@ -106,12 +111,14 @@
             raise NotRunError(
                 "the peer was unreachable a moment ago", step="http.connect", peer=self.address
             )
-        while self._idle:
-            connection = self._idle[-1]
+        # The list is ordered by time of use, so those before one that is too old are older.
+        for index in range(len(self._idle) - 1, -1, -1):
+            connection = self._idle[index]
             if now_ns - connection.last_used_ns > max_idle_ns:
-                # The list is ordered by time of use, so all others have been idle for longer.
                 break
-            self._idle.pop()
+            if request_id and request_id in connection.refused_ids:
+                continue
+            del self._idle[index]
             if is_open_and_idle(connection.sock):
                 return Exchange(self, connection, now_ns)
             connection.sock.close()
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -7,6 +7,7 @@
 from gevent import socket
 from gevent.server import StreamServer
 
+from auburnsail._dialect import DEFAULT_DIALECT
 from auburnsail._fleet import FleetState
 from auburnsail._forward import ProxyApplication
 from auburnsail._hop import HopSigner
@@ -180,7 +181,8 @@
             link=link,
             **options,
         )
-        self.server = HttpServer(listener, self.application, link=link)
+        dialect = options.get("dialect", DEFAULT_DIALECT)
+        self.server = HttpServer(listener, self.application, link=link, dialect=dialect)
         self.server.start()
         self.session = Session(
             self.router.own_id, "wien", "wien-1", self.address, self.address, service, 4
