Check what other writers left: nesting, numbers, addresses, and foreign rows of the log

Callers saw: one odd report (sequence or start time far too high) made each later report of the real upstream look outdated, so its VM served nobody; one unreadable row of the fleet log stopped all followers and the recorder for good (LOST).

Cause: decoders raised RecursionError, OverflowError and msgspec's errors past handlers that expect one of them; numbers without bounds and any address were taken and failed where they were used: in renewals, in connect, in placement.

A report must name the upstream's address of the settings file. A row of the fleet log that is not an entry of its position counts as an entry without commands, the same on each node, and is passed on to peers as such an entry, which older builds read too. A row far ahead ends a read. An append always has a reply and a fetch a result. A checkpoint that cannot be read is passed over for the one before.

--- a/src/auburnsail/_checkpoint.py
+++ b/src/auburnsail/_checkpoint.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ._checked_input import decode_msgpack
 from ._fleet import FleetState, SessionRow
 from ._model import Session, SessionId
 from ._shards import ShardTable
@@ -58,9 +59,9 @@
     """Replaces the fleet's state if the checkpoint is newer; returns whether it was replaced.
 
     Raises:
-        msgspec.DecodeError: The data is not a checkpoint.
+        InvalidInputError: The data is not a checkpoint.
     """
-    checkpoint = msgspec.msgpack.decode(data, type=_Checkpoint)
+    checkpoint = decode_msgpack(data, _Checkpoint, "checkpoint")
     if checkpoint.version <= fleet.version:
         return False
     rows = [SessionRow(row.session, row.index, row.revision, row.fence) for row in checkpoint.rows]
--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ._checked_input import Count, Name, check_address, decode_json, decode_msgpack
 from ._holds import HeldRange
 from ._io import LogRecords
 from ._link_pacer import LinkRank
@@ -49,17 +50,17 @@
         freed: Key ranges released since the last acknowledged report.
     """
 
-    service: str
-    address: str
-    slots: int
-    connections: int = 0
+    service: Name
+    address: Name
+    slots: Count
+    connections: Count = 0
     state: str = "ready"
     checks_grants: bool = True
     load: float = 0.0
     instance: str = ""
-    born_ms: int = 0
-    sequence: int = 0
-    cold_ms: int = 0
+    born_ms: Count = 0
+    sequence: Count = 0
+    cold_ms: Count = 0
     holds: tuple[HeldRange, ...] = ()
     freed: tuple[Handover, ...] = ()
 
@@ -182,13 +183,15 @@
             try:
                 status, body = route(query, content)
             except (msgspec.DecodeError, KeyError, ValueError) as error:
-                status, body = 400, str(error).encode()
+                status, body = 400, str(error).encode(errors="replace")
         start_response(STATUS_LINES[status], [("content-length", str(len(body)))])
         message = self._link.begin(len(body), LinkRank.CONTROL)
         return (bytes(block) for block in message.blocks(body))
 
     def _announce(self, query: dict, body: bytes) -> ControlAnswer:
-        self._node.announce(msgspec.json.decode(body, type=Announcement))
+        announcement = decode_json(body, Announcement, "announcement")
+        check_address(announcement.address)
+        self._node.announce(announcement)
         return 200, b"{}"
 
     def _message(self, query: dict, body: bytes) -> ControlAnswer:
@@ -199,7 +202,7 @@
         content = self._codec.verify(body)
         if content is None:
             return 403, b"wrong tag"
-        self._node.on_settings_push(msgspec.msgpack.decode(content, type=LogRecords).records)
+        self._node.on_settings_push(decode_msgpack(content, LogRecords, "settings-push").records)
         return 200, b"{}"
 
     def _drain(self, query: dict, body: bytes) -> ControlAnswer:
--- a/src/auburnsail/_effects.py
+++ b/src/auburnsail/_effects.py
@@ -141,9 +141,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Superseded:
-    """Another entry has this version; the records are those after the expected version."""
+    """Another entry has this version.
 
-    records: tuple[bytes, ...]
+    Attributes:
+        records: Positions and contents of the records after the expected version.
+    """
+
+    records: tuple[tuple[int, bytes], ...]
     definite: ClassVar[bool] = True
 
 
--- a/src/auburnsail/_io.py
+++ b/src/auburnsail/_io.py
@@ -7,7 +7,9 @@
 import gevent
 import msgspec
 
+from . import _supervision
 from ._adapter import SettingsSource
+from ._checked_input import decode_msgpack
 from ._checkpoint import (
     CHECKPOINT_INTERVAL_ENTRIES,
     CHECKPOINT_PREFIX,
@@ -40,6 +42,8 @@
 from .exceptions import (
     AuburnsailError,
     ConflictError,
+    InvalidInputError,
+    NotRunError,
     OutcomeUnknownError,
     StoreUnavailableError,
 )
@@ -49,6 +53,8 @@
 MAX_DATAGRAM_BYTES = 65_536
 RECEIVE_BUFFER_BYTES = 1 << 20
 PEER_TIMEOUT_S = 1.0
+# Another writer may have left an object under a name that sorts after the newest checkpoint.
+MAX_CHECKPOINTS_TRIED = 3
 
 Records = list[tuple[int, bytes]]
 
@@ -130,7 +136,7 @@
         """Sends a datagram; a send error is counted, and the datagram is lost."""
         try:
             self._socket.sendto(data, endpoint(self._resolve_address(address)))
-        except OSError:
+        except (OSError, NotRunError):
             self.traffic.send_errors += 1
             return
         self.traffic.sent += 1
@@ -231,13 +237,14 @@
             case Send(address=address, data=data):
                 self._udp.send(address, data)
             case Post():
-                gevent.spawn(self._post, effect)
+                _supervision.spawn("io.post", self._post, effect)
             case StoreRequest():
-                gevent.spawn(self._append, effect)
+                _supervision.spawn("io.append", self._append, effect)
             case FetchLog():
-                gevent.spawn(self._fetch, effect)
+                _supervision.spawn("io.fetch", self._fetch, effect)
             case SaveCheckpoint():
-                gevent.spawn(self._save_checkpoint, dump_fleet(self._fleet), effect.version)
+                data = dump_fleet(self._fleet)
+                _supervision.spawn("io.checkpoint", self._save_checkpoint, data, effect.version)
             case _:
                 return False
         return True
@@ -258,11 +265,16 @@
         except AuburnsailError as error:
             self._callbacks.on_failure(error)
             reply = OutcomeUnknown()
+        except Exception as error:
+            # Without a reply the recorder would wait for this append forever.
+            _supervision.report_unexpected("io.append", error)
+            reply = OutcomeUnknown()
         self._callbacks.on_store_reply(request.ticket, reply)
 
     def _read_superseding(self, log: VersionedLog, expected: int) -> StoreReply:
         try:
-            return Superseded(tuple(record.data for record in log.read_after(expected)))
+            records = log.read_after(expected)
+            return Superseded(tuple((record.version, record.data) for record in records))
         except AuburnsailError:
             return Superseded(())
 
@@ -275,6 +287,11 @@
         except AuburnsailError as error:
             error_text = str(error)
             records = None
+        except Exception as error:
+            # Without a result the fetch would count as outstanding until its timeout.
+            _supervision.report_unexpected("io.fetch", error)
+            error_text = repr(error)
+            records = None
         size = sum(len(data) for _, data in records or ())
         took_ms = (self._clock.now_ns() - started_ns) // NS_PER_MS
         self._callbacks.on_fetched(FetchResult(fetch, took_ms, size, error_text))
@@ -295,10 +312,17 @@
 
     def _load_checkpoint(self) -> None:
         keys = self._objects.keys(CHECKPOINT_PREFIX)
-        data = self._objects.get(keys[-1]) if keys else None
         self._tried_checkpoint = True
-        if data is not None and restore_fleet(self._fleet, data):
-            self._callbacks.on_restored()
+        for key in reversed(keys[-MAX_CHECKPOINTS_TRIED:]):
+            data = self._objects.get(key)
+            try:
+                is_restored = data is not None and restore_fleet(self._fleet, data)
+            except InvalidInputError as error:
+                self._callbacks.on_failure(error)
+                continue
+            if is_restored:
+                self._callbacks.on_restored()
+            return
 
     def _fetch_from_peer(self, fetch: FetchLog) -> Records:
         target = f"/v1/log/{fetch.log}?after={fetch.after}"
@@ -311,7 +335,7 @@
             status, body = self._get(fetch.address, target)
         if status != 200:
             raise AuburnsailError(f"status {status}", step="log.fetch", peer=fetch.address)
-        return msgspec.msgpack.decode(body, type=LogRecords).records
+        return decode_msgpack(body, LogRecords, "peer-log").records
 
     def _get(self, address: str, target: str) -> tuple[int, bytes]:
         peer = HttpPeer(self._resolve_address(address), link=self._link)
--- a/src/auburnsail/_log_follower.py
+++ b/src/auburnsail/_log_follower.py
@@ -3,13 +3,11 @@
 from collections import deque
 from dataclasses import dataclass, field
 
-import msgspec
-
 from ._clock import NS_PER_MS
 from ._effects import FetchLog, LogName
 from ._fleet import CommandResult, FleetState
-from ._model import Entry, decode_entry
-from .exceptions import InvariantViolation
+from ._model import Entry, decode_entry, encode_entry
+from .exceptions import InvalidInputError, InvariantViolation
 
 __all__ = ["FleetFollower", "LogFetcher", "SettingsFollower"]
 
@@ -109,7 +107,7 @@
 
     Attributes:
         fetcher: Decides when to fetch the log.
-        rejected: Number of entries that could not be decoded.
+        rejected: Number of entries that could not be decoded, including those passed over.
     """
 
     def __init__(self, fleet: FleetState) -> None:
@@ -127,12 +125,19 @@
             return None
         return [data for number, data in self._recent if number > version]
 
-    def offer(self, data: bytes, address: str) -> tuple[Entry, list[CommandResult]] | None:
+    def offer(
+        self, data: bytes, address: str, position: int = 0
+    ) -> tuple[Entry, list[CommandResult]] | None:
         """Applies an entry if it directly follows the local version.
 
+        Another writer may have taken the next position of the log with data that is no entry of
+        this position. No entry can then be appended there, so all nodes apply an entry without
+        commands in its place. Peers receive that entry from this node.
+
         Args:
-            data: The encoded entry.
+            data: The encoded entry, empty for a row that is no record of the log.
             address: The peer that sent it; empty for the store or this node's own append.
+            position: Position in the store's log at which the data was found, 0 if unknown.
 
         Returns:
             The entry and the results of its commands, or None if it was not applied.
@@ -140,11 +145,11 @@
         Raises:
             InvariantViolation: The log holds two different entries at one version.
         """
-        try:
-            entry = decode_entry(data)
-        except msgspec.DecodeError:
-            self.rejected += 1
+        entry = self._decode(data, position)
+        if entry is None:
             return None
+        if not entry.id:
+            data = encode_entry(entry)
         if entry.version > self._fleet.version + 1:
             self.fetcher.record_version(entry.version, address)
             return None
@@ -155,6 +160,18 @@
         self._retain(entry.version, data)
         return entry, results
 
+    def _decode(self, data: bytes, position: int) -> Entry | None:
+        try:
+            entry = decode_entry(data) if data else None
+        except InvalidInputError:
+            entry = None
+        if entry is not None and position in (0, entry.version):
+            return entry
+        self.rejected += 1
+        if position != self._fleet.version + 1:
+            return None
+        return Entry(position, self._fleet.digest, "", ())
+
     def _check_same_entry(self, version: int, data: bytes) -> None:
         if not self._recent or version < self._recent[0][0]:
             return
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -148,8 +148,7 @@
 
     def on_datagram(self, data: bytes, address: str, now_ns: int) -> list[Effect]:
         """Handles a message that arrived as a datagram or over control HTTP."""
-        message = self._codec.decode(data)
-        if message is not None:
+        if (message := self._codec.decode(data)) is not None:
             self._on_message(message, address, now_ns)
         return self._collect_effects()
 
@@ -169,8 +168,8 @@
         if data is not None:
             self._apply_entry(data, "", now_ns, push=True)
         if isinstance(reply, Superseded):
-            for record in reply.records:
-                self._apply_entry(record, "", now_ns, push=True)
+            for position, data in reply.records:
+                self._apply_entry(data, "", now_ns, push=True, position=position)
         self._proposals.start_append(now_ns)
         return self._collect_effects()
 
@@ -187,8 +186,9 @@
         """
         if log == LogName.FLEET:
             before = self._fleet.version
-            for _, data in records or ():
-                self._apply_entry(data, address, now_ns, push=False)
+            for position, data in records or ():
+                known = 0 if address else position
+                self._apply_entry(data, address, now_ns, push=False, position=known)
             self._replica.finish_entries_fetch(records, address, now_ns)
             changed = self._fleet.version > before
         else:
@@ -314,8 +314,7 @@
         may_be_open = is_open or message.fleet > self._fleet.version
         may_be_open = may_be_open and message.holder not in self._fleet.ended
         acknowledged = may_be_open and watcher.on_renewal(message.holder, now_ns)
-        ids = (message.holder, message.watcher)
-        versions = self._replica.versions
+        ids, versions = (message.holder, message.watcher), self._replica.versions
         self._outbox.send(address, Ack(*ids, message.sent_ns, not acknowledged, *versions))
 
     def _on_ack(self, message: Ack, now_ns: int) -> None:
@@ -327,8 +326,10 @@
             self._replica.request_store_fetch()
         lease.on_ack(message.watcher, message.echo_ns, message.sealed, now_ns)
 
-    def _apply_entry(self, data: bytes, address: str, now_ns: int, *, push: bool) -> None:
-        applied = self._replica.offer(data, address)
+    def _apply_entry(
+        self, data: bytes, address: str, now_ns: int, *, push: bool, position: int = 0
+    ) -> None:
+        applied = self._replica.offer(data, address, position)
         if applied is None:
             return
         entry, results = applied
@@ -339,8 +340,8 @@
         self._session.on_applied({command.id for command in entry.commands}, self._fleet, now_ns)
         self._watch_assignments.set_own_session(self.own_id, now_ns)
         self._outbox.add(Applied(entry, results))
-        small = len(data) <= MAX_ENTRY_BYTES
-        message: Message = Push(data) if small else Versions(*self._replica.versions)
+        can_push = entry.id and len(data) <= MAX_ENTRY_BYTES
+        message: Message = Push(data) if can_push else Versions(*self._replica.versions)
         if push:
             self._forward(message, address)
         if is_own:
--- a/src/auburnsail/_messages.py
+++ b/src/auburnsail/_messages.py
@@ -173,7 +173,8 @@
             return None
         try:
             packet = self._decoder.decode(body)
-        except msgspec.DecodeError:
+        # Deeply nested data raises RecursionError.
+        except (msgspec.MsgspecError, RecursionError):
             self.rejected["format"] += 1
             return None
         if not self._admit(packet.sender, packet.counter):
--- a/src/auburnsail/_model.py
+++ b/src/auburnsail/_model.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from ._checked_input import decode_msgpack
+
 __all__ = [
     "Assign",
     "Close",
@@ -206,7 +208,6 @@
 
 
 _ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(Entry)
 
 
 def encode_entry(entry: Entry) -> bytes:
@@ -218,6 +219,6 @@
     """Returns the entry that `encode_entry` encoded.
 
     Raises:
-        msgspec.DecodeError: The bytes are not a valid entry.
+        InvalidInputError: The bytes are not a valid entry.
     """
-    return _DECODER.decode(data)
+    return decode_msgpack(data, Entry, "fleet-entry")
--- a/src/auburnsail/_rebalancer.py
+++ b/src/auburnsail/_rebalancer.py
@@ -12,6 +12,8 @@
 import gevent
 import msgspec
 
+from . import _supervision
+from ._checked_input import decode_msgpack
 from ._clock import NS_PER_MS, Clock, Timers
 from ._fleet import FleetState, SessionRow
 from ._journal import Journal
@@ -32,7 +34,7 @@
 from ._reserve import MoveBudget, ReservationBook, decide_reservation, sample_peers
 from ._sections import Placement
 from ._sketch import ShardLoads
-from .exceptions import AuburnsailError
+from .exceptions import AuburnsailError, InvalidInputError
 
 __all__ = ["Rebalancer", "RebalancerContext"]
 
@@ -137,7 +139,7 @@
         payload = self._context.codec.verify(body)
         if payload is None:
             return None
-        request = msgspec.msgpack.decode(payload, type=ReservationRequest)
+        request = decode_msgpack(payload, ReservationRequest, "reservation")
         reply = ReservationReply(detail="no session")
         row = self._own_row()
         if row is not None:
@@ -182,7 +184,7 @@
         self._update_first_seen()
         if self._settings.moves_per_minute and not self._context.mover.drain_reason:
             self._is_planning = True
-            gevent.spawn(self._run_plan, row)
+            _supervision.spawn("plan", self._run_plan, row)
 
     def _tick_range_service(self, row: SessionRow, now_ns: int) -> None:
         """Starts a plan for an ordered key space if this node is busy or a peer owns no keys."""
@@ -203,7 +205,8 @@
         peer_shard_counts = [fleet.shard_count(peer) for peer in peers]
         if peers and should_plan_move(owner, peer_shard_counts):
             self._is_planning = True
-            gevent.spawn(self._run_range_plan, row, owner, [peer.session for peer in peers])
+            sessions = [peer.session for peer in peers]
+            _supervision.spawn("plan", self._run_range_plan, row, owner, sessions)
 
     def _owned_loads(self, row: SessionRow) -> dict[int, float]:
         owned = self._context.fleet.shards_of(row)
@@ -285,7 +288,10 @@
 
     def _fetch_load(self, session: Session) -> ServerLoad | None:
         payload = self._call_peer(session, "GET", "/v1/load", b"")
-        load = msgspec.msgpack.decode(payload, type=ServerLoad | None) if payload else None
+        try:
+            load = decode_msgpack(payload, ServerLoad | None, "peer-load") if payload else None
+        except InvalidInputError:
+            return None
         if load is not None and load.session != session.id:
             # The address was reused by another node, which may run another service.
             facts = {"asked": str(session.id), "answered": str(load.session)}
@@ -332,7 +338,10 @@
         payload = self._call_peer(other.session, "POST", "/v1/reserve", body)
         if payload is None:
             return
-        reply = msgspec.msgpack.decode(payload, type=ReservationReply)
+        try:
+            reply = decode_msgpack(payload, ReservationReply, "reservation")
+        except InvalidInputError:
+            return
         accepted = list(reply.accepted)
         self._context.journal.record(
             "placement",
--- a/src/auburnsail/_replica.py
+++ b/src/auburnsail/_replica.py
@@ -77,9 +77,9 @@
         """Requests a fetch of the fleet log from the store."""
         self._entries.fetcher.request_from("")
 
-    def offer(self, data: bytes, address: str) -> AppliedEntry | None:
+    def offer(self, data: bytes, address: str, position: int = 0) -> AppliedEntry | None:
         """Applies an entry if it directly follows the local version; see `FleetFollower.offer`."""
-        return self._entries.offer(data, address)
+        return self._entries.offer(data, address, position)
 
     def finish_entries_fetch(self, records: Records | None, address: str, now_ns: int) -> None:
         """Completes a fetch of the fleet log; the caller has passed its entries to `offer`."""
--- a/src/auburnsail/_settings_log.py
+++ b/src/auburnsail/_settings_log.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from ._checked_input import decode_msgpack
 from ._digest import blake2s
 from ._edits import Edit, format_path
 from ._settings import TreeSettings
@@ -12,7 +13,7 @@
 from ._store_retry import RetrySchedule, until_definite
 from ._tree import parse_tree
 from ._versioned_log import LogRecord, VersionedLog
-from .exceptions import RefusedError, SettingsError
+from .exceptions import InvalidInputError, RefusedError, SettingsError
 
 __all__ = [
     "SETTINGS_LOG",
@@ -72,8 +73,8 @@
         SettingsError: The record is not valid.
     """
     try:
-        return msgspec.msgpack.decode(data, type=SettingsRecord)
-    except msgspec.DecodeError as error:
+        return decode_msgpack(data, SettingsRecord, "settings-log")
+    except InvalidInputError as error:
         raise SettingsError(
             f"version {version} is not a settings record: {error}", step="settings.decode"
         ) from error
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -5,6 +5,8 @@
 
 from gevent import socket
 
+from .exceptions import NotRunError
+
 __all__ = [
     "USER_TIMEOUT_MS",
     "accepts_connections",
@@ -16,6 +18,8 @@
     "shut_down",
 ]
 
+MAX_PORT = 65_535
+MAX_HOST_LENGTH = 253
 CONNECT_PROBE_TIMEOUT_S = 0.2
 # A silent connection acknowledges nothing. Ten round trips between regions take 0.4 s.
 USER_TIMEOUT_MS = 500
@@ -40,8 +44,15 @@
 
 
 def endpoint(address: str) -> tuple[str, int]:
-    """Returns host and port of an ``ip:port`` address, without brackets around an IPv6 address."""
+    """Returns host and port of an ``ip:port`` address, without brackets around an IPv6 address.
+
+    Raises:
+        NotRunError: No connection to the address is possible.
+    """
     host, _, port = address.rpartition(":")
+    is_port = port.isascii() and port.isdecimal() and len(port) <= 5 and 0 < int(port) <= MAX_PORT
+    if not is_port or len(host) > MAX_HOST_LENGTH:
+        raise NotRunError("not a usable address", step="address", peer=address[:MAX_HOST_LENGTH])
     return host.strip("[]"), int(port)
 
 
--- a/src/auburnsail/_versioned_log.py
+++ b/src/auburnsail/_versioned_log.py
@@ -2,19 +2,24 @@
 
 import msgspec
 
-from ._store import Check, Committed, Put, TableStore, Transaction
-from .exceptions import ConflictError
+from ._checked_input import decode_msgpack
+from ._store import Check, Committed, Put, Row, TableStore, Transaction
+from .exceptions import ConflictError, InvalidInputError
 
 __all__ = ["LogRecord", "VersionedLog"]
 
 
+POSITION_DIGITS = 16
+
+
 class LogRecord(msgspec.Struct, frozen=True):
     """One stored record.
 
     Attributes:
         version: Position in the log, from 1.
-        id: Id of the append; all attempts to append the record share it.
-        data: Content of the record.
+        id: Id of the append; all attempts to append the record share it. Empty for a row that
+            another writer left at this position.
+        data: Content of the record, empty for a row of another writer.
     """
 
     version: int
@@ -44,14 +49,27 @@
         return row.version if row else 0
 
     def read_after(self, version: int) -> list[LogRecord]:
-        """Returns records that follow a version, as many as one scan returns; empty at the end."""
+        """Returns records that follow a version, as many as one scan returns; empty at the end.
+
+        The records are contiguous. A row that is not a record of this log is returned with an empty
+        id if it takes the next position, and ends the result otherwise.
+        """
         rows = self._store.scan(f"{self._name}/log/", self._record_key(version))
-        return [msgspec.msgpack.decode(row.value, type=LogRecord) for row in rows]
+        records: list[LogRecord] = []
+        for row in rows:
+            record = self._to_record(row)
+            expected = records[-1].version + 1 if records else version + 1
+            # Records may start later than expected, since old ones are removed.
+            is_gap = record is None or record.version != expected
+            if is_gap and (records or record is None or not record.id):
+                break
+            records.append(record)
+        return records
 
     def read(self, version: int) -> LogRecord | None:
         """Returns one record, or None if it does not exist."""
         row = self._store.read(self._record_key(version))
-        return msgspec.msgpack.decode(row.value, type=LogRecord) if row else None
+        return self._to_record(row) if row else None
 
     def append(
         self, expected: int, append_id: str, data: bytes, checks: tuple[Check, ...] = ()
@@ -89,5 +107,19 @@
             return version
         raise ConflictError(f"version {version} was taken", step="log.append", peer=self._name)
 
+    def _to_record(self, row: Row) -> LogRecord | None:
+        """Decodes a row; returns None if its key names no position."""
+        position = row.key.rpartition("/")[2]
+        if len(position) != POSITION_DIGITS or not (position.isascii() and position.isdecimal()):
+            return None
+        version = int(position)
+        try:
+            record = decode_msgpack(row.value, LogRecord, f"{self._name}-log")
+        except InvalidInputError:
+            record = None
+        if record is None or record.version != version or not record.id:
+            return LogRecord(version, "", b"")
+        return record
+
     def _record_key(self, version: int) -> str:
-        return f"{self._name}/log/{version:016d}"
+        return f"{self._name}/log/{version:0{POSITION_DIGITS}d}"
--- a/src/auburnsail/exceptions.py
+++ b/src/auburnsail/exceptions.py
@@ -4,6 +4,7 @@
     "AuburnsailError",
     "CallerGoneError",
     "ConflictError",
+    "InvalidInputError",
     "InvariantViolation",
     "NoRoomError",
     "NotRunError",
@@ -72,6 +73,10 @@
     """A conditional write was rejected because another write came first."""
 
 
+class InvalidInputError(AuburnsailError, ValueError):
+    """Data from outside the process cannot be decoded or exceeds a limit; it is not used."""
+
+
 class SettingsError(AuburnsailError):
     """A settings file or tree is not valid."""
 
--- a/src/auburnsail/platform/_boot_file.py
+++ b/src/auburnsail/platform/_boot_file.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from .._checked_input import decode_json
 from .._settings import NodeSettings
 from ..exceptions import SettingsError
 
@@ -72,6 +73,7 @@
         platform: Location of the store.
         bounds: Entries ``name=number``; names that this program does not know are ignored.
         limits: Limits of this VM.
+        app_addr: Address of the upstream on this VM, empty if not stated.
     """
 
     node_name: str
@@ -85,6 +87,7 @@
     platform: _StoreLocation
     bounds: tuple[str, ...] = ()
     limits: _VmLimits = _VmLimits()
+    app_addr: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,6 +99,7 @@
         store_address: ``ip:port`` of the platform's store.
         ready_address: ``ip:port`` for readiness checks.
         report_address: ``ip:port`` for the reports of the local upstream.
+        upstream_address: ``ip:port`` of the local upstream, empty if not stated.
         retry_ratio: Permitted retries at upstreams as a share of requests.
         retry_reserve: Retries permitted beyond that share in one window, for all nodes together.
     """
@@ -104,6 +108,7 @@
     store_address: str
     ready_address: str
     report_address: str
+    upstream_address: str
     retry_ratio: float
     retry_reserve: float
 
@@ -115,7 +120,7 @@
         SettingsError: The file cannot be read, lacks a field or has an invalid value.
     """
     try:
-        content = msgspec.json.decode(path.read_bytes(), type=_BootFileContent)
+        content = decode_json(path.read_bytes(), _BootFileContent, "settings-file")
         bounds = dict(bound.split("=", 1) for bound in content.bounds)
         return _to_boot_file(content, bounds)
     except (OSError, ValueError) as error:
@@ -147,6 +152,7 @@
         store_address=content.platform.address,
         ready_address=content.listen.ready,
         report_address=content.listen.control,
+        upstream_address=content.app_addr,
         retry_ratio=float(bounds.get("retry-budget-ratio", 0.1)),
         retry_reserve=float(bounds.get("budget-slack", 0)),
     )
--- a/src/auburnsail/platform/_desired_state.py
+++ b/src/auburnsail/platform/_desired_state.py
@@ -5,10 +5,11 @@
 import msgspec
 
 from .._adapter import CallerLimits, SettingsInForce
+from .._checked_input import Count, decode_json
 from .._request_policy import RequestPolicy
 from .._routes import Route, RouteTable, WeightedService
 from .._settings import Scope, ServiceSettings, TreeSettings
-from ..exceptions import SettingsError, StoreUnavailableError
+from ..exceptions import InvalidInputError, SettingsError, StoreUnavailableError
 from ._store import PlatformTable
 
 __all__ = ["DesiredStateSettings", "RetryLimits", "decode_desired_state"]
@@ -67,7 +68,7 @@
 
 
 class _DesiredState(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
     resources: tuple[_Resource, ...]
 
 
@@ -94,10 +95,10 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: int
-    target_latency_ms: int
-    priority: int = 0
-    max_attempts: int = 1
+    timeout_ms: Count
+    target_latency_ms: Count
+    priority: Count = 0
+    max_attempts: Count = 1
     service: str = ""
     weighted_split: tuple[_WeightedServiceSpec, ...] = ()
 
@@ -111,15 +112,15 @@
         sharded: Whether each key is owned by one upstream exclusively.
     """
 
-    max_connections: int = 100
+    max_connections: Count = 100
     sharded: bool = False
 
 
 class _LimitsSpec(msgspec.Struct, frozen=True, rename="kebab"):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: int
-    idle_timeout_ms: int
+    max_header_bytes: Count
+    max_body_bytes: Count
+    header_timeout_ms: Count
+    idle_timeout_ms: Count
 
 
 IDEMPOTENT_KINDS = frozenset({"safe", "download"})
@@ -161,9 +162,9 @@
 
 def _decode_json(data: bytes, model: type, entry: str) -> Any:
     try:
-        return msgspec.json.decode(data, type=model)
-    except msgspec.DecodeError as error:
-        raise SettingsError(f"{entry}: {error}", step=DECODE_STEP) from error
+        return decode_json(data, model, "desired-state")
+    except InvalidInputError as error:
+        raise SettingsError(f"{entry}: {error.detail}", step=DECODE_STEP) from error
 
 
 def _fleet_statements(retry_limits: RetryLimits) -> dict[str, Any]:
@@ -264,4 +265,4 @@
 
 
 class _DesiredStateVersion(msgspec.Struct, frozen=True):
-    version: int
+    version: Count
--- a/src/auburnsail/platform/_program.py
+++ b/src/auburnsail/platform/_program.py
@@ -40,6 +40,10 @@
         self._boot = boot
         self._settings_source = settings_source
 
+    def upstream_address(self) -> str:
+        """Returns the address of the local upstream by the newest valid settings file."""
+        return self._boot.upstream_address
+
     def __call__(self) -> dict[str, object]:
         """Returns the fields that changed since the previous read, with their new values.
 
@@ -67,9 +71,13 @@
     table = PlatformTable(store)
     settings_source = DesiredStateSettings(table, RetryLimits(boot.retry_ratio, boot.retry_reserve))
 
+    reloader = _BootFileReloader(path, boot, settings_source)
+
     def build_servers(node: NodeControl) -> list[ControlServer]:
         applications = {
-            boot.report_address: ReportApplication(node, boot.node.service),
+            boot.report_address: ReportApplication(
+                node, boot.node.service, reloader.upstream_address
+            ),
             boot.ready_address: ReadinessApplication(node),
         }
         return [
@@ -85,7 +93,7 @@
         has_routes=True,
         grants_by_report=True,
         build_servers=build_servers,
-        reload=_BootFileReloader(path, boot, settings_source),
+        reload=reloader,
         gauges=lambda: {
             f"store_calls_{step.replace('.', '_')}": count for step, count in store.calls.items()
         },
--- a/src/auburnsail/platform/_reports.py
+++ b/src/auburnsail/platform/_reports.py
@@ -1,15 +1,18 @@
 """WSGI applications for heartbeats of the local upstream and readiness checks of the platform."""
 
-from typing import Any
+from collections.abc import Callable
+from typing import Annotated, Any
 from urllib.parse import unquote
 
 import msgspec
-import structlog
 
+from .._checked_input import Count, Name, check_address, decode_json, reject
 from .._control import Announcement
 from .._holds import HeldRange, HoldGrant
 from .._model import Handover
 from .._node_control import NodeControl
+from ..exceptions import InvalidInputError
+from ._desired_state import KEY_COUNT
 
 __all__ = ["ReadinessApplication", "ReportApplication", "decode_report"]
 
@@ -18,13 +21,22 @@
 READINESS_PATH = "/readiness"
 UPSTREAM_STATES = frozenset({"ready", "draining"})
 MAX_BODY_BYTES = 1 << 20
+SOURCE = "report"
+# More slots than any upstream has; placement multiplies slots with loads.
+MAX_SLOTS = 100_000
+MAX_INSTANCE_LENGTH = 200
+_Key = Annotated[int, msgspec.Meta(ge=0, lt=KEY_COUNT)]
+_Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
+_Born = Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
+_Range = tuple[_Key, _Key, Count]
+_Freed = tuple[_Key, _Key, Name]
 
 
 class _UpstreamInfo(msgspec.Struct, frozen=True):
     """Properties of an upstream that stay constant from its start to its end."""
 
-    service: str
-    slots: int
+    service: Name
+    slots: _Slots
 
 
 class _UpstreamStatus(msgspec.Struct, frozen=True, rename="kebab"):
@@ -36,9 +48,9 @@
         cold_remaining_ms: Remaining time until the upstream has warmed up after its start.
     """
 
-    state: str
-    sequence: int
-    cold_remaining_ms: int = 0
+    state: Name
+    sequence: Count
+    cold_remaining_ms: Count = 0
 
 
 class _Report(msgspec.Struct, frozen=True):
@@ -53,12 +65,12 @@
         freed: First key, last key and handover token of each range that it released.
     """
 
-    address: str
+    address: Name
     info: _UpstreamInfo
     status: _UpstreamStatus
-    born: int
-    holds: tuple[tuple[int, int, int], ...] = ()
-    freed: tuple[tuple[int, int, str], ...] = ()
+    born: _Born
+    holds: tuple[_Range, ...] = ()
+    freed: tuple[_Freed, ...] = ()
 
 
 def decode_report(instance: str, body: bytes) -> Announcement:
@@ -69,13 +81,11 @@
         body: Body of the request.
 
     Raises:
-        ValueError: A field is missing, has the wrong type or an invalid value.
+        InvalidInputError: A field is missing, has the wrong type or an invalid value.
     """
-    report = msgspec.json.decode(body, type=_Report)
-    if report.status.state not in UPSTREAM_STATES:
-        raise ValueError(f"unknown state {report.status.state!r}")
-    if not instance or report.born <= 0 or report.info.slots < 1:
-        raise ValueError("the report lacks an instance, a start time or slots")
+    report = decode_json(body, _Report, SOURCE)
+    if problem := _problem(instance, report):
+        raise reject(SOURCE, problem, body)
     return Announcement(
         service=report.info.service,
         address=report.address,
@@ -90,6 +100,21 @@
     )
 
 
+def _problem(instance: str, report: _Report) -> str:
+    """Returns what makes a report unusable, or an empty string."""
+    if not 0 < len(instance) <= MAX_INSTANCE_LENGTH:
+        return "the instance id is empty or too long"
+    if report.status.state not in UPSTREAM_STATES:
+        return f"unknown state {report.status.state!r}"
+    if any(first > last for first, last, _ in (*report.holds, *report.freed)):
+        return "a key range ends before it starts"
+    try:
+        check_address(report.address)
+    except ValueError as error:
+        return str(error)
+    return ""
+
+
 def encode_grant(grant: HoldGrant | None) -> bytes:
     """Encodes the answer to a report.
 
@@ -107,12 +132,16 @@
     Args:
         node: The node that uses the reports.
         service: The service of this VM; reports of other services are refused.
+        upstream_address: Returns the address of the upstream on this VM, or an empty string if the
+            settings do not state it; reports of upstreams at other addresses are refused.
     """
 
-    def __init__(self, node: NodeControl, service: str) -> None:
+    def __init__(
+        self, node: NodeControl, service: str, upstream_address: Callable[[], str] = str
+    ) -> None:
         self._node = node
         self._service = service
-        self._log = structlog.get_logger("reports")
+        self._upstream_address = upstream_address
 
     def __call__(self, environ: dict[str, Any], start_response) -> list[bytes]:
         """Handles one heartbeat or deregistration."""
@@ -128,13 +157,19 @@
     def _handle_report(self, instance: str, body: bytes) -> tuple[str, bytes]:
         try:
             announcement = decode_report(instance, body)
-            if announcement.service != self._service:
-                raise ValueError(f"service {announcement.service!r} is not the service of this VM")
-        except (ValueError, TypeError) as error:
-            self._log.warning("report not usable", instance=instance, reason=str(error))
+            self._check_local(announcement, body)
+        except InvalidInputError:
             return "400 Bad Request", b"{}"
         return "200 OK", encode_grant(self._node.report(announcement))
 
+    def _check_local(self, announcement: Announcement, body: bytes) -> None:
+        """Raises InvalidInputError if the report is not that of the upstream on this VM."""
+        if announcement.service != self._service:
+            raise reject(SOURCE, f"the service {announcement.service!r} is another VM's", body)
+        expected = self._upstream_address()
+        if expected and announcement.address != expected:
+            raise reject(SOURCE, f"the address {announcement.address!r} is another VM's", body)
+
 
 class ReadinessApplication:
     """WSGI application that reports whether the node is ready for requests.
--- a/src/auburnsail/platform/_store.py
+++ b/src/auburnsail/platform/_store.py
@@ -1,13 +1,16 @@
 """Clients of the platform's store, which has tables of rows and an object store."""
 
+from typing import Any
 from urllib.parse import quote
 
 import msgspec
 
+from .._checked_input import decode_json
 from .._pool import HttpPeer
 from .._store import Committed, Conflict, Row, Transaction
 from ..exceptions import (
     AuburnsailError,
+    InvalidInputError,
     NotRunError,
     OutcomeUnknownError,
     StoreUnavailableError,
@@ -155,6 +158,17 @@
         except OutcomeUnknownError as error:
             raise StoreUnavailableError(error.detail, step=step, peer=error.peer) from error
 
+    def decode(self, step: str, body: bytes, model: type) -> Any:
+        """Decodes the answer to a read-only call.
+
+        Raises:
+            StoreUnavailableError: The answer cannot be decoded.
+        """
+        try:
+            return decode_json(body, model, "store-answer")
+        except InvalidInputError as error:
+            raise StoreUnavailableError(error.detail, step=step, peer=self._peer.address) from error
+
     def unexpected_status(self, step: str, status: int) -> AuburnsailError:
         """Returns the error for a status that the store's documentation does not list."""
         return AuburnsailError(f"unexpected status {status}", step=step, peer=self._peer.address)
@@ -224,7 +238,7 @@
             return TableChanges((), 0, is_gap=True)
         if status != 200:
             raise self._store.unexpected_status("store.feed", status)
-        answer = msgspec.json.decode(body, type=_Rows)
+        answer = self._store.decode("store.feed", body, _Rows)
         return TableChanges(
             tuple(_to_row(row) for row in answer.rows if not row.deleted), answer.ver
         )
@@ -243,7 +257,7 @@
         status, body = self._store.read("store.read", target)
         if status != 200:
             raise self._store.unexpected_status("store.read", status)
-        return msgspec.json.decode(body, type=_Rows)
+        return self._store.decode("store.read", body, _Rows)
 
 
 class PlatformObjects:
@@ -280,7 +294,7 @@
             status, body = self._store.read("objects.keys", target)
             if status != 200:
                 raise self._store.unexpected_status("objects.keys", status)
-            answer = msgspec.json.decode(body, type=_ObjectNames)
+            answer = self._store.decode("objects.keys", body, _ObjectNames)
             names += answer.names
             if not answer.has_more or not answer.names:
                 return [name.replace(".", KEY_SEPARATOR) for name in names]
--- a/tools/soak_fleet.py
+++ b/tools/soak_fleet.py
@@ -325,7 +325,9 @@
             elif self.entry(request.expected + 1).id == request.append_id:
                 reply = effects.Appended()
             else:
-                reply = effects.Superseded(tuple(self.fleet_log[request.expected :]))
+                reply = effects.Superseded(
+                    tuple(enumerate(self.fleet_log[request.expected :], request.expected + 1))
+                )
             if not is_lost:
                 self._reply(node, request, reply)
 
