Keep unexpected errors inside the work in which they occur

Change: _supervision runs each greenlet of the node: an unexpected error is logged with its trace and counted, and work that must go on is started again after a delay that grows. The gauges inputs_rejected and unexpected_errors show both counts.

--- a/src/auburnsail/_link_sender.py
+++ b/src/auburnsail/_link_sender.py
@@ -5,6 +5,7 @@
 import gevent
 from gevent.event import Event
 
+from . import _supervision
 from ._clock import NS_PER_MS, NS_PER_S, Clock
 from ._link_pacer import LinkPacer, LinkRank, LinkTransfer
 
@@ -99,7 +100,7 @@
         self.pacer.wait(transfer, size, self._clock.now_ns())
         if not self._is_releasing:
             self._is_releasing = True
-            gevent.spawn(self._release_blocks)
+            _supervision.spawn("link.release", self._release_blocks)
         try:
             event.wait()
         finally:
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -1,8 +1,8 @@
 """The local upstream, on the VM of this node: its announcements, its drain and its loss."""
 
-import gevent
 import msgspec
 
+from . import _supervision
 from ._clock import NS_PER_MS, Clock
 from ._control import Announcement
 from ._fleet import FleetState
@@ -115,7 +115,9 @@
             return
         if announcement.state == "draining":
             # It holds its keys until its process has ended, which a refused connection proves.
-            gevent.spawn_later(EXIT_PROBE_DELAY_S, self._probe, announcement)
+            _supervision.spawn_later(
+                EXIT_PROBE_DELAY_S, "upstream.probe", self._probe, announcement
+            )
             return
         now_ns, draining = self._clock.now_ns(), _as_draining(announcement)
         self._record_drain_start(draining, now_ns)
@@ -162,7 +164,7 @@
         now_ns = self._clock.now_ns()
         if self._announcement is not None and now_ns >= self._next_probe_ns:
             self._next_probe_ns = now_ns + PROBE_INTERVAL_MS * NS_PER_MS
-            gevent.spawn(self._probe, self._announcement)
+            _supervision.spawn("upstream.probe", self._probe, self._announcement)
 
     def update_session(self, now_ns: int) -> None:
         """Marks a silent upstream as lost and adapts the session to the state of the upstream.
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -9,7 +9,7 @@
 from gevent.event import Event
 from gevent.pywsgi import WSGIServer
 
-from . import _rules
+from . import _rules, _supervision
 from ._adapter import Adapter, default_adapter
 from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
@@ -200,10 +200,10 @@
         # From now on every answer asks the caller to close its connection.
         self._data_path.announce_close()
         if self._adapter.grants_by_report:
-            gevent.spawn(self._stop_for_restart)
+            _supervision.spawn("stop", self._stop_for_restart)
             return
         self._mover.drain("stop signal", stopping=True)
-        gevent.spawn(self._stop_after_drain)
+        _supervision.spawn("stop", self._stop_after_drain)
 
     def _run_timers(self) -> None:
         self._udp.drain()
@@ -307,6 +307,8 @@
         except* AuburnsailError as group:
             for error in group.exceptions:
                 self._log.warning("step failed", error=str(error))
+        except* Exception as group:
+            _supervision.report_unexpected("step", group)
 
     def _record_violation(self, detail: str) -> None:
         if not self.violation:
@@ -339,7 +341,7 @@
                 lambda records: self.on_records(LogName.SETTINGS, records, ""),
                 self._on_failure,
             )
-            gevent.spawn(settings_long_poll.run)
+            _supervision.spawn_restarting("settings.poll", settings_long_poll.run)
 
     def _stop_for_restart(self) -> None:
         # The upstream keeps running, so its session stays open for the next node process.
--- a/src/auburnsail/_node_control.py
+++ b/src/auburnsail/_node_control.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ._adapter import Adapter
+from ._checked_input import rejected_inputs
 from ._checkpoint import dump_fleet
 from ._clock import NS_PER_MS, Clock
 from ._control import Announcement
@@ -22,6 +23,7 @@
 from ._settings import NodeSettings
 from ._snapshot_node import NodeSnapshots
 from ._status import explain_owner, membership_status
+from ._supervision import unexpected_errors
 
 __all__ = ["NodeControl", "NodeParts"]
 
@@ -224,6 +226,8 @@
             "draining": float(bool(parts.mover.drain_reason)),
             "datagrams_sent": parts.udp.traffic.sent,
             "datagrams_received": parts.udp.traffic.received,
+            "inputs_rejected": rejected_inputs.total(),
+            "unexpected_errors": unexpected_errors.total(),
             **parts.link.stats(),
             **parts.data_path.gauges(),
             **parts.adapter.gauges(),
--- a/src/auburnsail/_snapshot_writer.py
+++ b/src/auburnsail/_snapshot_writer.py
@@ -5,8 +5,7 @@
 from collections import deque
 from collections.abc import Callable
 
-import gevent
-
+from . import _supervision
 from ._clock import NS_PER_S, Clock
 from ._snapshot import (
     FleetView,
@@ -91,7 +90,7 @@
         if self._pending and now_ns >= self._write_at_ns and not self._is_writing:
             # A failed write is retried with the write of the next interval.
             self._write_at_ns = now_ns + interval_s * NS_PER_S
-            gevent.spawn(self.write)
+            _supervision.spawn("snapshots", self.write)
 
     def finish(self) -> None:
         """Takes the last snapshot and writes all pending ones.
--- a/src/auburnsail/_sweeper.py
+++ b/src/auburnsail/_sweeper.py
@@ -5,6 +5,7 @@
 import gevent
 from gevent.event import Event
 
+from . import _supervision
 from ._clock import NS_PER_MS, Clock
 
 __all__ = ["Sweeper"]
@@ -56,7 +57,7 @@
     def start(self) -> None:
         """Starts the greenlet unless it is running already."""
         if self._greenlet is None:
-            self._greenlet = gevent.spawn(self._run)
+            self._greenlet = _supervision.spawn_restarting("sweep", self._run)
 
     def stop(self) -> None:
         """Stops the greenlet without waiting for its end."""
