Serve requests while the time of day jumps on a node or its upstream

Callers saw: 403 for every request that a node forwarded to another one whose time of day differed by more than 30 s (DENIED), and no service from an upstream that restarted after its clock had jumped back, until the clock caught up.

Cause: the receiving node compared the header's time with its own time of day and refused for good; a lifetime with an earlier start counted as an old one always.

Change: the refusal of an old header is "not run" and states the receiver's time. The sender uses that time for this peer and repeats the request once; a recorded header still expires after 30 s of the receiver's clock. A lifetime with an earlier start is accepted at its second report, with a higher number, if the known one has ended or has not reported for 2 s.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -4,8 +4,8 @@
 from collections import Counter
 
 from . import _headers
-from ._active_requests import CALLER_GONE, DEADLINE, SILENT, RequestContext
-from ._admission import Admission, Chooser, Result, Utilisation
+from ._active_requests import CALLER_GONE, SILENT, RequestContext
+from ._admission import Admission, Chooser, Result
 from ._admission_queue import CAPACITY_REASONS
 from ._answer_parser import AnswerParser
 from ._clock import NS_PER_MS, Clock
@@ -13,14 +13,23 @@
 from ._crash_monitor import CrashMonitor
 from ._dialect import DEFAULT_DIALECT, Dialect
 from ._exchange import Exchange
-from ._hop import HopSigner
+from ._hop import Hop, HopSigner
+from ._http_head import RequestHead
 from ._link_usage import LINK_FULL, LinkUsage
 from ._model import Session
-from ._outcome import RETRY_HINT_MS, Outcome, RequestFailedError, not_run, parse_refusal, unknown
+from ._outcome import RETRY_HINT_MS, Outcome, RequestFailedError, not_run
 from ._ownership import Ownership
 from ._peers import PeerTable
 from ._pool import CONNECT_TIMEOUT_S, MAX_IDLE_NS
-from ._relay import BUFFERED_BYTES, failure_of, read_body, relay_answer, request_head, send_request
+from ._relay import (
+    BUFFERED_BYTES,
+    check_remote_answer,
+    failure_of,
+    read_body,
+    relay_answer,
+    request_head,
+    send_recorded,
+)
 from ._routing import AnyOf, Forward, Local, Refuse, Router, Target
 from ._silence import silence_limit_ns
 from ._upstream_answer import MISDIRECTED, find_refusal
@@ -235,11 +244,15 @@
         request_id = context.request_id or f"{self._id_prefix}{self._counters.requests:x}"
         soft_deadline_ms = context.soft_remaining_ms(self._clock.now_ns(), margin_ms)
         hop = context.next_hop(request_id, remaining_ms, soft_deadline_ms, self._router.map_version)
-        key = head.parsed_headers.get(self._dialect.key, "")
-        signed = self._signer.sign(hop, head.method, head.target, key)
         owner = f"{_headers.OWNER}: {address}\r\n" if target.shard >= 0 else ""
         with self._link_usage.relaying(destination.kind):
-            self._exchange(context, address, f"{_headers.HOP}: {signed}\r\n", None, owner)
+            try:
+                self._exchange(context, address, self._hop_header(head, hop, address), None, owner)
+            except RequestFailedError as error:
+                adopted = self._signer.adopt_clock(address, error.refusal.clock_s)
+                if not adopted or context.is_body_consumed:
+                    raise
+                self._exchange(context, address, self._hop_header(head, hop, address), None, owner)
         if context.answer_bytes:
             self._link_usage.add_sample(destination.kind, context.answer_bytes)
 
@@ -262,7 +275,7 @@
             head = request_head(context, address, extra, self._dialect)
             context.attempts.begin(address)
             try:
-                self._send(context, exchange, head)
+                send_recorded(context, exchange, head)
                 echo = (self._dialect.request_id, context.request_id)
                 answer = exchange.receive_head(context.request.head.method, echo)
                 context.silence_deadline_ns = 0
@@ -283,27 +296,6 @@
             context.silence_deadline_ns = 0
             exchange.abort()
 
-    def _send(self, context: RequestContext, exchange: Exchange, head: bytes) -> None:
-        try:
-            send_request(context, exchange, head)
-        except CallerGoneError as error:
-            context.attempts.on_possibly_run()
-            if context.stop_reason == DEADLINE:
-                raise unknown(
-                    DEADLINE,
-                    "the deadline passed while the request body was received",
-                    error.step,
-                    status="504 Gateway Timeout",
-                ) from error
-            raise
-        except RequestFailedError as error:
-            # The caller's body is malformed, but a part of it has reached the peer.
-            context.attempts.on_possibly_run()
-            refusal = error.refusal
-            raise unknown(
-                refusal.reason, refusal.detail, refusal.step, status=refusal.status
-            ) from error
-
     def _open(self, context: RequestContext, address: str) -> Exchange:
         self._check_stopped(context)
         remaining_s = self.remaining_ms(context) / 1000
@@ -358,19 +350,7 @@
             if answer.status == MISDIRECTED:
                 self._ownership.hooks.on_misdirected(answer.field(self._dialect.instance))
             raise refusal
-        lowered = ((name.lower(), value) for name, value in answer.fields)
-        fields = {name: value for name, value in lowered if name.startswith(_headers.PREFIX)}
-        context.utilisation = Utilisation.decode(fields.get(_headers.UTILISATION, ""))
-        if _headers.OUTCOME not in fields:
-            return
-        status = f"{answer.status} {answer.phrase}"
-        refusal = parse_refusal(status, fields, read_body(exchange), address)
-        exchange.finish()
-        if refusal.outcome is Outcome.UNKNOWN:
-            context.attempts.on_possibly_run()
-        else:
-            context.attempts.on_not_run()
-        raise RequestFailedError(refusal)
+        check_remote_answer(context, exchange, answer, address)
 
     def _read_prefix(self, context: RequestContext) -> None:
         if context.body_prefix is not None:
@@ -393,6 +373,11 @@
             detail = "the deadline passed before the request was sent"
             raise not_run("deadline", detail, "forward", status="504 Gateway Timeout")
 
+    def _hop_header(self, head: RequestHead, hop: Hop, address: str) -> str:
+        key = head.parsed_headers.get(self._dialect.key, "")
+        signed = self._signer.sign(hop, head.method, head.target, key, address)
+        return f"{_headers.HOP}: {signed}\r\n"
+
     def _grant_header(self, target: Target) -> str:
         grant = f"{target.service};{target.shard};{target.epoch}"
         return f"{_headers.GRANT}: {grant};{self._ownership.gate.expires_ns()}\r\n"
--- a/src/auburnsail/_hop.py
+++ b/src/auburnsail/_hop.py
@@ -6,14 +6,17 @@
 from urllib.parse import quote, unquote
 
 from ._digest import blake2s, same_digest
-from ._outcome import RequestFailedError, refused
+from ._outcome import RequestFailedError, not_run, refused
 
 __all__ = ["Hop", "HopSigner"]
 
-# Limits how long a recorded header can be replayed. This compares wall clocks of two VMs, which are
-# synchronised far better than this; leases never depend on wall clocks.
+# Limits how long a recorded header can be replayed. This compares the time of day on two VMs, which
+# may jump on either; leases never depend on it.
 MAX_AGE_S = 30
+# Peers whose clocks differ are rare; the bound only limits the memory.
+MAX_SKEWS = 8_192
 MAX_HOPS = 4
+CLOCK_DIFFERS = "clock-differs"
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,12 +65,39 @@
     def __init__(self, secret: str, wall_s: Callable[[], float] = time.time) -> None:
         self._key = blake2s(secret.encode(), person=b"hop").digest()
         self._wall_s = wall_s
+        self._skews_s: dict[str, int] = {}
 
-    def sign(self, hop: Hop, method: str, target: str, key: str) -> str:
-        """Returns the signed header value for a request with this method, target and key."""
+    def adopt_clock(self, peer: str, clock_s: int) -> bool:
+        """Uses a peer's time of day in further headers for it, after it refused one.
+
+        Args:
+            peer: Address of the peer.
+            clock_s: Time of day that its refusal states, 0 if it was refused for another reason.
+
+        Returns:
+            Whether the next header for the peer has another time.
+        """
+        if not clock_s:
+            return False
+        if len(self._skews_s) >= MAX_SKEWS:
+            self._skews_s.clear()
+        self._skews_s[peer] = clock_s - int(self._wall_s())
+        return True
+
+    def sign(self, hop: Hop, method: str, target: str, key: str, peer: str = "") -> str:
+        """Returns the signed header value for a request with this method, target and key.
+
+        Args:
+            hop: Data about the request.
+            method: Method of the request.
+            target: Target of the request.
+            key: Value of the key header, empty for none.
+            peer: Address of the node that gets the request.
+        """
+        sent_s = int(self._wall_s()) + self._skews_s.get(peer, 0)
         text = (
             f"4;{quote(hop.request_id)};{hop.deadline_ms};{hop.hops};{hop.map_version}"
-            f";{int(self._wall_s())};{quote(hop.service)};{hop.repeatable:d};{hop.priority}"
+            f";{sent_s};{quote(hop.service)};{hop.repeatable:d};{hop.priority}"
             f";{quote(hop.kind)};{hop.soft_deadline_ms}"
             f";{hop.is_caller_retry:d};{hop.is_subrequest:d}"
         )
@@ -78,7 +108,8 @@
 
         Raises:
             RequestFailedError: The signature is wrong, or the header has expired, or the request
-                passed through too many nodes.
+                passed through too many nodes. If the header has expired, the refusal states the
+                time of day here.
         """
         text, _, signature = value.rpartition(";")
         expected = self._signature(text, method, target, key)
@@ -87,8 +118,10 @@
         # The signature proves that a node of the fleet wrote the header, so it is well formed.
         _, request_id, deadline_ms, hops, map_version, sent_s, *rest = text.split(";")
         service, repeatable, priority, kind, soft_deadline_ms, is_caller_retry, is_subrequest = rest
-        if abs(self._wall_s() - int(sent_s)) > MAX_AGE_S:
-            raise _bad_hop("the header has expired")
+        clock_s = int(self._wall_s())
+        if abs(clock_s - int(sent_s)) > MAX_AGE_S:
+            detail = "the header is too old, or the time of day differs between the nodes"
+            raise not_run(CLOCK_DIFFERS, detail, "hop", clock_s=clock_s)
         if int(hops) > MAX_HOPS:
             raise _bad_hop("the request passed through too many nodes")
         return Hop(
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -58,6 +58,8 @@
         self._clock = clock
         self._announcement: Announcement | None = None
         self._latest_announcement: Announcement | None = None
+        self._earlier_born: Announcement | None = None
+        self._has_ended = False
         self._announced_ns = 0
         self._answered_ns = 0
         self._started_ns = clock.now_ns()
@@ -100,6 +102,7 @@
         if latest is not None and latest.lifetime != announcement.lifetime:
             self._journal.record("upstream", "another life", lifetime=announcement.lifetime)
             self._start_new_lifetime()
+        self._earlier_born, self._has_ended = None, False
         self._refused_connection = False
         self._record_drain_start(announcement, now_ns)
         self._announcement = announcement
@@ -207,9 +210,26 @@
         latest = self._latest_announcement
         if latest is None or not announcement.born_ms:
             return False
-        if announcement.lifetime != latest.lifetime:
-            return announcement.born_ms < latest.born_ms
-        return announcement.sequence <= latest.sequence
+        if announcement.lifetime == latest.lifetime:
+            return announcement.sequence <= latest.sequence
+        return announcement.born_ms < latest.born_ms and not self._succeeds_with_earlier_start(
+            announcement
+        )
+
+    def _succeeds_with_earlier_start(self, announcement: Announcement) -> bool:
+        """Returns whether a lifetime with an earlier start time has followed the latest one.
+
+        The time of day may have jumped back between their starts. A late report of a lifetime that
+        has ended comes once, and while it comes the latest lifetime still reports.
+        """
+        previous, self._earlier_born = self._earlier_born, announcement
+        is_silent = self._clock.now_ns() - self._announced_ns > ANNOUNCEMENT_TIMEOUT_MS * NS_PER_MS
+        return (
+            (is_silent or self._has_ended)
+            and previous is not None
+            and previous.lifetime == announcement.lifetime
+            and previous.sequence < announcement.sequence
+        )
 
     def _is_silent(self, announcement: Announcement, now_ns: int) -> bool:
         silent_ns = now_ns - self._announced_ns
@@ -234,6 +254,7 @@
         return self._mover.holds if service in self._fleet.tables else None
 
     def _start_new_lifetime(self) -> None:
+        self._has_ended = True
         if self._mover.holds is not None:
             self._mover.holds.clear_holds()
         self._mover.cancel_drain()
--- a/src/auburnsail/_outcome.py
+++ b/src/auburnsail/_outcome.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from . import _headers
+from ._checked_input import Count, decode_json
 from ._dialect import DEFAULT_DIALECT, Dialect
 from .exceptions import AuburnsailError
 
@@ -48,6 +49,7 @@
         retry_after_ms: Time in ms after which the caller may retry, 0 for no retry.
         owner: Address of the key's owner by the fleet log of this node, or an empty string.
         map_version: Version of the fleet log that names the owner.
+        clock_s: Time of day on the refusing node, if it differs too much from the sender's.
     """
 
     status: str
@@ -59,11 +61,20 @@
     retry_after_ms: int = 0
     owner: str = ""
     map_version: int = 0
+    clock_s: int = 0
 
     def body(self) -> bytes:
         """Returns the JSON body."""
         return msgspec.json.encode(
-            _Body(self.outcome, self.reason, self.detail, self.step, self.peer, self.retry_after_ms)
+            _Body(
+                self.outcome,
+                self.reason,
+                self.detail,
+                self.step,
+                self.peer,
+                self.retry_after_ms,
+                self.clock_s,
+            )
         )
 
     def headers(self, dialect: Dialect = DEFAULT_DIALECT) -> list[tuple[str, str]]:
@@ -114,6 +125,7 @@
     step: str
     peer: str = ""
     retry_after_ms: int = 0
+    clock_s: Count = 0
 
 
 class RequestFailedError(AuburnsailError):
@@ -143,6 +155,7 @@
     retry_after_ms: int = RETRY_HINT_MS,
     owner: str = "",
     map_version: int = 0,
+    clock_s: int = 0,
 ) -> RequestFailedError:
     """Returns the error for a request that certainly was not run."""
     return RequestFailedError(
@@ -156,6 +169,7 @@
             retry_after_ms,
             owner,
             map_version,
+            clock_s,
         )
     )
 
@@ -184,7 +198,7 @@
     map_version = int(version) if version.isdecimal() else 0
     try:
         if body:
-            content = msgspec.json.decode(body, type=_Body)
+            content = decode_json(body, _Body, "peer-refusal")
         else:
             hint = fields.get(_headers.RETRY_AFTER_MS, "")
             content = _Body(
@@ -208,4 +222,5 @@
         content.retry_after_ms,
         owner,
         map_version,
+        content.clock_s,
     )
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -1,22 +1,23 @@
 """Sends requests to peers and relays their answers to callers, one block at a time."""
 
 from . import _headers
-from ._active_requests import STALL_TIMEOUT_NS, RequestContext
-from ._admission import Result
+from ._active_requests import DEADLINE, STALL_TIMEOUT_NS, RequestContext
+from ._admission import Result, Utilisation
 from ._answer_parser import AnswerParser
 from ._clock import Clock
 from ._dialect import Dialect
 from ._exchange import Exchange
-from ._outcome import RequestFailedError, unknown
+from ._outcome import RequestFailedError, parse_refusal, unknown
 from .exceptions import CallerGoneError, OutcomeUnknownError
 
 __all__ = [
     "BUFFERED_BYTES",
+    "check_remote_answer",
     "failure_of",
     "read_body",
     "relay_answer",
     "request_head",
-    "send_request",
+    "send_recorded",
 ]
 
 # Bodies up to this size are buffered whole, so that requests can be retried and answers are
@@ -94,6 +95,35 @@
         context.is_sending = False
 
 
+def send_recorded(context: RequestContext, exchange: Exchange, head: bytes) -> None:
+    """Sends a request to a peer and records if a part of it may have run; see `send_request`.
+
+    Raises:
+        OutcomeUnknownError: The connection to the peer broke.
+        CallerGoneError: The caller closed the connection before the end of the body.
+        RequestFailedError: The body is malformed or too large, or did not arrive in time.
+    """
+    try:
+        send_request(context, exchange, head)
+    except CallerGoneError as error:
+        context.attempts.on_possibly_run()
+        if context.stop_reason == DEADLINE:
+            raise unknown(
+                DEADLINE,
+                "the deadline passed while the request body was received",
+                error.step,
+                status="504 Gateway Timeout",
+            ) from error
+        raise
+    except RequestFailedError as error:
+        # The caller's body is malformed, but a part of it has reached the peer.
+        context.attempts.on_possibly_run()
+        refusal = error.refusal
+        raise unknown(
+            refusal.reason, refusal.detail, refusal.step, status=refusal.status
+        ) from error
+
+
 def read_body(exchange: Exchange, limit: int = BUFFERED_BYTES) -> bytes:
     """Returns the rest of an answer's body, up to a limit in bytes.
 
@@ -111,6 +141,27 @@
     return b"".join(parts)
 
 
+def check_remote_answer(
+    context: RequestContext, exchange: Exchange, answer: AnswerParser, address: str
+) -> None:
+    """Records what another node's answer says about its load; raises its refusal.
+
+    Raises:
+        RequestFailedError: The other node refused the request.
+        OutcomeUnknownError: The body of its refusal was cut short.
+    """
+    lowered = ((name.lower(), value) for name, value in answer.fields)
+    fields = {name: value for name, value in lowered if name.startswith(_headers.PREFIX)}
+    context.utilisation = Utilisation.decode(fields.get(_headers.UTILISATION, ""))
+    if _headers.OUTCOME not in fields:
+        return
+    status = f"{answer.status} {answer.phrase}"
+    refusal = parse_refusal(status, fields, read_body(exchange), address)
+    exchange.finish()
+    context.attempts.on_refused(refusal.outcome)
+    raise RequestFailedError(refusal)
+
+
 def relay_answer(
     context: RequestContext,
     exchange: Exchange,
--- a/src/auburnsail/_retry.py
+++ b/src/auburnsail/_retry.py
@@ -131,6 +131,13 @@
         """Records that the peer reported the current attempt as not run."""
         self._is_in_progress = False
 
+    def on_refused(self, outcome: Outcome) -> None:
+        """Records the outcome of the current attempt that another node stated."""
+        if outcome is Outcome.UNKNOWN:
+            self.on_possibly_run()
+        else:
+            self.on_not_run()
+
     def on_possibly_run(self) -> None:
         """Records that the current attempt was answered or that its outcome is unknown."""
         self._may_have_run = self._may_have_run or self._is_in_progress
