Move busy keys without the idle ones beside them

Change: of two moves the one with fewer shards is chosen if it misses the wanted load by less than its share of the owner's shards.

Tried and not kept: dividing a busy stretch among several peers at once.

--- a/src/auburnsail/_ranges.py
+++ b/src/auburnsail/_ranges.py
@@ -28,6 +28,10 @@
 # Share of the equalising load that is moved. The measured loads are slightly stale, and moving all
 # of it could make the target the busier one.
 MOVED_LOAD_SHARE = 0.8
+# Load pattern: a few busy shards among many that carry nearly nothing. A move of all shards of the
+# owner costs as much as missing the wanted load by this share. Otherwise the move whose load fits
+# best often takes half of an owner's keys along with a small load.
+MOVED_SHARDS_WEIGHT = 1.0
 # An owner with this many runs moves whole runs only: the answer to a report is limited to 4 KiB.
 MAX_RUNS_PER_OWNER = 40
 
@@ -162,8 +166,10 @@
 def _choose_adjacent(
     loads: Mapping[int, float], wanted_load: float, min_shards: int = 1
 ) -> tuple[tuple[int, ...], float]:
-    """Returns the adjacent shards whose load is closest to the wanted one, and their load."""
+    """Returns adjacent shards with nearly the wanted load, as few as possible, and their load."""
     best: tuple[float, int, tuple[int, ...], float] | None = None
+    # A peer without keys gets at least `min_shards`, however little load they have.
+    shard_cost = MOVED_SHARDS_WEIGHT * wanted_load / len(loads) if min_shards <= 1 else 0.0
     runs = list(contiguous_runs(loads))
     for first, last in runs:
         run = range(first, last + 1)
@@ -178,7 +184,8 @@
         for candidate_run, load in candidate_runs:
             if load <= 0 and min_shards <= 1:
                 continue
-            option = (abs(load - wanted_load), len(candidate_run), candidate_run, load)
+            cost = abs(load - wanted_load) + shard_cost * len(candidate_run)
+            option = (cost, len(candidate_run), candidate_run, load)
             if best is None or option[:2] < best[:2]:
                 best = option
     if best is None or (best[3] > 2 * wanted_load and min_shards <= 1):
--- a/tests/test_ranges.py
+++ b/tests/test_ranges.py
@@ -104,6 +104,18 @@
         move = plan_range_move(self.owner(loads), peers)
         self.assertTrue(move is None or 7 not in move.shards)
 
+    def test_a_busy_stretch_moves_without_the_idle_keys_beside_it(self):
+        """Guards against half of an owner's keys that change hands for a small load.
+
+        Of 228 shards four are busy. Any prefix of the run with the wanted load has over a hundred
+        shards, and the busy ones alone miss it by a tenth.
+        """
+        loads = dict.fromkeys(range(228), 0.004) | dict.fromkeys(range(110, 114), 1.4)
+        peers = [RangePeer(session, 7, 2.0, 228) for session in OWNERS[1:]]
+        move = plan_range_move(self.owner(loads, slots=7), peers)
+        self.assertLessEqual(len(move.shards), 4)
+        self.assertGreaterEqual(move.load, 1.0)
+
     def test_random_loads_converge_and_keep_few_runs(self):
         """Guards against plans that never converge or that fragment the key space."""
         rng = random.Random(1)
