Use the platform's whole grace time for a stop, and answer what is left then

Cause: the wait for requests in flight was fixed at 2.5 s, chosen for a grace of 6 s, also where the platform gives 10 s; whatever was in flight then got nothing.

Change: the settings file's grace-s sets the wait (setting stop_grace_s); half a second before the kill each request without an answer gets one of the node: 503 if it was not sent, 502 if its outcome is unknown. Waiting requests are refused.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -13,10 +13,19 @@
 from ._resolver import Destination
 from ._retry import AttemptLog, RetryBudget
 
-__all__ = ["CALLER_GONE", "DEADLINE", "SILENT", "STALLED", "ActiveRequestTable", "RequestContext"]
+__all__ = [
+    "CALLER_GONE",
+    "DEADLINE",
+    "SILENT",
+    "STALLED",
+    "STOPPING",
+    "ActiveRequestTable",
+    "RequestContext",
+]
 
 CALLER_GONE = "caller-gone"
 DEADLINE = "deadline"
+STOPPING = "stopping"
 SILENT = "silent"
 STALLED = "stalled"
 
@@ -225,6 +234,12 @@
         """Removes a request."""
         self._active_requests.discard(context)
 
+    def stop_unanswered(self) -> None:
+        """Ends the requests whose answer has not begun, each with an answer of this node."""
+        for context in tuple(self._active_requests):
+            if not context.request.is_answered:
+                self._stop(context, STOPPING)
+
     def sweep(self, now_ns: int) -> None:
         """Stops late, stalled and abandoned requests, and interrupts attempts at silent peers."""
         if not self._active_requests:
--- a/src/auburnsail/_admission_queue.py
+++ b/src/auburnsail/_admission_queue.py
@@ -288,6 +288,14 @@
         heapq.heapify(self._heap)
         self._unreported = [item for item in self._unreported if item is not waiter]
 
+    def refuse_all(self, reason: str) -> list[Waiter]:
+        """Refuses all waiters because the node ends; returns them."""
+        waiters = [item[3] for item in self._heap]
+        for waiter in waiters:
+            waiter.decision = self._refuse(reason, 0)
+        self._heap = []
+        return waiters
+
     def clear_service_times(self) -> None:
         """Clears the service time statistics; needed when the upstream process is replaced."""
         self._service_times.clear()
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -4,7 +4,7 @@
 from collections import Counter
 
 from . import _headers
-from ._active_requests import CALLER_GONE, SILENT, RequestContext
+from ._active_requests import CALLER_GONE, SILENT, STOPPING, RequestContext
 from ._admission import Admission, Chooser, Result
 from ._admission_queue import CAPACITY_REASONS
 from ._answer_parser import AnswerParser
@@ -369,6 +369,8 @@
     def _check_stopped(self, context: RequestContext) -> None:
         if context.stop_reason == CALLER_GONE:
             raise CallerGoneError("the caller closed the connection", step="forward")
+        if context.stop_reason == STOPPING:
+            raise not_run(STOPPING, "this node ended before the request was sent", "forward")
         if context.stop_reason or self.remaining_ms(context) <= 0:
             detail = "the deadline passed before the request was sent"
             raise not_run("deadline", detail, "forward", status="504 Gateway Timeout")
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from ._active_requests import STOPPING
 from ._adapter import Adapter, SettingsInForce
 from ._admission import ObservedAdmission
 from ._balance import BalanceLimits, ServiceChooser
@@ -251,6 +252,11 @@
         gevent.joinall(drains)
         self._application.close()
 
+    def end_requests(self) -> None:
+        """Answers the requests in flight whose answer has not begun, because the node ends."""
+        self._admission.refuse_waiting(STOPPING)
+        self._application.end_requests()
+
 
 def _capacity(announcement: Announcement) -> tuple[str, int, int]:
     return announcement.service, announcement.slots, announcement.connections
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -234,6 +234,10 @@
             if reserve:
                 budget.reserve = USABLE_RESERVE_SHARE * reserve / max(1, nodes)
 
+    def end_requests(self) -> None:
+        """Ends the requests whose answer has not begun, because the node ends."""
+        self._active_requests.stop_unanswered()
+
     def close(self) -> None:
         """Closes the idle connections to peers."""
         self._peers.drop_idle()
@@ -253,9 +257,7 @@
         else:
             destination = self._resolver.forwarded_destination(head, hop)
         policy = destination.policy
-        budget = self._budgets.get(destination.service)
-        if budget is None:
-            budget = RetryBudget(policy.retry_share)
+        budget = self._budgets.get(destination.service) or RetryBudget(policy.retry_share)
         request.body.lower_limit(policy.max_body_bytes)
         now_ns = self._clock.now_ns()
         if hop is None:
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -61,10 +61,11 @@
 # A draining node admits requests without a key for this time, since the other nodes receive the
 # announcement of a draining upstream within a second.
 DRAIN_GRACE_MS = 1_200
-# The platform stops sending callers to a VM after two failed readiness checks, one per second, and
-# kills a process 6 s after the stop signal. Both steps of a restart must fit into these 6 s.
+# The platform stops sending callers to a VM after two failed readiness checks, one per second.
 READINESS_REMOVAL_S = 2.3
-RESTART_TIMEOUT_S = 2.5
+# This long before the process is killed, requests in flight get an answer of this node.
+FINAL_ANSWERS_S = 0.5
+FINAL_WRITES_S = 0.2
 _RANDOM = random.SystemRandom()
 
 
@@ -197,7 +198,6 @@
             return
         self.stopping = True
         self._log.info("stopping")
-        # From now on every answer asks the caller to close its connection.
         self._data_path.announce_close()
         if self._adapter.grants_by_report:
             _supervision.spawn("stop", self._stop_for_restart)
@@ -269,8 +269,8 @@
                     self._io.run(effect)
 
     def _on_crash(self, notice: CrashNotice) -> None:
-        suspects = len(notice.fingerprints)
-        self._journal.record("crash", "the upstream crashed", id=notice.id, suspects=suspects)
+        facts = {"id": notice.id, "suspects": len(notice.fingerprints)}
+        self._journal.record("crash", "the upstream crashed", **facts)
         self._run_effects(self._membership.forward_crash_notice(notice, ""))
 
     def _on_applied(self, applied: Applied) -> None:
@@ -278,11 +278,10 @@
         self._mover.on_applied(applied.results)
         for result in applied.results:
             self._expect_handovers(result)
-            kind = type(result.command).__name__
-            reason = result.reason or "applied"
             facts = command_facts(result.command, self._fleet)
             facts |= {"id": result.command.id, "version": applied.entry.version}
-            self._journal.record(kind, reason, **facts)
+            kind = type(result.command).__name__
+            self._journal.record(kind, result.reason or "applied", **facts)
 
     def _expect_handovers(self, result: CommandResult) -> None:
         match result.command:
@@ -346,7 +345,12 @@
     def _stop_for_restart(self) -> None:
         # The upstream keeps running, so its session stays open for the next node process.
         gevent.sleep(READINESS_REMOVAL_S)
-        self._data_path.stop(idle_grace_s=IDLE_CLOSE_GRACE_MS / 1000, timeout_s=RESTART_TIMEOUT_S)
+        timeout_s = self._settings.stop_grace_s - READINESS_REMOVAL_S - FINAL_ANSWERS_S
+        self._data_path.stop(idle_grace_s=IDLE_CLOSE_GRACE_MS / 1000, timeout_s=timeout_s)
+        if in_flight := self._data_path.in_flight:
+            self._log.warning("ending requests", in_flight=in_flight)
+            self._data_path.end_requests()
+            gevent.sleep(FINAL_WRITES_S)
         self._stopped.set()
 
     def _stop_after_drain(self) -> None:
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -1,7 +1,7 @@
 """Sends requests to peers and relays their answers to callers, one block at a time."""
 
 from . import _headers
-from ._active_requests import DEADLINE, STALL_TIMEOUT_NS, RequestContext
+from ._active_requests import DEADLINE, STALL_TIMEOUT_NS, STOPPING, RequestContext
 from ._admission import Result, Utilisation
 from ._answer_parser import AnswerParser
 from ._clock import Clock
@@ -107,10 +107,10 @@
         send_request(context, exchange, head)
     except CallerGoneError as error:
         context.attempts.on_possibly_run()
-        if context.stop_reason == DEADLINE:
+        if context.stop_reason in (DEADLINE, STOPPING):
             raise unknown(
-                DEADLINE,
-                "the deadline passed while the request body was received",
+                context.stop_reason,
+                f"the request ended while its body was received: {context.stop_reason}",
                 error.step,
                 status="504 Gateway Timeout",
             ) from error
@@ -297,6 +297,9 @@
                 error.peer,
                 status="504 Gateway Timeout",
             )
+        case "stopping":
+            detail = "this node ended before the answer"
+            return unknown("stopping", detail, error.step, error.peer)
         case "silent":
             detail = "the peer stayed silent on an older connection"
             return unknown("silent", detail, error.step, error.peer)
--- a/src/auburnsail/_settings.py
+++ b/src/auburnsail/_settings.py
@@ -67,6 +67,8 @@
         snapshots: Whether measurements are written to the object store.
         metrics_address: ``ip:port`` of the metrics server, empty for none.
         link_mbps: Capacity of the VM's link in Mbit/s, 0 if unknown.
+        stop_grace_s: Time in seconds from a stop signal until the process is killed, for a node
+            whose upstream keeps running.
     """
 
     node: Name
@@ -88,6 +90,7 @@
     snapshots: bool = True
     metrics_address: Annotated[str, msgspec.Meta(pattern=r"^([0-9a-fA-F:.]+:[0-9]{1,5})?$")] = ""
     link_mbps: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    stop_grace_s: Annotated[float, msgspec.Meta(ge=3, le=600)] = 6.0
 
     def resolve_address(self, address: str) -> str:
         """Returns the address to connect to for an address in a session."""
--- a/src/auburnsail/platform/_boot_file.py
+++ b/src/auburnsail/platform/_boot_file.py
@@ -14,6 +14,7 @@
 # A restarted node is back 3.5 s after the stop signal, and a report is due every 0.9 s. The local
 # upstream keeps its keys across the restart because its lease has not expired by then.
 LEASE_MS = 4_000
+DEFAULT_STOP_GRACE_S = 6.0
 # Same port as in deploy/system.toml.
 METRICS_PORT = 9_464
 # The platform provides no secret. The authentication tag of messages between nodes therefore guards
@@ -146,6 +147,7 @@
         snapshots=False,
         metrics_address=f"{content.ip}:{METRICS_PORT}",
         link_mbps=content.limits.link_mbps,
+        stop_grace_s=float(bounds.get("grace-s", DEFAULT_STOP_GRACE_S)),
     )
     return BootFile(
         node=node,
