--- a/tools/overload.py
+++ b/tools/overload.py
@@ -236,7 +236,7 @@
         return len(self._waiting)
 
     def offer(self, work: object, now_ns: int):
-        from auburnsail._limits import ADMIT, Waiter
+        from auburnsail._admission_queue import ADMIT, Waiter
 
         if self.in_flight < self._limits.max_in_flight:
             self.in_flight += 1
@@ -246,7 +246,7 @@
         return waiter
 
     def finish(self, service_ns, now_ns):
-        from auburnsail._limits import ADMIT
+        from auburnsail._admission_queue import ADMIT
 
         self.in_flight -= 1
         if not self._waiting:
--- a/tools/silent_connections.py
+++ b/tools/silent_connections.py
@@ -115,8 +115,8 @@
 class _KeepingPool(HttpPeer):
     """A pool that keeps its idle connections after a silent timeout."""
 
-    def __init__(self, address: str, clock) -> None:
-        super().__init__(address, clock, drops_stale_idle=False)
+    def __init__(self, address: str, clock, *, link=None) -> None:
+        super().__init__(address, clock, drops_stale_idle=False, link=link)
 
 
 def _send_request(sock, method: str, number: int) -> tuple[int, str, str]:
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -222,7 +222,7 @@
     Mutation(
         "P8",
         "settings are not fetched from peers or the store",
-        ((_log_follower.SettingsFollower, "offer", lambda self, version, data: False),),
+        ((_log_follower.SettingsFollower, "offer", lambda self, version, data, now_ns=0: False),),
     ),
 )
 
