Send the head of a large request before its body waits for the link

Callers saw: uploads whose upstream got up to three seconds more than the caller had left, and 504 instead of 503 for uploads that never reached another node, which callers may not send again.

Head and body had waited for the narrow link together, and the time limit in the head counts from its arrival.

Change: towards another node the head goes out at once and the body follows when the link has room. If the way breaks before the other node can have the part of the body that it reads first (64 KiB, or all of a shorter one), the request has not run.

Measured: tests/test_link_uploads.py: with three uploads of 60 kB on 100 kB/s the upstream's limit ended 617 ms after the caller's (bound 500), now within it; an upload stopped while it waited was unknown, now not run. Both tests fail before.

--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -71,7 +71,7 @@
 
     Attributes:
         started_ns: When the exchange got its connection.
-        bytes_sent: Bytes passed to `send`, including those of a call that failed.
+        bytes_written: Bytes whose writing has begun; those that wait for the link are not counted.
         answered: Whether any byte of an answer has arrived.
         interrupt_reason: Why the exchange was interrupted; empty if it was not.
         sending_stopped: Whether the rest of the request will not be sent.
@@ -84,7 +84,7 @@
         "_parser",
         "_peer",
         "answered",
-        "bytes_sent",
+        "bytes_written",
         "interrupt_reason",
         "sending_stopped",
         "started_ns",
@@ -97,7 +97,7 @@
         self._body_bytes_left = 0
         self._message: OutgoingMessage | None = None
         self.started_ns = now_ns
-        self.bytes_sent = 0
+        self.bytes_written = 0
         self.answered = False
         self.interrupt_reason = ""
         self.sending_stopped = False
@@ -107,6 +107,11 @@
         """Whether the connection served an earlier exchange."""
         return self._connection is not None and self._connection.is_reused
 
+    @property
+    def is_paced(self) -> bool:
+        """Whether large messages wait for their turn on the VM's link."""
+        return self._peer.link is not None
+
     @property
     def has_early_answer(self) -> bool:
         """Whether the peer has sent bytes or closed the connection that were not read yet."""
@@ -120,7 +125,6 @@
         Raises:
             OutcomeUnknownError: The connection broke; some of the bytes may have arrived.
         """
-        self.bytes_sent += len(data)
         try:
             self._write(data)
         except OSError as error:
@@ -133,11 +137,18 @@
 
     def _write(self, data: bytes) -> None:
         link, sock = self._peer.link, self._open_socket()
+
+        def write(block: bytes | memoryview) -> None:
+            if self.interrupt_reason:
+                raise OSError("interrupted while waiting for the link")
+            self.bytes_written += len(block)
+            send_all(sock, block)
+
         if link is None:
-            send_all(sock, data)
+            write(data)
             return
         self._message = link.begin(len(data))
-        self._message.send(lambda block: send_all(sock, block), data)
+        self._message.send(write, data)
 
     def receive_head(self, method: str, echo: tuple[str, str] = ("", "")) -> AnswerParser:
         """Receives the status line and the headers of the answer.
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -1,13 +1,13 @@
 """Sends requests to peers and relays their answers to callers, one block at a time."""
 
 from . import _headers
-from ._active_requests import DEADLINE, STALL_TIMEOUT_NS, STOPPING, RequestContext
+from ._active_requests import CALLER_GONE, DEADLINE, STALL_TIMEOUT_NS, STOPPING, RequestContext
 from ._admission import Result, Utilisation
 from ._answer_parser import AnswerParser
 from ._clock import Clock
 from ._dialect import Dialect
 from ._exchange import Exchange
-from ._outcome import RequestFailedError, parse_refusal, unknown
+from ._outcome import RequestFailedError, not_run, parse_refusal, unknown
 from .exceptions import CallerGoneError, OutcomeUnknownError
 
 __all__ = [
@@ -71,6 +71,10 @@
         RequestFailedError: The body is malformed or too large.
     """
     body = context.request.body
+    if exchange.is_paced and context.body_prefix:
+        # A large body may wait for the link. The time limit in the head counts from its arrival.
+        exchange.send(head)
+        head = b""
     if body.is_complete:
         exchange.send(head + context.body_prefix if context.body_prefix else head)
         return
@@ -105,6 +109,13 @@
     """
     try:
         send_request(context, exchange, head)
+    except OutcomeUnknownError as error:
+        if context.stop_reason == CALLER_GONE or not _lacks_body(context, exchange, head):
+            raise
+        context.attempts.on_not_run()
+        reason = context.stop_reason or "not-sent"
+        detail = "the body of the request did not leave this VM"
+        raise not_run(reason, detail, error.step, error.peer) from error
     except CallerGoneError as error:
         context.attempts.on_possibly_run()
         if context.stop_reason in (DEADLINE, STOPPING):
@@ -124,6 +135,15 @@
         ) from error
 
 
+def _lacks_body(context: RequestContext, exchange: Exchange, head: bytes) -> bool:
+    """Returns whether the peer is a node that cannot have passed the request on.
+
+    A node reads `BUFFERED_BYTES` of a body, or all of a shorter one, before it does so.
+    """
+    required = min(len(context.body_prefix), BUFFERED_BYTES)
+    return exchange.is_paced and exchange.bytes_written - len(head) < required
+
+
 def read_body(exchange: Exchange, limit: int = BUFFERED_BYTES) -> bytes:
     """Returns the rest of an answer's body, up to a limit in bytes.
 
