--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -21,6 +21,7 @@
 from auburnsail.platform._program import build_adapter
 from auburnsail.platform._reports import ReportApplication, decode_report, encode_grant
 from tests.fleet import ROOT, free_port
+from tools.fuzz import REPORT
 
 RETRY_LIMITS = RetryLimits(0.2, 56)
 BOOT_FILE = {
@@ -41,14 +42,6 @@
     "bounds": ["retry-budget-ratio=0.2", "budget-slack=56", "hold-max-ms=10000"],
     "a-new-field": {"x": 1},
 }
-REPORT = {
-    "address": "10.1.0.41:8",
-    "info": {"service": "s1", "version": "v1", "zone": "a", "slots": 6},
-    "status": {"state": "ready", "sequence": 4, "cold-remaining-ms": 100},
-    "born": 1_700_000_000_000,
-    "holds": [[0, 4095, 7]],
-    "freed": [[4096, 8191, "5c0e"]],
-}
 DESIRED_STATE = {
     "version": 7,
     "resources": [
--- a/tools/soak_fleet.py
+++ b/tools/soak_fleet.py
@@ -325,9 +325,8 @@
             elif self.entry(request.expected + 1).id == request.append_id:
                 reply = effects.Appended()
             else:
-                reply = effects.Superseded(
-                    tuple(enumerate(self.fleet_log[request.expected :], request.expected + 1))
-                )
+                records = enumerate(self.fleet_log[request.expected :], request.expected + 1)
+                reply = effects.Superseded(tuple(records))
             if not is_lost:
                 self._reply(node, request, reply)
 
