Let the real upstream's reports replace one whose number is far too high

Callers saw (in a test): after one report of another writer with a number of up to 53 bits or a start time far ahead, a VM served nobody until its node was restarted.

Cause: each later report of the real upstream counted as older.

Change: reports that are 1,000 or more behind, or of a lifetime with an earlier start, replace the latest one at the second of them, with a higher number, if it has not been followed for 2 s or its process has ended.

Measured: tests/test_clock_jumps.py; the test fails before the change (no report is accepted).

--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -23,6 +23,8 @@
 EXIT_PROBE_DELAY_S = 0.3
 # An upstream without announcements counts as alive if it answered a request within this time.
 RECENT_ANSWER_MS = 2000
+# A report that is late is a few reports behind the latest one, never this many.
+MAX_REPORTS_BEHIND = 1_000
 # A late report may renew an expired hold for this long before the keys move.
 LATE_REPORT_GRACE_MS = 300
 
@@ -58,7 +60,7 @@
         self._clock = clock
         self._announcement: Announcement | None = None
         self._latest_announcement: Announcement | None = None
-        self._earlier_born: Announcement | None = None
+        self._earlier: Announcement | None = None
         self._has_ended = False
         self._announced_ns = 0
         self._answered_ns = 0
@@ -102,7 +104,7 @@
         if latest is not None and latest.lifetime != announcement.lifetime:
             self._journal.record("upstream", "another life", lifetime=announcement.lifetime)
             self._start_new_lifetime()
-        self._earlier_born, self._has_ended = None, False
+        self._earlier, self._has_ended = None, False
         self._refused_connection = False
         self._record_drain_start(announcement, now_ns)
         self._announcement = announcement
@@ -211,18 +213,20 @@
         if latest is None or not announcement.born_ms:
             return False
         if announcement.lifetime == latest.lifetime:
-            return announcement.sequence <= latest.sequence
-        return announcement.born_ms < latest.born_ms and not self._succeeds_with_earlier_start(
-            announcement
-        )
+            if latest.sequence - announcement.sequence < MAX_REPORTS_BEHIND:
+                return announcement.sequence <= latest.sequence
+        elif announcement.born_ms >= latest.born_ms:
+            return False
+        return not self._replaces_later(announcement)
 
-    def _succeeds_with_earlier_start(self, announcement: Announcement) -> bool:
-        """Returns whether a lifetime with an earlier start time has followed the latest one.
+    def _replaces_later(self, announcement: Announcement) -> bool:
+        """Returns whether reports that look far too old come from the upstream that runs now.
 
-        The time of day may have jumped back between their starts. A late report of a lifetime that
-        has ended comes once, and while it comes the latest lifetime still reports.
+        The time of day may have jumped back between the starts of two lifetimes, or another writer
+        sent a report with a start time or a number far too high. A late report comes once, and
+        while it comes the latest lifetime still reports.
         """
-        previous, self._earlier_born = self._earlier_born, announcement
+        previous, self._earlier = self._earlier, announcement
         is_silent = self._clock.now_ns() - self._announced_ns > ANNOUNCEMENT_TIMEOUT_MS * NS_PER_MS
         return (
             (is_silent or self._has_ended)
--- a/tests/test_clock_jumps.py
+++ b/tests/test_clock_jumps.py
@@ -101,6 +101,16 @@
             self.assertFalse(self.report(sequence, 2_000_000))
             self.assertTrue(self.report(sequence, 5_000_000))
 
+    def test_a_report_with_a_number_far_too_high_does_not_silence_the_upstream(self):
+        """Guards against a VM that serves nobody after one odd report of another writer."""
+        for odd in (
+            {"sequence": 2**53 - 1, "born_ms": 5_000_000},
+            {"sequence": 1, "born_ms": 2**53},
+        ):
+            self.assertTrue(self.report(**odd))
+            accepted = [self.report(sequence, 5_000_000) for sequence in range(4, 9)]
+            self.assertEqual(accepted, [False, False, True, True, True])
+
     def test_one_late_report_does_not_replace_a_silent_lifetime(self):
         """Guards against a report that waited in a partition, after its successor went silent."""
         self.clock.advance_ms(10 * REPORT_MS)
