Read the change as a newcomer: names of limits, and what grouped commands are

Cause: an unused type, a number written twice, and a comment that did not say which commands wait.

Change: Port is gone, MAX_INTEGER serves the reports, the comments say it.

--- a/src/auburnsail/_checked_input.py
+++ b/src/auburnsail/_checked_input.py
@@ -18,7 +18,6 @@
     "MAX_INTEGER",
     "Count",
     "Name",
-    "Port",
     "check_address",
     "decode_json",
     "decode_msgpack",
@@ -35,7 +34,6 @@
 
 Count = Annotated[int, msgspec.Meta(ge=0, le=MAX_INTEGER)]
 Name = Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
-Port = Annotated[int, msgspec.Meta(ge=1, le=MAX_PORT)]
 
 Model = TypeVar("Model")
 
--- a/src/auburnsail/_recorder.py
+++ b/src/auburnsail/_recorder.py
@@ -33,14 +33,14 @@
 __all__ = ["OwnerChoice", "Recorder", "rank_recorders"]
 
 MAX_COMMANDS_PER_ENTRY = 2048
-# Entries of commands that nobody waits for follow each other at this interval at least. When many
+# Entries that only open or change sessions follow each other at this interval at least. When many
 # nodes start at once, an entry then holds the commands of many of them.
 GROUP_INTERVAL_MS = 150
 RETRY_MIN_MS = 50
 RETRY_MAX_MS = 1000
 NO_SESSION = SessionId("", 0)
 
-# Commands that change no owner of a key.
+# Commands that open or change a session and assign no key to another one.
 _GROUPED_COMMANDS = (Join, Resume, SetWatchers)
 
 # Returns the grants by command id for shards that need new owners.
--- a/src/auburnsail/platform/_reports.py
+++ b/src/auburnsail/platform/_reports.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from .._checked_input import Count, Name, check_address, decode_json, reject
+from .._checked_input import MAX_INTEGER, Count, Name, check_address, decode_json, reject
 from .._control import Announcement
 from .._holds import HeldRange, HoldGrant
 from .._model import Handover
@@ -27,7 +27,7 @@
 MAX_INSTANCE_LENGTH = 200
 _Key = Annotated[int, msgspec.Meta(ge=0, lt=KEY_COUNT)]
 _Slots = Annotated[int, msgspec.Meta(ge=1, le=MAX_SLOTS)]
-_Born = Annotated[int, msgspec.Meta(ge=1, le=2**53 - 1)]
+_Born = Annotated[int, msgspec.Meta(ge=1, le=MAX_INTEGER)]
 _Range = tuple[_Key, _Key, Count]
 _Freed = tuple[_Key, _Key, Name]
 
