Log each request whose connection ends without an answer

Change: one line "request unanswered" with the cause, the end of the caller's connection as the poll saw it, the attempts, whether the connection was kept, whether the node had ended the wait for a request on it, and the time since the stop signal. Measured: test_unanswered_requests fails before (no such line) and passes; test_request_path, test_drain_race, test_node_stop pass.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -67,6 +67,8 @@
         silence_deadline_ns: When the current attempt ends if the peer is silent, 0 for never.
         stall_deadline_ns: When the answer counts as stalled, 0 before relaying began.
         stop_reason: Why the request was stopped, or an empty string.
+        caller_end: How the caller ended its connection, ``closed`` or ``reset``; empty if it has
+            not.
     """
 
     __slots__ = (
@@ -74,6 +76,7 @@
         "attempts",
         "body_prefix",
         "budget",
+        "caller_end",
         "caller_service",
         "covers_body",
         "deadline_ns",
@@ -130,6 +133,7 @@
         self.silence_deadline_ns = 0
         self.stall_deadline_ns = 0
         self.stop_reason = ""
+        self.caller_end = ""
         self.is_caller_polled = False
         self.started_ns = started_ns
         self.status = 0
@@ -257,8 +261,10 @@
                 callers[descriptor] = context
                 poll.register(descriptor, select.POLLRDHUP)
             context.is_caller_polled = True
-        for descriptor, _ in poll.poll(0) if callers else ():
-            self._stop(callers[descriptor], CALLER_GONE)
+        for descriptor, events in poll.poll(0) if callers else ():
+            context = callers[descriptor]
+            context.caller_end = "reset" if events & select.POLLERR else "closed"
+            self._stop(context, CALLER_GONE)
 
     def _check_time(self, context: RequestContext, now_ns: int) -> None:
         if context.stall_deadline_ns:
--- a/src/auburnsail/_caller_request.py
+++ b/src/auburnsail/_caller_request.py
@@ -4,6 +4,7 @@
 
 from gevent import socket
 
+from ._clock import NS_PER_MS
 from ._dialect import Dialect
 from ._http_body import ByteSource, RequestBody
 from ._http_head import RequestHead
@@ -17,11 +18,13 @@
     """Parts of the HTTP server that a request uses.
 
     `dialect` names the headers of callers. `link` paces answers, or is None for no pacing. While
-    `draining` is set, each connection is closed after its current answer.
+    `draining` is set, each connection is closed after its current answer; `draining_since_ns` tells
+    since when, 0 if it is not set.
     """
 
     max_body_bytes: int
     draining: bool
+    draining_since_ns: int
     dialect: Dialect
     link: LinkSender | None
 
@@ -29,12 +32,15 @@
 class CallerConnection(ByteSource, Protocol):
     """Parts of the caller's connection that a request uses.
 
-    Reading fails after `read_stopped` was set.
+    Reading fails after `read_stopped` was set. `requests` counts the requests read so far;
+    `wait_ended` tells whether the node has ended a wait for a request on the connection.
     """
 
     server: CallerServer
     sock: socket.socket
     read_stopped: bool
+    requests: int
+    wait_ended: bool
 
     def send(self, data: bytes) -> None:
         """Sends bytes to the caller."""
@@ -74,6 +80,20 @@
         """Whether the answer is complete and the connection can be used again."""
         return self._can_reuse_connection
 
+    def connection_facts(self, now_ns: int) -> dict[str, object]:
+        """Returns the state of the caller's connection for log lines.
+
+        Args:
+            now_ns: The current time in nanoseconds.
+        """
+        connection = self._connection
+        since_ns = connection.server.draining_since_ns
+        return {
+            "connection_requests": connection.requests,
+            "wait_ended": connection.wait_ended,
+            "stopping_ms": (now_ns - since_ns) // NS_PER_MS if since_ns else -1,
+        }
+
     def fileno(self) -> int:
         """Returns the file descriptor of the caller's connection, -1 if it is closed."""
         return self._connection.sock.fileno()
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -235,7 +235,7 @@
     def announce_close(self) -> None:
         """Adds ``Connection: close`` to every answer from now on."""
         for server in self._servers:
-            server.draining = True
+            server.announce_close()
 
     def stop(self, *, idle_grace_s: float, timeout_s: float) -> None:
         """Stops accepting connections, waits for requests in flight and closes idle connections.
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -175,9 +175,10 @@
         self._active_requests.add(context)
         try:
             self._run(context)
-        except CallerGoneError:
+        except CallerGoneError as error:
             self.counters.cancelled += 1
             context.outcome = CANCELLED
+            self._request_log.unanswered(context, error)
             request.reset_connection()
         except InvariantViolation as error:
             self._record_violation(error)
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -62,8 +62,10 @@
         "head_deadline_ns",
         "is_idle",
         "read_stopped",
+        "requests",
         "server",
         "sock",
+        "wait_ended",
     )
 
     def __init__(self, sock: socket.socket, _address: tuple, server: "HttpServer") -> None:
@@ -73,6 +75,8 @@
         self.head_deadline_ns = 0
         self.is_idle = True
         self.read_stopped = False
+        self.requests = 0
+        self.wait_ended = False
         self._is_in_body = False
         self._timed_out = False
 
@@ -134,6 +138,11 @@
     def expire(self) -> None:
         """Ends the wait for a request head that did not arrive in time."""
         self._timed_out = True
+        self.end_wait()
+
+    def end_wait(self) -> None:
+        """Ends the wait for a request, whose connection is then closed."""
+        self.wait_ended = True
         shut_down(self.sock, socket.SHUT_RD)
 
     def _serve_one(self) -> bool:
@@ -143,6 +152,7 @@
             if data is None:
                 return False
             head = parse_head(data, server.dialect)
+            self.requests += 1
             self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
@@ -221,6 +231,7 @@
 
     Attributes:
         draining: Whether every answer closes its connection.
+        draining_since_ns: Since when `draining` is set, 0 if it is not.
         idle_timeout_ms: Maximum time that a connection stays open without a request.
         head_timeout_ms: Maximum time from the first byte of a head to its end.
         max_head_bytes: Maximum length of a request head.
@@ -248,6 +259,7 @@
         self.clock = clock or BootClock()
         self.connections: set[_Connection] = set()
         self.draining = False
+        self.draining_since_ns = 0
         self.closes_idle_connections = False
         self.max_body_bytes = max_body_bytes
         self.dialect = dialect
@@ -279,6 +291,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
 
+    def announce_close(self) -> None:
+        """Makes every answer close its connection from now on."""
+        if not self.draining:
+            self.draining = True
+            self.draining_since_ns = self.clock.now_ns()
+
     def drain(self, *, idle_grace_s: float, timeout_s: float) -> bool:
         """Stops accepting connections and waits until the requests in flight are answered.
 
@@ -292,7 +310,7 @@
         Returns:
             Whether all requests in flight were answered.
         """
-        self.draining = True
+        self.announce_close()
         self.stop_accepting()
         self._accept_queued()
         self.close()
@@ -303,7 +321,7 @@
         while self.connections and idle_checks < REQUIRED_IDLE_CHECKS:
             for connection in tuple(self.connections):
                 if connection.is_idle and not connection.buffered:
-                    shut_down(connection.sock, socket.SHUT_RD)
+                    connection.end_wait()
             # A socket may hold a request that its greenlet has not read yet.
             idle_checks = 0 if self.in_flight else idle_checks + 1
             if self.clock.now_ns() >= deadline_ns:
--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -8,6 +8,7 @@
 from ._clock import NS_PER_MS, Clock
 from ._outcome import Refusal, RequestFailedError
 from ._routing import Router
+from .exceptions import CallerGoneError
 
 __all__ = ["RequestLog"]
 
@@ -82,6 +83,28 @@
         self._next_log_ns = now_ns + LOG_EVERY_NS
         self._unlogged = 0
 
+    def unanswered(self, context: RequestContext, error: CallerGoneError) -> None:
+        """Logs a request whose connection ends without a complete answer of this node."""
+        now_ns = self._clock.now_ns()
+        write = self._log.info if context.caller_end else self._log.warning
+        write(
+            "request unanswered",
+            id=context.request_id,
+            service=context.destination.service,
+            kind=context.destination.kind,
+            cause=error.detail,
+            step=error.step,
+            caller_end=context.caller_end,
+            attempts=context.attempts.count,
+            outcome=context.attempts.outcome.value,
+            answer_begun=context.request.is_answered,
+            peer=context.peer,
+            hop=context.hop is not None,
+            age_ms=(now_ns - context.started_ns) // NS_PER_MS,
+            left_ms=(context.deadline_ns - now_ns) // NS_PER_MS,
+            **context.request.connection_facts(now_ns),
+        )
+
     def cut_short(self, context: RequestContext, error: Exception) -> None:
         """Logs an answer that ended early after a part of it was relayed."""
         self._log.warning("answer cut short", id=context.request_id, error=str(error))
