Answer a request that arrives as its idle connection is closed

What callers saw: a request on a kept connection is passed on, the upstream runs it, and the connection is reset within 25 to 50 ms (LOST). It happens in a drain, 2.4 s after the stop signal, and where a connection has been idle for its time limit. Cause: the node ended the wait of an idle connection with shutdown(SHUT_RD). gevent throws the error into the waiting greenlet only if it still waits in the next turn of the loop. Timers run before the bytes that became ready in the same turn, so a request that arrived meanwhile was read after the shutdown and passed on. The rest of a request whose first bytes had been read was lost too. Change: the wait is cancelled and the connection is left as it is (`cancel_read`), so POLLRDHUP can only mean the caller. A wait that is ended reads what has arrived once more; a cancellation that reaches a later read is ignored. A drain ends only waits for a request, not the reads after an answer. test_drain_race patched `shut_down`, which the drain no longer calls; it now sends the request at the same point and lets the cancellation follow, which is stricter: before, the first shutdown was left out.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -22,7 +22,7 @@
 from ._http_head import MAX_HEAD_BYTES, parse_head
 from ._link_sender import LinkSender
 from ._outcome import RequestFailedError, refused
-from ._sockets import send_all, shut_down
+from ._sockets import ReadCancelledError, cancel_read, send_all, shut_down
 from ._sweeper import Sweeper
 from .exceptions import CallerGoneError
 
@@ -53,11 +53,16 @@
 
 
 class _Connection:
-    """A caller's connection; serves its requests sequentially."""
+    """A caller's connection; serves its requests sequentially.
+
+    Attributes:
+        awaits_request: Whether the connection is open and waits for the first byte of a request.
+    """
 
     __slots__ = (
         "_is_in_body",
         "_timed_out",
+        "awaits_request",
         "buffered",
         "head_deadline_ns",
         "is_idle",
@@ -74,6 +79,7 @@
         self.buffered = b""
         self.head_deadline_ns = 0
         self.is_idle = True
+        self.awaits_request = False
         self.read_stopped = False
         self.requests = 0
         self.wait_ended = False
@@ -96,19 +102,40 @@
     def receive(self) -> bool:
         """Implements `ByteSource.receive`."""
         try:
-            data = self._receive_in_body() if self._is_in_body else self.sock.recv(BLOCK_BYTES)
+            data = self._receive_in_body() if self._is_in_body else self._receive_in_head()
         except OSError:
             return False
         self.buffered = self.buffered + data if self.buffered else data
         return bool(data)
 
+    def _receive_in_head(self) -> bytes:
+        while True:
+            try:
+                return self.sock.recv(BLOCK_BYTES)
+            except ReadCancelledError:
+                if self.awaits_request:
+                    return self._receive_arrived()
+                if self._timed_out:
+                    return b""
+                # The wait that was to end had already returned the first bytes of a request.
+
+    def _receive_arrived(self) -> bytes:
+        """Returns the bytes that have arrived, empty bytes if there are none."""
+        self.sock.settimeout(0.0)
+        try:
+            return self.sock.recv(BLOCK_BYTES)
+        except BlockingIOError:
+            return b""
+        finally:
+            self.sock.settimeout(None)
+
     def _receive_in_body(self) -> bytes:
         # Polls instead of shutting the socket down: closing a socket that is shut down for reading
         # sends a reset, which can reach the caller before the answer.
         self.sock.settimeout(BODY_POLL_INTERVAL_S)
         try:
             while not self.read_stopped:
-                with contextlib.suppress(TimeoutError):
+                with contextlib.suppress(TimeoutError, ReadCancelledError):
                     return self.sock.recv(BLOCK_BYTES)
             return b""
         finally:
@@ -141,9 +168,9 @@
         self.end_wait()
 
     def end_wait(self) -> None:
-        """Ends the wait for a request, whose connection is then closed."""
+        """Ends the wait for a request; closes the connection unless one has arrived."""
         self.wait_ended = True
-        shut_down(self.sock, socket.SHUT_RD)
+        cancel_read(self.sock)
 
     def _serve_one(self) -> bool:
         server = self.server
@@ -176,8 +203,13 @@
             if server.draining and server.closes_idle_connections:
                 return None
             self.head_deadline_ns = now_ns + server.idle_timeout_ms * NS_PER_MS
-            if not self.receive():
-                return None
+            self.awaits_request = True
+            try:
+                if not self.receive():
+                    return None
+            finally:
+                self.awaits_request = False
+        self._timed_out = False
         self.is_idle = False
         server.sweeper.wake()
         self.head_deadline_ns = server.clock.now_ns() + server.head_timeout_ms * NS_PER_MS
@@ -211,8 +243,11 @@
         remaining_bytes = MAX_LINGER_BYTES
         try:
             self.sock.settimeout(LINGER_TIMEOUT_S)
-            while remaining_bytes > 0 and (data := self.sock.recv(BLOCK_BYTES)):
-                remaining_bytes -= len(data)
+            while remaining_bytes > 0:
+                with contextlib.suppress(ReadCancelledError):
+                    if not (data := self.sock.recv(BLOCK_BYTES)):
+                        break
+                    remaining_bytes -= len(data)
         except OSError:
             pass
 
@@ -320,7 +355,7 @@
         idle_checks = 0
         while self.connections and idle_checks < REQUIRED_IDLE_CHECKS:
             for connection in tuple(self.connections):
-                if connection.is_idle and not connection.buffered:
+                if connection.awaits_request:
                     connection.end_wait()
             # A socket may hold a request that its greenlet has not read yet.
             idle_checks = 0 if self.in_flight else idle_checks + 1
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -9,7 +9,9 @@
 
 __all__ = [
     "USER_TIMEOUT_MS",
+    "ReadCancelledError",
     "accepts_connections",
+    "cancel_read",
     "enable_keepalive",
     "endpoint",
     "is_open_and_idle",
@@ -29,6 +31,20 @@
 KEEPALIVE_PROBES = 2
 
 
+class ReadCancelledError(OSError):
+    """A blocked read was ended by `cancel_read`."""
+
+
+def cancel_read(sock: socket.socket) -> None:
+    """Ends a blocked read with `ReadCancelledError`; both directions of the connection stay open.
+
+    Unlike a shutdown, this cannot be mistaken for the end of the peer's direction. If the bytes
+    that the read waits for arrive in the same turn of the event loop, the read returns them, and a
+    later read on the socket may be cancelled in its place.
+    """
+    socket.cancel_wait(sock._read_event, ReadCancelledError)
+
+
 def set_options(sock: socket.socket) -> None:
     """Disables Nagle's algorithm and limits the time that sent bytes stay unacknowledged."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_drain_race.py
+++ b/tests/test_drain_race.py
@@ -36,18 +36,17 @@
         sock = open_connection(f"127.0.0.1:{server.server_port}")
         self.addCleanup(sock.close)
         self.assertTrue(wait_for(lambda: len(server.connections) == 1))
-        shut_down = _http_server.shut_down
+        cancel_read = _http_server.cancel_read
         requests = [b"GET / HTTP/1.1\r\nhost: a\r\n\r\n"]
 
-        def send_request_or_shut_down(closing, how) -> None:
+        def send_request_and_cancel(closing) -> None:
             if requests:
                 # Sends without a switch to the greenlet that serves the connection; the server can
                 # still read the bytes.
                 sock._sock.send(requests.pop())
-            else:
-                shut_down(closing, how)
+            cancel_read(closing)
 
-        with mock.patch.object(_http_server, "shut_down", send_request_or_shut_down):
+        with mock.patch.object(_http_server, "cancel_read", send_request_and_cancel):
             self.assertTrue(server.drain(idle_grace_s=0.0, timeout_s=2.0))
         # The process would end here, so the answer must have been sent already.
         sock.settimeout(0.01)
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,11 +1,21 @@
 """Requests whose connection ends without an answer, and the log line about each of them."""
 
+import time
 import unittest
 
 import gevent
 from structlog.testing import capture_logs
 
-from tests.path_fakes import OK, FakeUpstream, PathNode, connect, open_connection, wait_for
+from tests.path_fakes import (
+    OK,
+    FakeUpstream,
+    PathNode,
+    connect,
+    exchange,
+    open_connection,
+    request,
+    wait_for,
+)
 
 POST = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx"
 
@@ -22,10 +32,77 @@
         connect(self.node, owner=self.node)
 
     def run_request(self, sock, run) -> bytes:
-        """Runs a request for 0.2 s."""
-        gevent.sleep(0.2)
+        """Runs a request for 0.2 s, or one for the key k2 for 1.5 s."""
+        gevent.sleep(1.5 if "/k2" in run.head else 0.2)
         return OK
 
+    def send_while_the_loop_stands(self, sock, stands_s: float) -> bytes:
+        """Sends a request, keeps the event loop from running and returns the answer.
+
+        The bytes and the timers that end the wait for a request become ready in the same turn of
+        the loop, and timers run first.
+        """
+        sock._sock.send(POST)
+        time.sleep(stands_s)
+        sock.settimeout(3.0)
+        return sock.recv(4096)
+
+    def test_a_request_that_arrives_as_a_drain_closes_idle_connections_is_answered(self):
+        """Guards against a stop that resets a caller whose request it has passed on (LOST).
+
+        The node shut its idle connections down for reading, read a request that had arrived at the
+        same moment, and took its own shutdown for the caller's.
+        """
+        sock = open_connection(self.node.address)
+        self.addCleanup(sock.close)
+        self.assertTrue(wait_for(lambda: self.node.server.connections))
+        drain = gevent.spawn(self.node.server.drain, idle_grace_s=0.1, timeout_s=3.0)
+        gevent.sleep(0.05)
+        answer = self.send_while_the_loop_stands(sock, 0.2)
+        self.assertEqual(len(self.upstream.runs), 1)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+        self.assertTrue(drain.get(timeout=3.0))
+
+    def test_a_request_that_arrives_as_its_idle_connection_expires_is_answered(self):
+        """Guards against an idle timeout that resets a caller whose request was passed on (LOST).
+
+        Another request is in flight, so that the sweep runs at its shortest interval.
+        """
+        self.node.server.idle_timeout_ms = 300
+        other = gevent.spawn(exchange, self.node.address, request("GET", "/catalogue/k2"))
+        self.assertTrue(wait_for(lambda: self.upstream.runs))
+        sock = open_connection(self.node.address)
+        self.addCleanup(sock.close)
+        self.assertTrue(wait_for(lambda: len(self.node.server.connections) == 2))
+        gevent.sleep(0.25)
+        answer = self.send_while_the_loop_stands(sock, 0.6)
+        self.assertEqual(len(self.upstream.runs), 2)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+        self.assertIn(b"200 OK", other.get(timeout=3.0))
+
+    def test_the_rest_of_a_request_whose_first_bytes_overtook_the_end_of_the_wait_is_read(self):
+        """Guards against an end of the wait that cuts off the next read on the connection."""
+        for first, rest in ((POST[:9], POST[9:]), (POST[:-1], POST[-1:])):
+            sock = open_connection(self.node.address)
+            self.addCleanup(sock.close)
+            self.assertTrue(wait_for(lambda: self.node.server.connections))
+            (connection,) = self.node.server.connections
+            sock._sock.send(first)
+            time.sleep(0.01)
+            # The wait has not returned yet, so its end and the bytes meet.
+            connection.end_wait()
+            gevent.sleep(0.05)
+            sock.sendall(rest)
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 OK\r\n"))
+            sock.close()
+            self.assertTrue(wait_for(lambda: not self.node.server.connections))
+
+    def test_an_idle_connection_that_expires_is_closed(self):
+        """Guards against connections without requests that are kept for good."""
+        self.node.server.idle_timeout_ms = 100
+        with open_connection(self.node.address, timeout_s=2.0) as sock:
+            self.assertEqual(sock.recv(1), b"")
+
     def test_a_request_whose_caller_left_has_a_log_line(self):
         """Guards against requests that end without an answer and without a trace in the logs."""
         sock = open_connection(self.node.address)
--- a/tools/soak_net.py
+++ b/tools/soak_net.py
@@ -13,6 +13,7 @@
 from gevent import socket
 
 from auburnsail._clock import NS_PER_MS
+from auburnsail._sockets import ReadCancelledError
 from auburnsail.exceptions import NotRunError
 from tools.soak_fleet import FleetSimulation
 from tools.soak_nodes import FakeNode
@@ -80,7 +81,7 @@
         self._end_state = ""
         self._pending: deque[tuple[int, bytes]] = deque()
         self._resets_on_close = False
-        self._is_interrupted = False
+        self._interruption: OSError | None = None
         self._timeout_s: float | None = None
         self._waiter: Task | None = None
         self.node = node
@@ -115,7 +116,8 @@
 
         Raises:
             ConnectionResetError: The peer has reset the connection.
-            TimeoutError: No bytes came within the timeout, or `interrupt` was called.
+            TimeoutError: No bytes came within the timeout, or `interrupt` was called; a
+                `BlockingIOError` if the timeout is 0, a `ReadCancelledError` after `cancel_read`.
             OSError: The socket was closed.
         """
         if self._timeout_s is not None:
@@ -131,17 +133,25 @@
                 raise ConnectionResetError("the connection was reset")
             if self._end_state:
                 return b""
-            if self._is_interrupted:
-                self._is_interrupted = False
-                raise TimeoutError("interrupted")
+            if self._timeout_s == 0:
+                raise BlockingIOError("no bytes have arrived")
+            if self._interruption is not None:
+                interruption, self._interruption = self._interruption, None
+                raise interruption
             if self._timeout_s is not None and self._net.sim.now_ns >= end_ns:
                 raise TimeoutError("timed out")
             self._waiter = self._net.current
             self._net.suspend()
 
+    def cancel_read(self) -> None:
+        """Makes a blocked `recv` raise `ReadCancelledError`; the connection stays open."""
+        if self._waiter is not None:
+            self._interruption = ReadCancelledError()
+            self._wake()
+
     def interrupt(self) -> None:
         """Makes a blocked `recv` raise `TimeoutError`; the connection stays open."""
-        self._is_interrupted = True
+        self._interruption = TimeoutError("interrupted")
         self._wake()
 
     def shutdown(self, how: int) -> None:
--- a/tools/soak_patches.py
+++ b/tools/soak_patches.py
@@ -39,6 +39,7 @@
         for module in (_crash_monitor, _forward, _gate, _http_server, _node):
             stack.enter_context(mock.patch.object(module, "gevent", fake_gevent))
         for module, name, replacement in (
+            (_http_server, "cancel_read", lambda sock: sock.cancel_read()),
             (_exchange, "is_open_and_idle", lambda sock: sock.is_open_and_idle),
             (_pool, "is_open_and_idle", lambda sock: sock.is_open_and_idle),
             (_limits, "AsyncResult", lambda: _FakeAsyncResult(net)),
