Deliver an answer that the node has in full, also after the deadline

What callers saw: the upstream had answered, the answer of 33 to 64 kB waited for its turn on a narrow link of the VM, the deadline passed, and the connection was reset without a byte (LOST). The time limit of a route may be shorter than what the caller is ready to wait. A deadline that the caller sets ended also an answer that was complete on the node. An answer that is still streamed ends at a deadline that the caller set, as before.

--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -220,8 +220,9 @@
             body += read_body(exchange, buffer_limit_bytes)
         _finish(context, exchange)
         context.release(Result.ANSWERED)
-        if len(body) > BUFFERED_BYTES:
-            context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
+        # The answer is complete, so only a caller that stops reading ends the request now.
+        context.covers_body = False
+        context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
         request.send(head + body if body else head)
         request.end(keep_alive=keep_alive)
         return
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -6,6 +6,9 @@
 import gevent
 from structlog.testing import capture_logs
 
+from auburnsail._clock import BootClock
+from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
+from auburnsail._link_sender import LinkSender
 from tests.path_fakes import (
     OK,
     FakeUpstream,
@@ -20,6 +23,27 @@
 POST = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx"
 
 
+class LateAnswerTest(unittest.TestCase):
+    """One node whose link of 1 Mbit/s takes 0.3 s for an answer."""
+
+    def test_a_complete_answer_that_waits_for_the_link_at_the_deadline_is_delivered(self):
+        """Guards against a reset in place of an answer that the upstream has completed (LOST).
+
+        The caller waits longer than the node's time limit, for example because the service's limit
+        is shorter than its own.
+        """
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 40000\r\n\r\n" + bytes(40_000)
+        upstream = FakeUpstream(lambda sock, run: answer)
+        self.addCleanup(upstream.stop)
+        link = LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock())
+        node = PathNode("n", upstream, "catalogue", link=link)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 150", body=b"x")
+        received = exchange(node.address, data)
+        self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 40_000)
+
+
 class UnansweredRequestTest(unittest.TestCase):
     """One node whose upstream takes a while."""
 
