Deliver an answer that arrived before its deadline while the process stood still

What callers saw: 504 with outcome unknown in place of an answer that the upstream had given in time, after a pause of the node's process. It is the same class as the reset on kept connections: a timer decides on a state that the bytes of the same turn have already changed. Evidence: test_an_answer_that_arrived_while_the_loop_stood_is_delivered_after_the_deadline got 504, reason deadline, before the change.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -67,6 +67,7 @@
         silence_deadline_ns: When the current attempt ends if the peer is silent, 0 for never.
         stall_deadline_ns: When the answer counts as stalled, 0 before relaying began.
         stop_reason: Why the request was stopped, or an empty string.
+        is_overdue: Whether a sweep has found the deadline passed.
         caller_end: How the caller ended its connection, ``closed`` or ``reset``; empty if it has
             not.
     """
@@ -86,6 +87,7 @@
         "hop",
         "is_body_consumed",
         "is_caller_polled",
+        "is_overdue",
         "is_sending",
         "local_service",
         "outcome",
@@ -134,6 +136,7 @@
         self.stall_deadline_ns = 0
         self.stop_reason = ""
         self.caller_end = ""
+        self.is_overdue = False
         self.is_caller_polled = False
         self.started_ns = started_ns
         self.status = 0
@@ -273,10 +276,12 @@
             elif now_ns >= context.stall_deadline_ns:
                 self._stop(context, STALLED)
         elif now_ns >= context.deadline_ns:
-            self._stop(context, DEADLINE)
+            if context.is_overdue or not _has_unread_answer(context):
+                self._stop(context, DEADLINE)
+            context.is_overdue = True
         elif 0 < context.silence_deadline_ns <= now_ns:
             exchange = context.exchange
-            if exchange is not None and not exchange.answered:
+            if exchange is not None and not (exchange.answered or _has_unread_answer(context)):
                 exchange.interrupt(SILENT)
 
     def _stop(self, context: RequestContext, reason: str) -> None:
@@ -285,6 +290,14 @@
             self._on_stop(reason)
 
 
+def _has_unread_answer(context: RequestContext) -> bool:
+    """Returns whether bytes of the peer have arrived that the request's greenlet will read next.
+
+    After a pause of the process, timers run before what arrived meanwhile is read.
+    """
+    return context.exchange is not None and context.exchange.has_early_answer
+
+
 def _check_early_answer(context: RequestContext) -> None:
     """Stops sending a request body if the peer has already answered or closed the connection."""
     exchange = context.exchange
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -121,6 +121,22 @@
             sock.close()
             self.assertTrue(wait_for(lambda: not self.node.server.connections))
 
+    def test_an_answer_that_arrived_while_the_loop_stood_is_delivered_after_the_deadline(self):
+        """Guards against a time limit that replaces an answer which has arrived by a failure.
+
+        After a pause of the process the sweep runs before the greenlet that reads the answer.
+        """
+
+        def answer_and_stand_still(sock, run) -> bytes:
+            gevent.sleep(0.1)
+            sock.sendall(OK)
+            time.sleep(0.4)
+            return b""
+
+        self.upstream.script = answer_and_stand_still
+        data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
+        self.assertIn(b" 200 OK", exchange(self.node.address, data))
+
     def test_an_idle_connection_that_expires_is_closed(self):
         """Guards against connections without requests that are kept for good."""
         self.node.server.idle_timeout_ms = 100
