Keep the whole reason phrase of an answer that arrives in parts

Callers saw the rest of a reason phrase only ("404 ot Found" for "404 Not Found") if a status line arrived in two parts, and the phrase of an interim answer if the final one has none.

Cause: the parser reports the phrase by parts, as it does names and values, and the last part replaced the ones before.

Evidence: test_a_reason_phrase_in_parts_is_complete failed before at a split inside the phrase: (404, 'ot Found') instead of (404, 'Not Found').

Parts are now joined, and the phrase starts empty with each message.

--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -99,11 +99,12 @@
         if self.is_complete:
             self.has_trailing_bytes = True
         else:
+            self.phrase = ""
             self.fields.clear()
 
     def _on_status(self, text: str) -> None:
         if not self.is_complete:
-            self.phrase = text
+            self.phrase += text
 
     def _on_header_field(self, text: str) -> None:
         if self.is_complete or self.is_head_complete:
--- a/tests/test_answer_parser.py
+++ b/tests/test_answer_parser.py
@@ -47,5 +47,20 @@
         self.assertEqual(parser.pop_body(), b"")
 
 
+class SplitHeadTest(unittest.TestCase):
+    """Heads that arrive in parts."""
+
+    def test_a_reason_phrase_in_parts_is_complete(self):
+        """Guards against a phrase that lacks its beginning, or is that of an interim answer."""
+        interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+        for phrase in (b"Not Found", b""):
+            data = interim + b"HTTP/1.1 404 " + phrase + b"\r\nContent-Length: 0\r\n\r\n"
+            for split in range(1, len(data)):
+                parser = AnswerParser("GET")
+                parser.feed(data[:split])
+                parser.feed(data[split:])
+                self.assertEqual((parser.status, parser.phrase), (404, phrase.decode()), split)
+
+
 if __name__ == "__main__":
     unittest.main()
