Refuse an answer whose head continues with another answer's status line

Cause: a backend stops inside a head and goes on with another answer. If it stopped inside the reason phrase or a header value, the second status line is a valid part of it, and the headers that follow are the second answer's. The id and the seal, which prove that the answer is the request's own, are then present.

A reason phrase or value that contains a status line ("HTTP/1.1 200") now makes the answer malformed, so the outcome is unknown, and the connection ends. At other places of a head the second status line was an error already. An upstream that puts a status line into a header of its own is refused too.

--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -4,6 +4,8 @@
 case-insensitive dictionary. A router only forwards headers, so a flat list costs less per answer.
 """
 
+import re
+
 from geventhttpclient._parser import HTTPParseError, HTTPResponseParser
 
 __all__ = ["AnswerParser", "HTTPParseError"]
@@ -14,6 +16,7 @@
 MAX_FRAMING_BYTES = 64 * 1024
 FRAMING_BYTES_PER_BODY_BYTE = 16
 NO_CONTENT_STATUSES = frozenset({204, 304})
+_STATUS_LINE = re.compile(r"HTTP/\d\.\d +\d{3}")
 
 
 class AnswerParser(HTTPResponseParser):
@@ -127,6 +130,7 @@
         if self._name:
             self.fields.append((self._name, self._value or ""))
             self._name, self._value = "", None
+        self._check_not_merged()
         code = self.get_code()
         if code == 101 or code < 100:
             raise HTTPParseError(f"unexpected status {code}")
@@ -140,6 +144,16 @@
         self._read_framing()
         return self._is_head_request
 
+    def _check_not_merged(self) -> None:
+        """Raises HTTPParseError if the head continues with the status line of another answer.
+
+        A peer that stopped inside a head and goes on with another answer would otherwise give the
+        status of the first one to the other headers and the body of the second one.
+        """
+        texts = (self.phrase, *(value for _, value in self.fields))
+        if any("HTTP/" in text and _STATUS_LINE.search(text) for text in texts):
+            raise HTTPParseError("the head of the answer contains another status line")
+
     def _has_other_echo(self) -> bool:
         echoes = [value for name, value in self.fields if name.lower() == self._echo_name]
         return bool(echoes) and echoes[0].strip() != self._echo_value
--- a/tests/test_answer_parser.py
+++ b/tests/test_answer_parser.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from auburnsail._answer_parser import AnswerParser
+from auburnsail._answer_parser import AnswerParser, HTTPParseError
 
 ECHO = ("x-id", "2")
 
@@ -61,6 +61,17 @@
                 parser.feed(data[split:])
                 self.assertEqual((parser.status, parser.phrase), (404, phrase.decode()), split)
 
+    def test_a_status_line_inside_a_head_is_found_in_parts(self):
+        """Guards against a merged head that passes because its second status line is split."""
+        second = answer("2", b"own")
+        for first in (b"HTTP/1.1 500 Er", b"HTTP/1.1 500 Error\r\nX-First: va"):
+            for split in range(1, (first + second).index(b"\r\n\r\n")):
+                parser = AnswerParser("GET", ECHO)
+                parser.feed((first + second)[:split])
+                with self.assertRaisesRegex(HTTPParseError, "another status line"):
+                    parser.feed((first + second)[split:])
+                self.assertFalse(parser.is_head_complete)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -35,7 +35,10 @@
 }
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\ncontent-length: 0\r\n\r\n"
 SEAL = "x-auburnsail-server-seal"
+NOT_RUN = "x-auburnsail-not-executed: 1"
 ATTEMPT_ID = "x-auburnsail-attempt-id"
+# Statuses that tell the caller that its request was not run.
+PROMISES = frozenset({408, 421, 429, 503})
 
 Whole = tuple[int, dict[str, str], bytes]
 
@@ -264,5 +267,55 @@
             self.assert_cut({f"cut-{cut:03}": result}, data)
 
 
+class MergedHeadTest(CutAnswerCase):
+    """An upstream stops inside the head of one answer and goes on with another answer."""
+
+    def send_merged(self, first: bytes, second: bytes) -> dict[int, Whole | None]:
+        """Returns the answer that the caller gets for each cut of the first one's head.
+
+        `{id}` in both answers stands for the id of the request.
+        """
+
+        def script(sock, run):
+            request_id = id_of(run).encode()
+            cut = int(request_id[-3:])
+            head = first.replace(b"{id}", request_id)[:cut]
+            sock.sendall(head + second.replace(b"{id}", request_id))
+
+        self.upstream.script = script
+        length = first.replace(b"{id}", b"cut-000").index(b"\r\n\r\n")
+        results = self.send_all(self.owner, (f"cut-{cut:03}" for cut in range(1, length)))
+        return {int(request_id[-3:]): result for request_id, result in results.items()}
+
+    def test_the_status_of_one_answer_with_the_body_of_another(self):
+        """Guards against a failure that reaches the caller as a success, and the reverse.
+
+        The rest of the first head is missing, so the second status line becomes a part of a header
+        value or of the reason phrase, and the second answer's id, seal and body follow.
+        """
+        lines = (LENGTH, f"{ATTEMPT_ID}: {{id}}", f"{SEAL}: s")
+        success = encode("200 OK", "x-first: value", *lines, body=BODY)
+        failure = encode("500 Error", "x-first: value", *lines, body=BODY)
+        for first, second in ((success, failure), (failure, success)):
+            status = int(second[9:12])
+            for cut, result in self.send_merged(first, second).items():
+                with self.subTest(first[:cut], status=status):
+                    self.assertIsNotNone(result)
+                    self.assertIn(result[0], (status, 502))
+                    if result[0] == 502:
+                        self.assertNotIn(SEAL, result[1])
+
+    def test_a_refusal_is_not_read_from_the_head_of_another_answer(self):
+        """Guards against "not run" for a request that ran, which the caller then sends again."""
+        lines = (LENGTH, f"{ATTEMPT_ID}: {{id}}", f"{SEAL}: s")
+        success = encode("200 OK", *lines, body=BODY)
+        refusal = encode("503 Busy", NOT_RUN, "x-last: value", "content-length: 0")
+        for cut, result in self.send_merged(refusal, success).items():
+            with self.subTest(refusal[:cut]):
+                self.assertIsNotNone(result)
+                self.assertNotIn(result[0], PROMISES)
+                self.assertNotEqual(result[1].get("auburnsail-outcome"), "not-run")
+
+
 if __name__ == "__main__":
     unittest.main()
