Don't take a trailer of a skipped answer for a header of the next one

Callers could get a success without a seal of its own: with the seal, or any other header, of an answer to another request (MIXED).

Cause: the last trailer of a skipped answer waited in the parser for a further header, and was added to those of the answer that followed.

Evidence: test_a_trailer_is_not_a_header_of_the_next_answer failed before: "200 != 502". The upstream writes an answer to another request, in chunks with the seal as a trailer, and then an answer without a seal.

The parser now forgets it when the next message begins.

--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -104,6 +104,8 @@
         else:
             self.phrase = ""
             self.fields.clear()
+            # The last trailer of a skipped answer.
+            self._name, self._value = "", None
 
     def _on_status(self, text: str) -> None:
         if not self.is_complete:
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -316,6 +316,14 @@
                 self.assertNotIn(result[0], PROMISES)
                 self.assertNotEqual(result[1].get("auburnsail-outcome"), "not-run")
 
+    def test_a_trailer_is_not_a_header_of_the_next_answer(self):
+        """Guards against a success that has the server seal of another request's answer."""
+        first = encode("200 OK", f"{ATTEMPT_ID}: other", "transfer-encoding: chunked")
+        first += b"1\r\nx\r\n0\r\n" + f"{SEAL}: s\r\n\r\n".encode()
+        second = encode("200 OK", f"{ATTEMPT_ID}: mine", LENGTH, body=BODY)
+        self.upstream.script = lambda sock, run: first + second
+        self.assertEqual(self.send(self.owner, "mine")[0], 502)
+
 
 if __name__ == "__main__":
     unittest.main()
