Send answers without a length in chunks, so that a cut one never looks whole

Cause: such an answer was passed on as it came, ended by the close of the connection. A node that sees a cut resets the caller's connection, but if the process itself ends, the kernel sends a FIN, which the next node and the caller take for the end of the answer.

Evidence: in test_an_answer_does_not_look_whole_when_its_node_ends the connections of the node beside the upstream are ended with a FIN inside the relay. Before, the caller got a 200 with 12 of 18 bytes, "('close', 200) != ('length', 502)"; answers with a length or in chunks were recognised as cut. test_an_answer_without_a_length_keeps_the_caller_s_connection failed before too ("the connection ended").

Every answer without a length is now sent in chunks to HTTP/1.1 callers and nodes, and the last chunk follows only when the upstream's answer has ended. The end no longer needs the connection, so it is kept. HTTP/1.0 callers still get the answer ended by the close, where a node that is killed remains unseen.

test_answers_without_a_length_are_framed_for_the_http_version asserted the old framing for HTTP/1.1 callers. It now asserts the exact chunks, and for HTTP/1.0 the close, at both nodes.

--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -194,7 +194,9 @@
     A small answer is read completely before it is sent. The limit is higher for the local
     upstream, because its slot is released before sending. A larger answer is relayed block by
     block; if it is cut short, the caller's connection is reset, so that a truncated answer never
-    looks complete.
+    looks complete. An answer without a length is sent in chunks, because a reset may be missing: if
+    this process is killed, the kernel closes its connections. Only HTTP/1.0 callers get it ended by
+    the close of the connection.
 
     Args:
         context: The request.
@@ -210,9 +212,9 @@
     """
     request = context.request
     is_http_10 = request.head.is_http_10
-    ends_with_close = answer.length is None and (is_http_10 or not answer.is_chunked)
-    keep_alive = request.can_keep_alive and not ends_with_close
-    head = _answer_head(answer, extra_headers, keep_alive, is_http_10, ends_with_close)
+    is_chunked = answer.length is None and not is_http_10
+    keep_alive = request.can_keep_alive and (answer.length is not None or is_chunked)
+    head = _answer_head(answer, extra_headers, keep_alive, is_http_10, is_chunked)
     buffer_limit_bytes = MAX_LOCAL_BUFFERED_BYTES if context.ticket is not None else BUFFERED_BYTES
     if answer.length is not None and answer.length <= buffer_limit_bytes:
         body = exchange.read()
@@ -227,7 +229,7 @@
         return
     context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
     try:
-        _stream(context, exchange, answer, head, not ends_with_close, clock)
+        _stream(context, exchange, answer, head, is_chunked, clock)
     except OutcomeUnknownError:
         if request.is_answered:
             request.reset_connection()
@@ -241,11 +243,10 @@
     exchange: Exchange,
     answer: AnswerParser,
     head: bytes,
-    rechunks: bool,
+    is_chunked: bool,
     clock: Clock,
 ) -> None:
     request = context.request
-    is_chunked = answer.is_chunked and rechunks
     pending = head
     while block := exchange.read():
         pending += _chunk(block) if is_chunked else block
@@ -271,7 +272,7 @@
     extra_headers: str,
     keep_alive: bool,
     is_http_10: bool,
-    ends_with_close: bool,
+    is_chunked: bool,
 ) -> bytes:
     lines = [f"HTTP/1.1 {answer.status} {answer.phrase}"]
     stripped = _STRIPPED_HEADERS
@@ -284,7 +285,7 @@
         if lower in stripped or lower.startswith(_headers.PREFIX):
             continue
         lines.append(f"{name}: {value}")
-    if answer.is_chunked and answer.length is None and not ends_with_close:
+    if is_chunked:
         lines.append("transfer-encoding: chunked")
     if not keep_alive:
         lines.append("connection: close")
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -18,7 +18,9 @@
     Run,
     connect,
     exchange,
+    open_connection,
     request,
+    wait_for,
 )
 
 CONCURRENT_REQUESTS = 16
@@ -325,5 +327,67 @@
         self.assertEqual(self.send(self.owner, "mine")[0], 502)
 
 
+class CutBetweenNodesTest(CutAnswerCase):
+    """The process of the node beside the upstream ends while it relays an answer."""
+
+    def cut_relay(self, line: str, data: bytes) -> Whole | None:
+        """Returns what the caller gets if the node ends after it relayed `data`."""
+
+        def script(sock, run):
+            sock.sendall(encode("200 OK", f"{ATTEMPT_ID}: mine", f"{SEAL}: s", line) + data)
+            gevent.sleep(2.0)
+
+        self.upstream.script = script
+        caller = gevent.spawn(self.send, self.entry, "mine")
+        self.assertTrue(wait_for(lambda: self.upstream.runs))
+        gevent.sleep(PAUSE_S)
+        # The kernel ends the connections of a process that is killed with a FIN.
+        for connection in tuple(self.owner.server.connections):
+            end(connection.sock, resets=False)
+        self.upstream.runs.clear()
+        return caller.get(timeout=2.0)
+
+    def test_an_answer_does_not_look_whole_when_its_node_ends(self):
+        """Guards against a short body that the next node and the caller take for the whole one."""
+        for framing, (line, body) in FRAMINGS.items():
+            with self.subTest(framing):
+                result = self.cut_relay(line, body[:-6])
+                if result is not None:
+                    # A short answer is relayed only once it is complete.
+                    self.assertEqual((framing, result[0]), ("length", 502))
+
+    def test_an_answer_without_a_length_keeps_the_caller_s_connection(self):
+        """Guards against a new connection for each request whose answer has no length."""
+        self.upstream.script = lambda sock, run: sock.sendall(answer_to(id_of(run), "close"))
+        lines = (f"{ATTEMPT_ID}: mine", f"{DIALECT.deadline_ms}: 2000")
+        data = request("GET", "/catalogue/k1", *lines).replace(b"connection: close\r\n", b"")
+        for node in (self.owner, self.entry):
+            with open_connection(node.address) as sock:
+                for _ in range(2):
+                    sock.sendall(data)
+                    received = b""
+                    while not received.endswith(b"0\r\n\r\n"):
+                        part = sock.recv(65536)
+                        self.assertTrue(part, "the connection ended")
+                        received += part
+                    status, fields, body = whole_answer(received)
+                    self.assertEqual((status, body), (200, BODY))
+                    self.assertNotIn("connection", fields)
+
+    def test_answers_without_a_body_have_no_chunks(self):
+        """Guards against a last chunk after an answer to HEAD, a 204 or a 304."""
+        for status, method in (("200 OK", "HEAD"), ("204 None", "GET"), ("304 Same", "GET")):
+            head = encode(status, f"{ATTEMPT_ID}: mine", f"{SEAL}: s")
+            self.upstream.script = lambda sock, run, head=head: sock.sendall(head)
+            lines = (f"{ATTEMPT_ID}: mine", f"{DIALECT.deadline_ms}: 2000")
+            for node in (self.owner, self.entry):
+                with self.subTest(status, method=method, node=node.session.id.node):
+                    data = exchange(node.address, request(method, "/catalogue/k1", *lines))
+                    self.assertTrue(data.startswith(f"HTTP/1.1 {status[:3]}".encode()), data)
+                    self.assertTrue(data.endswith(b"\r\n\r\n"), data)
+                    self.assertNotIn(b"transfer-encoding", data)
+                    self.assertNotIn(b"0\r\n\r\n", data)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -182,8 +182,14 @@
         answer = exchange(self.owner.address, request().replace(b"HTTP/1.1", b"HTTP/1.0"))
         self.assertTrue(answer.endswith(b"\r\n\r\nabcdef"), answer)
         self.upstream.script = lambda sock, run: sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nabc")
-        answer = exchange(self.other.address, request())
-        self.assertTrue(answer.endswith(b"\r\n\r\nabc"), answer)
+        for node in self.entry_nodes():
+            answer = exchange(node.address, request())
+            self.assertIn(b"transfer-encoding: chunked\r\n", answer)
+            self.assertTrue(answer.endswith(b"\r\n\r\n3\r\nabc\r\n0\r\n\r\n"), answer)
+            answer = exchange(node.address, request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            self.assertNotIn(b"transfer-encoding", answer)
+            self.assertIn(b"connection: close\r\n", answer)
+            self.assertTrue(answer.endswith(b"\r\n\r\nabc"), answer)
 
     def test_request_bodies_arrive_unchanged(self):
         """Guards against lost or changed bodies: buffered or streamed, by length or chunked."""
