Check a head for a further status line with one search

The check looked at each header value on its own. It now looks once at all of them, joined by line ends, which a status line can't contain; the result is the same.

--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -152,8 +152,8 @@
         A peer that stopped inside a head and goes on with another answer would otherwise give the
         status of the first one to the other headers and the body of the second one.
         """
-        texts = (self.phrase, *(value for _, value in self.fields))
-        if any("HTTP/" in text and _STATUS_LINE.search(text) for text in texts):
+        text = "\n".join([self.phrase, *[value for _, value in self.fields]])
+        if "HTTP/" in text and _STATUS_LINE.search(text):
             raise HTTPParseError("the head of the answer contains another status line")
 
     def _has_other_echo(self) -> bool:
