End the wait for a connection when a request is stopped

Callers saw: a request that was waiting for a connection to an upstream or an owner when the grace time of a stop ended got no answer; its connection was closed when the process ended (LOST). The request had not been sent, so it could have been refused.

Cause: RequestContext.stop interrupts the exchange, and there is none while its connection is being made. Connecting to a peer whose listen queue is full ends after CONNECT_TIMEOUT_S (0.4 s) only, the process FINAL_WRITES_S (0.2 s) after the end of the requests.

Requests with a late body or in the backoff before a retry were answered on already; their tests are here as a guard.

Why it works: the pool reports the socket that it connects, stop shuts it down, which ends gevent's wait at once. A request that was stopped meanwhile is answered by _check_stopped ("not run", "stopping"), and its peer doesn't count as unreachable. It holds for callers that leave and for time limits too.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -3,6 +3,8 @@
 import select
 from collections.abc import Callable
 
+from gevent import socket
+
 from ._admission import Result, Ticket, Utilisation
 from ._admission_queue import AdmissionRequest
 from ._caller_request import Request
@@ -12,6 +14,7 @@
 from ._outcome import RequestFailedError
 from ._resolver import Destination
 from ._retry import AttemptLog, RetryBudget
+from ._sockets import shut_down
 
 __all__ = [
     "CALLER_GONE",
@@ -52,6 +55,7 @@
         ticket: Admission to the local upstream while it runs the request.
         utilisation: Utilisation that the other node reported for its upstream, or None.
         exchange: Current exchange with a peer, or None.
+        connecting: Socket that is being connected to a peer, or None.
         started_ns: When the request's head had been received.
         status: HTTP status of the upstream's answer, 0 before it arrived.
         answer_bytes: Length of the answer's body, 0 before it arrived or if it states no length.
@@ -75,6 +79,7 @@
         "body_prefix",
         "budget",
         "caller_service",
+        "connecting",
         "covers_body",
         "deadline_ns",
         "destination",
@@ -127,6 +132,7 @@
         self.owner_hint = ""
         self.tried_addresses: set[str] = set()
         self.exchange: Exchange | None = None
+        self.connecting: socket.socket | None = None
         self.silence_deadline_ns = 0
         self.stall_deadline_ns = 0
         self.stop_reason = ""
@@ -190,6 +196,10 @@
             destination.is_subrequest,
         )
 
+    def on_connecting(self, sock: socket.socket) -> None:
+        """Records the socket that is being connected to a peer."""
+        self.connecting = sock
+
     def release(self, result: Result) -> None:
         """Releases the admission to the upstream, if the request still holds it."""
         ticket, self.ticket = self.ticket, None
@@ -204,6 +214,8 @@
         if self.stop_reason:
             return
         self.stop_reason = reason
+        if self.connecting is not None:
+            shut_down(self.connecting, socket.SHUT_RDWR)
         if self.exchange is not None:
             self.exchange.interrupt(reason)
         if self.request.is_answered:
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -305,9 +305,14 @@
                 max_idle_ns=idle_ns,
                 timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
                 request_id=context.request_id,
+                on_connecting=context.on_connecting,
             )
         except NotRunError as error:
+            if context.stop_reason:
+                self._check_stopped(context)
             raise not_run(CONNECT_FAILED, error.detail, error.step, error.peer) from error
+        finally:
+            context.connecting = None
 
     def _watch_silence(
         self, context: RequestContext, exchange: Exchange, address: str, local: Target | None
--- a/src/auburnsail/_pool.py
+++ b/src/auburnsail/_pool.py
@@ -3,6 +3,7 @@
 geventhttpclient's parser is used without its client, which sends a request again after an error.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 import gevent
@@ -93,6 +94,7 @@
         max_idle_ns: int = MAX_IDLE_NS,
         timeout_s: float = CONNECT_TIMEOUT_S,
         request_id: str = "",
+        on_connecting: Callable[[socket.socket], None] | None = None,
     ) -> Exchange:
         """Returns an exchange on an idle connection, or on a new one if there is none.
 
@@ -100,6 +102,8 @@
             max_idle_ns: Longest idle time of a connection to reuse.
             timeout_s: Time limit for connecting in seconds, at most `CONNECT_TIMEOUT_S`.
             request_id: Id of the request; connections on which the peer refused it are not reused.
+            on_connecting: Called with the socket before a new connection is made; shutting it down
+                ends the wait.
 
         Raises:
             NotRunError: Connecting failed, or the peer was unreachable within the last
@@ -124,7 +128,8 @@
             connection.sock.close()
         if max_idle_ns >= MAX_IDLE_NS:
             self.drop_idle()
-        return Exchange(self, self._connect(min(timeout_s, CONNECT_TIMEOUT_S)), now_ns)
+        connection = self._connect(min(timeout_s, CONNECT_TIMEOUT_S), on_connecting)
+        return Exchange(self, connection, now_ns)
 
     def on_received(self) -> None:
         """Records that bytes arrived from the peer."""
@@ -244,8 +249,12 @@
             timeout.close()
             exchange.abort()
 
-    def _connect(self, timeout_s: float) -> Connection:
+    def _connect(
+        self, timeout_s: float, on_connecting: Callable[[socket.socket], None] | None
+    ) -> Connection:
         sock = socket.socket(self._family, socket.SOCK_STREAM)
+        if on_connecting is not None:
+            on_connecting(sock)
         started_ns = self._clock.now_ns()
         try:
             sock.settimeout(timeout_s)
--- /dev/null
+++ b/tests/test_stop_end.py
@@ -0,0 +1,159 @@
+"""Requests that are in flight when the grace time of a stopping node ends."""
+
+import unittest
+from types import SimpleNamespace
+from unittest import mock
+
+import gevent
+from gevent import socket
+
+from auburnsail import _node
+from auburnsail._admission_queue import Limits
+from auburnsail._clock import BootClock
+from auburnsail._data_path import DataPath
+from auburnsail._model import Session, SessionId
+from auburnsail._node import Node
+from tests.path_fakes import (
+    SECRET,
+    FakeUpstream,
+    PathNode,
+    connect,
+    exchange,
+    reason_of,
+    request,
+    wait_for,
+)
+
+STOPPING_NOT_RUN = (503, "not-run", "stopping")
+POST = request("POST", "/catalogue/k1", body=b"x")
+
+
+class StoppingNode:
+    """Data path of a node, and the stop that ends its process.
+
+    Args:
+        upstream_address: Address of the local upstream.
+        gate: Gate of the request path, or None for one that admits every request.
+        owner: Address of the node that owns all keys, empty for the node itself.
+    """
+
+    def __init__(self, upstream_address: str, gate=None, owner: str = "") -> None:
+        path = PathNode("n", None, "catalogue")
+        path.stop()
+        self.address = path.address
+        settings = SimpleNamespace(
+            node="n",
+            region="wien",
+            domain="wien-1",
+            data_address=path.address,
+            caller_address="",
+            fleet_secret=SECRET,
+            resolve_address=str,
+            stop_grace_s=0.6,
+        )
+        self.data_path = DataPath(
+            settings,
+            path.router,
+            lambda: upstream_address,
+            gate or path.gate,
+            BootClock(),
+            lambda error: None,
+            lambda notice: None,
+            lambda: None,
+        )
+        self.data_path._admission.set_limits(Limits(4, 4, 10, 5_000))
+        if owner:
+            session = Session(
+                SessionId("o", 1), "wien", "wien-1", owner, owner, "catalogue", slots=4
+            )
+            other = SimpleNamespace(session=session)
+            connect(path, owner=other, others=(path, other))
+        else:
+            connect(path, owner=path)
+        self.data_path.start()
+        self.node = SimpleNamespace(
+            _settings=settings, _data_path=self.data_path, _stopped=mock.Mock(), _log=mock.Mock()
+        )
+
+    def stop(self) -> None:
+        """Stops the node; closes its connections as the kernel does when the process has ended."""
+        with mock.patch.object(_node, "READINESS_REMOVAL_S", 0.0):
+            Node._stop_for_restart(self.node)
+        self.node._stopped.set.assert_called_once()
+        for server in self.data_path._servers:
+            for connection in tuple(server.connections):
+                connection.sock.close()
+
+
+class StopEndTest(unittest.TestCase):
+    """Each request that was read ends with an answer, or visibly incomplete."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream(lambda sock, run: gevent.sleep(5))
+        self.addCleanup(self.upstream.stop)
+
+    def _start(self, **options) -> StoppingNode:
+        node = StoppingNode(options.pop("upstream_address", self.upstream.address), **options)
+        self.addCleanup(lambda: [server.kill() for server in node.data_path._servers])
+        return node
+
+    def _answer_at_end(self, node: StoppingNode, data: bytes = POST) -> bytes:
+        """Returns what a caller receives whose request is in flight when the node stops."""
+        caller = gevent.spawn(exchange, node.address, data, 2.0)
+        self.assertTrue(wait_for(lambda: node.data_path.in_flight == 1))
+        gevent.sleep(0.02)
+        node.stop()
+        return caller.get(timeout=1.0)
+
+    def test_a_request_that_waits_for_a_connection_to_the_upstream_is_answered(self):
+        """Guards against LOST: no exchange exists yet that the stop could interrupt.
+
+        The listen queue of the upstream is full, so connecting ends after its own timeout only,
+        when the process has ended.
+        """
+        node = self._start(upstream_address=self._full_listener())
+        self.assertEqual(reason_of(self._answer_at_end(node)), STOPPING_NOT_RUN)
+
+    def test_a_request_that_waits_for_a_connection_to_its_owner_is_answered(self):
+        """Guards against LOST as above, for a request that is forwarded to another node."""
+        node = self._start(owner=self._full_listener())
+        self.assertEqual(reason_of(self._answer_at_end(node)), STOPPING_NOT_RUN)
+
+    def test_a_request_whose_body_is_late_is_answered(self):
+        """Guards against LOST of a request whose body is still being read at the end."""
+        node = self._start()
+        self.assertEqual(reason_of(self._answer_at_end(node, POST[:-1])), STOPPING_NOT_RUN)
+        self.assertEqual(self.upstream.runs, [])
+
+    def test_a_request_that_waits_to_be_sent_again_is_answered(self):
+        """Guards against LOST of a request in the pause before its next attempt.
+
+        Nothing listens at the upstream's address, so each attempt fails at once.
+        """
+        with mock.patch("auburnsail._forward.backoff_ms", lambda attempt, jitter: 150.0):
+            node = self._start(upstream_address=self._closed_address())
+            status, outcome, _ = reason_of(self._answer_at_end(node))
+        self.assertEqual((status, outcome), (503, "not-run"))
+
+    def _full_listener(self) -> str:
+        """Returns the address of a listener that completes no further connection."""
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        for _ in range(4):
+            waiting = socket.socket()
+            self.addCleanup(waiting.close)
+            waiting.setblocking(False)
+            waiting.connect_ex(listener.getsockname())
+        return f"127.0.0.1:{listener.getsockname()[1]}"
+
+    @staticmethod
+    def _closed_address() -> str:
+        with socket.socket() as sock:
+            sock.bind(("127.0.0.1", 0))
+            return f"127.0.0.1:{sock.getsockname()[1]}"
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/soak_patches.py
+++ b/tools/soak_patches.py
@@ -103,6 +103,6 @@
         self._net = net
         self._node = node
 
-    def _connect(self, timeout_s: float) -> object:
+    def _connect(self, timeout_s: float, on_connecting: object) -> object:
         sock = self._net.connect(self.address, self._node, timeout_s)
         return _exchange.Connection(sock, self._clock.now_ns())
