Refuse a request that waits for its key when the process ends

Callers saw: a request for a key that was being moved when the grace time of a stop ended got no answer before its connection was closed (LOST), though it had not been sent.

Cause: the gate waits for the end of a move up to the deadline of the request, and the end of the requests didn't reach it.

Evidence: test_a_request_whose_key_is_moving_is_answered: on the caller receives no byte before the process ends (reason_of fails on an empty answer).

Why it works: DataPath.end_requests tells the gate, whose next poll (10 ms) returns "stopping" instead of waiting on; a request that could be admitted still is.

Run: test_stop_end, test_node_stop: passed.

--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -78,6 +78,7 @@
         link: LinkSender | None = None,
     ) -> None:
         self._settings = settings
+        self._gate = gate
         dialect = adapter.dialect if adapter is not None else DEFAULT_DIALECT
         is_routed = adapter is not None and adapter.has_routes
         self._resolver = RouteResolver(dialect) if is_routed else PathResolver()
@@ -254,6 +255,7 @@
 
     def end_requests(self) -> None:
         """Answers the requests in flight whose answer has not begun, because the node ends."""
+        self._gate.refuse_waiting(STOPPING)
         self._admission.refuse_waiting(STOPPING)
         self._application.end_requests()
 
--- a/src/auburnsail/_gate.py
+++ b/src/auburnsail/_gate.py
@@ -31,6 +31,7 @@
         self._mover = mover
         self._membership = membership
         self._clock = clock
+        self._waiting_refusal = ""
         self.violation = ""
 
     def expires_ns(self) -> int:
@@ -65,9 +66,15 @@
             if not waits_for_move and not waits_for_hold:
                 shard_is_moving = decision is GateDecision.WAIT
                 return GateDecision.MOVING.value if shard_is_moving else decision.value
+            if self._waiting_refusal:
+                return self._waiting_refusal
             gevent.sleep(ADMISSION_POLL_INTERVAL_MS / 1000)
         return "violation"
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuses the requests that wait, and those that would wait, because the node ends."""
+        self._waiting_refusal = reason
+
     def confirm(self, service: str, shard: int, epoch: int) -> str:
         """Checks an admitted request again; returns the reason if it must not be sent, or empty."""
         if self.violation:
--- a/src/auburnsail/_ownership.py
+++ b/src/auburnsail/_ownership.py
@@ -13,6 +13,9 @@
     def admit(self, service: str, shard: int, deadline_ns: int) -> str:
         """Admits a request; returns an empty string, or the reason if the request must not run."""
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuses the requests that wait for admission, and those that would wait later."""
+
     def confirm(self, service: str, shard: int, epoch: int) -> str:
         """Checks an admitted request again just before it is sent; returns as `admit` does."""
 
--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -124,6 +124,9 @@
         self.in_flight += 1
         return ""
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Does nothing, because no request waits here."""
+
     def confirm(self, service: str, shard: int, epoch: int) -> str:
         """Returns an empty string, or why this node no longer owns the shard."""
         if not self.has_lease:
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -11,7 +11,9 @@
 from auburnsail._admission_queue import Limits
 from auburnsail._clock import BootClock
 from auburnsail._data_path import DataPath
+from auburnsail._gate import RequestGate
 from auburnsail._model import Session, SessionId
+from auburnsail._moves import GateDecision
 from auburnsail._node import Node
 from tests.path_fakes import (
     SECRET,
@@ -119,6 +121,16 @@
         node = self._start(owner=self._full_listener())
         self.assertEqual(reason_of(self._answer_at_end(node)), STOPPING_NOT_RUN)
 
+    def test_a_request_whose_key_is_moving_is_answered(self):
+        """Guards against LOST: the gate waits up to the request's deadline for the end of a move.
+
+        Moves do not end on a node whose process is about to end.
+        """
+        mover = SimpleNamespace(admit=lambda *arguments: GateDecision.WAIT)
+        node = self._start(gate=RequestGate(mover, SimpleNamespace(), BootClock()))
+        self.assertEqual(reason_of(self._answer_at_end(node)), STOPPING_NOT_RUN)
+        self.assertEqual(self.upstream.runs, [])
+
     def test_a_request_whose_body_is_late_is_answered(self):
         """Guards against LOST of a request whose body is still being read at the end."""
         node = self._start()
