Keep a stopped request out of the admission queue

Callers saw: a request whose body became complete in the moment in which the requests in flight were ended could get no answer before the process ended (LOST).

Cause: it entered the admission queue after the waiters had been refused. If an answer that is still being relayed holds the last slot, nothing ends that wait.

Evidence: test_a_request_whose_body_ends_after_the_end_of_requests_is_answered, one slot: without this change the caller receives no byte before the process ends.

Why it works: a request that was stopped is checked before it is offered to the queue. Its answer is the one of the reason for which it was stopped.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -186,6 +186,9 @@
             gate.release(target.service, target.shard)
 
     def _run_admitted(self, context: RequestContext, target: Target, address: str) -> None:
+        if context.stop_reason:
+            # A stopped request must not enter the queue, whose waiters may have been refused already.
+            self._check_stopped(context)
         try:
             ticket = self._admission.admit(target, context.admission_request())
         except NotRunError as error:
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -21,6 +21,7 @@
     PathNode,
     connect,
     exchange,
+    open_connection,
     reason_of,
     request,
     wait_for,
@@ -147,6 +148,33 @@
             status, outcome, _ = reason_of(self._answer_at_end(node))
         self.assertEqual((status, outcome), (503, "not-run"))
 
+    def test_a_request_whose_body_ends_after_the_end_of_requests_is_answered(self):
+        """Guards against LOST of a request that enters the admission queue after it was emptied.
+
+        Its body is complete in the moment in which the request is stopped, and the only slot is
+        held by an answer that is still being relayed.
+        """
+        self.upstream.script = _send_part
+        node = self._start()
+        node.data_path._admission.set_limits(Limits(1, 1, 10, 5_000))
+        download = gevent.spawn(exchange, node.address, POST, 2.0)
+        self.assertTrue(wait_for(lambda: len(self.upstream.runs) == 1))
+        sock = open_connection(node.address, 2.0)
+        self.addCleanup(sock.close)
+        sock.sendall(POST[:-1])
+        self.assertTrue(wait_for(lambda: node.data_path.in_flight == 2))
+        end_requests = node.data_path.end_requests
+
+        def end_and_send(*arguments) -> None:
+            # Without a switch to another greenlet, so that the body is complete at its next read.
+            sock._sock.send(POST[-1:])
+            end_requests(*arguments)
+
+        with mock.patch.object(node.data_path, "end_requests", end_and_send):
+            node.stop()
+        self.assertEqual(reason_of(sock.recv(65536)), STOPPING_NOT_RUN)
+        download.kill()
+
     def _full_listener(self) -> str:
         """Returns the address of a listener that completes no further connection."""
         listener = socket.socket()
@@ -167,5 +195,11 @@
             return f"127.0.0.1:{sock.getsockname()[1]}"
 
 
+def _send_part(sock, run) -> None:
+    """Sends a part of an answer without a length."""
+    sock.sendall(b"HTTP/1.1 200 OK\r\n\r\npart")
+    gevent.sleep(5)
+
+
 if __name__ == "__main__":
     unittest.main()
