Refuse requests that are read when the process is about to end

Callers saw: a request whose head became complete in the last half second of the grace time of a stop was passed on to the upstream, and its connection ended without an answer (LOST), also where it may not be repeated.

Cause: the end of the requests reached only those that were in flight then. A request that is read later, on a connection that counts as in use because the beginning of its head came earlier, was served as usual.

Evidence: test_a_request_that_is_read_after_the_end_of_requests_is_refused: on the upstream has run one request where none is expected.

Why it works: once the data path has stopped, ProxyApplication refuses what is read with "not run", reason "stopping". draining is set by then, so the answer closes the connection.

--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -7,7 +7,7 @@
 import gevent
 
 from . import _headers
-from ._active_requests import SILENT, ActiveRequestTable, RequestContext
+from ._active_requests import SILENT, STOPPING, ActiveRequestTable, RequestContext
 from ._admission import Admission, Chooser, CountingAdmission, RotatingChooser
 from ._admission_queue import CAPACITY_REASONS
 from ._attempt import AttemptRunner
@@ -20,14 +20,7 @@
 from ._http_head import RequestHead
 from ._link_sender import LinkSender
 from ._link_usage import LINK_FULL, LinkUsage
-from ._outcome import (
-    Outcome,
-    Refusal,
-    RequestFailedError,
-    not_run,
-    refused,
-    unknown,
-)
+from ._outcome import Outcome, Refusal, RequestFailedError, not_run, refused, unknown
 from ._ownership import Gate, Ownership, UpstreamHooks
 from ._peers import PeerTable
 from ._request_log import RequestLog
@@ -37,11 +30,7 @@
 from ._routing import Router
 from ._sockets import endpoint
 from ._upstream_answer import SHED
-from .exceptions import (
-    CallerGoneError,
-    InvariantViolation,
-    OutcomeUnknownError,
-)
+from .exceptions import CallerGoneError, InvariantViolation, OutcomeUnknownError
 
 __all__ = ["Observer", "ProxyApplication"]
 
@@ -156,6 +145,7 @@
         if isinstance(self._resolver, RouteResolver):
             self._resolver.is_running = self._runner.is_running
         self.violation: InvariantViolation | None = None
+        self._is_closed = False
 
     @property
     def in_flight(self) -> int:
@@ -239,10 +229,13 @@
         self._active_requests.stop_unanswered()
 
     def close(self) -> None:
-        """Closes the idle connections to peers."""
+        """Closes the idle connections to peers; requests that are read from now on are refused."""
+        self._is_closed = True
         self._peers.drop_idle()
 
     def _create_context(self, request: Request) -> RequestContext:
+        if self._is_closed:
+            raise not_run(STOPPING, "this node ended before it read the request", "request")
         if self.violation is not None:
             raise not_run("violation", self.violation.detail, self.violation.step)
         head = request.head
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -80,6 +80,7 @@
 
     def stop(self) -> None:
         """Stops the node; closes its connections as the kernel does when the process has ended."""
+        self.data_path.announce_close()
         with mock.patch.object(_node, "READINESS_REMOVAL_S", 0.0):
             Node._stop_for_restart(self.node)
         self.node._stopped.set.assert_called_once()
@@ -148,6 +149,28 @@
             status, outcome, _ = reason_of(self._answer_at_end(node))
         self.assertEqual((status, outcome), (503, "not-run"))
 
+    def test_a_request_that_is_read_after_the_end_of_requests_is_refused(self):
+        """Guards against LOST of a request that is passed on just before the process ends.
+
+        The head of the request arrives in two parts: one early in the grace time, one after the
+        requests in flight were ended.
+        """
+        node = self._start()
+        end_requests = node.data_path.end_requests
+        sock = open_connection(node.address, 2.0)
+        self.addCleanup(sock.close)
+        sock.sendall(POST[:20])
+        self.assertTrue(wait_for(lambda: node.data_path.in_flight == 1))
+
+        def end_and_send(*arguments) -> None:
+            gevent.spawn_later(0.05, sock.sendall, POST[20:])
+            end_requests(*arguments)
+
+        with mock.patch.object(node.data_path, "end_requests", end_and_send):
+            node.stop()
+        self.assertEqual(self.upstream.runs, [])
+        self.assertEqual(reason_of(sock.recv(65536)), STOPPING_NOT_RUN)
+
     def test_a_request_whose_body_ends_after_the_end_of_requests_is_answered(self):
         """Guards against LOST of a request that enters the admission queue after it was emptied.
 
