Let begun answers finish before the process ends, and reset the rest

Callers saw: an answer without a length that was still being relayed when the process of a stopping node ended looked complete, since the kernel closed the connection with FIN (MIXED). An answer that would have been complete within the next moments was cut off, because the process ended 0.2 s after the end of the requests, whatever was left. Neither had a log line.

Cause: a fixed sleep of FINAL_WRITES_S, and nothing that knew what was still open.

Evidence: tests/test_stop_end.py on: test_a_partial_answer_without_length_does_not_look_complete (ConnectionResetError not raised) and test_an_answer_that_ends_within_the_last_moments_is_complete (False is not true: the last part is missing).

Change: DataPath.end_requests waits until no request is in flight, at most FINAL_WRITES_S, now 0.35 s, so 0.15 s are left before the kill. What is still in flight then has its caller's connection reset, with one line "request ended with the process": id, service, state (answer, peer, connect, body, turn), peer, age_ms, since_stop_ms.

Why it works: every request in the table of requests in flight has been answered by then or is reset, and the application refuses what is read later.

test_node_stop waited FINAL_WRITES_S for its answers; it keeps its bound of 0.2 s as a number, since the constant has become longer.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -1,7 +1,7 @@
 """State of the requests in flight, and the sweep that stops late and abandoned ones."""
 
 import select
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 from gevent import socket
 
@@ -238,6 +238,9 @@
     def __len__(self) -> int:
         return len(self._active_requests)
 
+    def __iter__(self) -> Iterator[RequestContext]:
+        return iter(self._active_requests)
+
     def add(self, context: RequestContext) -> None:
         """Adds a request."""
         self._active_requests.add(context)
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -10,7 +10,7 @@
 from ._adapter import Adapter, SettingsInForce
 from ._admission import ObservedAdmission
 from ._balance import BalanceLimits, ServiceChooser
-from ._clock import Clock
+from ._clock import NS_PER_S, Clock
 from ._control import Announcement
 from ._crash_monitor import CrashMonitor
 from ._dialect import DEFAULT_DIALECT
@@ -42,6 +42,7 @@
 # Shorter half-life if key ranges move: hot ranges change within seconds, and moving one causes no
 # cold start.
 FAST_LOAD_HALF_LIFE_MS = 2_000
+END_CHECK_INTERVAL_S = 0.01
 
 
 class DataPath:
@@ -83,6 +84,8 @@
         is_routed = adapter is not None and adapter.has_routes
         self._resolver = RouteResolver(dialect) if is_routed else PathResolver()
         self._tree = TreeSettings({})
+        self._clock = clock
+        self._stop_ns = 0
         self._announcement: Announcement | None = None
         moves_key_ranges = adapter is not None and adapter.grants_by_report
         half_life_ms = FAST_LOAD_HALF_LIFE_MS if moves_key_ranges else LOAD_HALF_LIFE_MS
@@ -234,7 +237,8 @@
             server.start()
 
     def announce_close(self) -> None:
-        """Adds ``Connection: close`` to every answer from now on."""
+        """Adds ``Connection: close`` to every answer from now on, after a stop signal."""
+        self._stop_ns = self._clock.now_ns()
         for server in self._servers:
             server.draining = True
 
@@ -253,11 +257,22 @@
         gevent.joinall(drains)
         self._application.close()
 
-    def end_requests(self) -> None:
-        """Answers the requests in flight whose answer has not begun, because the node ends."""
+    def end_requests(self, timeout_s: float) -> None:
+        """Ends the requests in flight after `stop`, because the process ends.
+
+        Requests whose answer has not begun are answered by this node. Connections on which an
+        answer is not complete at the time-out are reset.
+
+        Args:
+            timeout_s: Maximum wait for answers in seconds.
+        """
+        end_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
         self._gate.refuse_waiting(STOPPING)
         self._admission.refuse_waiting(STOPPING)
         self._application.end_requests()
+        while self.in_flight and self._clock.now_ns() < end_ns:
+            gevent.sleep(END_CHECK_INTERVAL_S)
+        self._application.reset_requests(self._stop_ns)
 
 
 def _capacity(announcement: Announcement) -> tuple[str, int, int]:
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -16,6 +16,7 @@
 from ._counters import Counters
 from ._crash_monitor import CrashMonitor
 from ._dialect import DEFAULT_DIALECT, Dialect
+from ._final_requests import reset_requests
 from ._hop import HopSigner
 from ._http_head import RequestHead
 from ._link_sender import LinkSender
@@ -228,6 +229,10 @@
         """Ends the requests whose answer has not begun, because the node ends."""
         self._active_requests.stop_unanswered()
 
+    def reset_requests(self, stop_ns: int) -> None:
+        """Resets the connections of the requests in flight; see `_final_requests`."""
+        reset_requests(self._active_requests, stop_ns, self._clock.now_ns())
+
     def close(self) -> None:
         """Closes the idle connections to peers; requests that are read from now on are refused."""
         self._is_closed = True
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -65,7 +65,8 @@
 READINESS_REMOVAL_S = 2.3
 # This long before the process is killed, requests in flight get an answer of this node.
 FINAL_ANSWERS_S = 0.5
-FINAL_WRITES_S = 0.2
+# Maximum time for sending these answers and the rest of those that have begun.
+FINAL_WRITES_S = 0.35
 _RANDOM = random.SystemRandom()
 
 
@@ -349,8 +350,7 @@
         self._data_path.stop(idle_grace_s=IDLE_CLOSE_GRACE_MS / 1000, timeout_s=timeout_s)
         if in_flight := self._data_path.in_flight:
             self._log.warning("ending requests", in_flight=in_flight)
-            self._data_path.end_requests()
-            gevent.sleep(FINAL_WRITES_S)
+            self._data_path.end_requests(FINAL_WRITES_S)
         self._stopped.set()
 
     def _stop_after_drain(self) -> None:
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -76,7 +76,7 @@
         self.assertTrue(wait_for(lambda: admission._queue.queued == 1))
         admission.refuse_waiting(STOPPING)
         node.application.end_requests()
-        gevent.joinall(callers, timeout=_node.FINAL_WRITES_S)
+        gevent.joinall(callers, timeout=0.2)
         answers = sorted(reason_of(caller.value) for caller in callers if caller.successful())
         self.assertEqual(
             answers,
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -6,6 +6,7 @@
 
 import gevent
 from gevent import socket
+from structlog.testing import capture_logs
 
 from auburnsail import _node
 from auburnsail._admission_queue import Limits
@@ -198,6 +199,34 @@
         self.assertEqual(reason_of(sock.recv(65536)), STOPPING_NOT_RUN)
         download.kill()
 
+    def test_a_partial_answer_without_length_does_not_look_complete(self):
+        """Guards against MIXED: the end of the process closes connections without a reset.
+
+        An answer without a length ends with its connection, so the caller would take the part that
+        it has for the whole answer. The log says which request it was.
+        """
+
+        self.upstream.script = _send_part
+        node = self._start()
+        with capture_logs() as lines, self.assertRaises(ConnectionResetError):
+            self._answer_at_end(node)
+        ends = [line for line in lines if line["event"] == "request ended with the process"]
+        self.assertEqual([line["state"] for line in ends], ["answer"])
+        grace_ms = 1000 * node.node._settings.stop_grace_s
+        self.assertTrue(0 < ends[0]["since_stop_ms"] < grace_ms, ends)
+
+    def test_an_answer_that_ends_within_the_last_moments_is_complete(self):
+        """Guards against a stop that cuts off an answer that would have been complete in time."""
+
+        def send_slowly(sock, run) -> None:
+            sock.sendall(b"HTTP/1.1 200 OK\r\n\r\nfirst,")
+            gevent.sleep(0.35)
+            sock.sendall(b"last")
+
+        self.upstream.script = send_slowly
+        node = self._start()
+        self.assertTrue(self._answer_at_end(node).endswith(b"first,last"))
+
     def _full_listener(self) -> str:
         """Returns the address of a listener that completes no further connection."""
         listener = socket.socket()
