--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -12,11 +12,13 @@
 from auburnsail._admission_queue import Limits
 from auburnsail._clock import BootClock
 from auburnsail._data_path import DataPath
+from auburnsail._dialect import DEFAULT_DIALECT
 from auburnsail._gate import RequestGate
 from auburnsail._model import Session, SessionId
 from auburnsail._moves import GateDecision
 from auburnsail._node import Node
 from tests.path_fakes import (
+    OK,
     SECRET,
     FakeUpstream,
     PathNode,
@@ -39,9 +41,12 @@
         upstream_address: Address of the local upstream.
         gate: Gate of the request path, or None for one that admits every request.
         owner: Address of the node that owns all keys, empty for the node itself.
+        caller_address: Address of a second server for callers, or empty.
     """
 
-    def __init__(self, upstream_address: str, gate=None, owner: str = "") -> None:
+    def __init__(
+        self, upstream_address: str, gate=None, owner: str = "", caller_address: str = ""
+    ) -> None:
         path = PathNode("n", None, "catalogue")
         path.stop()
         self.address = path.address
@@ -50,7 +55,8 @@
             region="wien",
             domain="wien-1",
             data_address=path.address,
-            caller_address="",
+            caller_address=caller_address,
+            service="",
             fleet_secret=SECRET,
             resolve_address=str,
             stop_grace_s=0.6,
@@ -64,6 +70,9 @@
             lambda error: None,
             lambda notice: None,
             lambda: None,
+            adapter=SimpleNamespace(
+                dialect=DEFAULT_DIALECT, has_routes=False, grants_by_report=True
+            ),
         )
         self.data_path._admission.set_limits(Limits(4, 4, 10, 5_000))
         if owner:
@@ -178,6 +187,9 @@
         Its body is complete in the moment in which the request is stopped, and the only slot is
         held by an answer that is still being relayed.
         """
+        # Otherwise the read can end between two polls, and the body counts as late.
+        poll = mock.patch("auburnsail._http_server.BODY_POLL_INTERVAL_S", 0.5)
+        self.enterContext(poll)
         self.upstream.script = _send_part
         node = self._start()
         node.data_path._admission.set_limits(Limits(1, 1, 10, 5_000))
@@ -187,6 +199,7 @@
         self.addCleanup(sock.close)
         sock.sendall(POST[:-1])
         self.assertTrue(wait_for(lambda: node.data_path.in_flight == 2))
+        gevent.sleep(0.02)
         end_requests = node.data_path.end_requests
 
         def end_and_send(*arguments) -> None:
@@ -227,6 +240,63 @@
         node = self._start()
         self.assertTrue(self._answer_at_end(node).endswith(b"first,last"))
 
+    def test_the_stop_waits_for_requests_on_both_addresses(self):
+        """Guards against a stop that ends as soon as one of the two servers has no requests."""
+
+        def answer(sock, run) -> bytes:
+            gevent.sleep(0.05 if "/k1 " in run.head else 0.25)
+            return OK
+
+        self.upstream.script = answer
+        caller_address = self._closed_address()
+        node = self._start(caller_address=caller_address)
+        node.node._settings.stop_grace_s = 1.5
+        callers = [
+            gevent.spawn(exchange, address, request("GET", target))
+            for address, target in (
+                (node.address, "/catalogue/k1"),
+                (caller_address, "/catalogue/k2"),
+            )
+        ]
+        self.assertTrue(wait_for(lambda: node.data_path.in_flight == 2))
+        node.stop()
+        self.assertEqual([reason_of(caller.get(timeout=1.0))[0] for caller in callers], [200, 200])
+        node.node._log.warning.assert_not_called()
+
+    def test_a_request_of_another_node_goes_elsewhere(self):
+        """Guards against work that a node forwards to one whose process is about to end.
+
+        The stopping node refuses it as not run, so the first node tries the next upstream at once.
+        """
+        upstreams = [FakeUpstream(), FakeUpstream()]
+        nodes = [
+            PathNode(name, upstream, "pledge")
+            for name, upstream in zip("ab", upstreams, strict=True)
+        ]
+        first = PathNode("f", None, "pledge")
+        for part in (*upstreams, *nodes, first):
+            self.addCleanup(part.stop)
+        connect(first, *nodes, owner=nodes[0], others=tuple(nodes))
+        nodes[0].application.close()
+        answers = [exchange(first.address, request("POST", "/pledge/1")) for _ in range(4)]
+        self.assertEqual([reason_of(answer)[0] for answer in answers], [200] * 4)
+        self.assertEqual([len(upstream.runs) for upstream in upstreams], [0, 4])
+
+    def test_a_second_stop_signal_changes_nothing(self):
+        """Guards against a second stop that begins beside the first, with a later end."""
+        node = SimpleNamespace(
+            stopping=False,
+            _log=mock.Mock(),
+            _data_path=mock.Mock(),
+            _adapter=SimpleNamespace(grants_by_report=True),
+            _stop_for_restart=mock.Mock(),
+        )
+        with mock.patch.object(_node._supervision, "spawn") as spawn:
+            Node.stop(node)
+            Node.stop(node)
+        spawn.assert_called_once()
+        node._data_path.announce_close.assert_called_once()
+
     def _full_listener(self) -> str:
         """Returns the address of a listener that completes no further connection."""
         listener = socket.socket()
