--- a/src/auburnsail/_final_requests.py
+++ b/src/auburnsail/_final_requests.py
@@ -2,15 +2,13 @@
 
 from collections.abc import Iterable
 
-import structlog
-
 from ._active_requests import STOPPING, RequestContext
-from ._clock import NS_PER_MS
+from ._request_log import RequestLog
 
 __all__ = ["reset_requests"]
 
 
-def reset_requests(contexts: Iterable[RequestContext], stop_ns: int, now_ns: int) -> None:
+def reset_requests(contexts: Iterable[RequestContext], log: RequestLog, stop_ns: int) -> None:
     """Resets the callers' connections of requests and writes one log line for each.
 
     Without a reset the end of the process would close the connections, and a partial answer without
@@ -18,21 +16,11 @@
 
     Args:
         contexts: The requests in flight.
+        log: Receives the lines.
         stop_ns: When the stop signal arrived.
-        now_ns: The current time in nanoseconds.
     """
-    log = structlog.get_logger()
     for context in tuple(contexts):
-        log.warning(
-            "request ended with the process",
-            id=context.request_id,
-            service=context.destination.service,
-            state=state_of(context),
-            peer=context.peer,
-            hop=context.hop is not None,
-            age_ms=(now_ns - context.started_ns) // NS_PER_MS,
-            since_stop_ms=(now_ns - stop_ns) // NS_PER_MS,
-        )
+        log.ended_with_process(context, state_of(context), stop_ns)
         context.stop(STOPPING)
         context.request.reset_connection()
 
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -231,7 +231,7 @@
 
     def reset_requests(self, stop_ns: int) -> None:
         """Resets the connections of the requests in flight; see `_final_requests`."""
-        reset_requests(self._active_requests, stop_ns, self._clock.now_ns())
+        reset_requests(self._active_requests, self._request_log, stop_ns)
 
     def close(self) -> None:
         """Closes the idle connections to peers; requests that are read from now on are refused."""
--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -86,6 +86,26 @@
         """Logs an answer that ended early after a part of it was relayed."""
         self._log.warning("answer cut short", id=context.request_id, error=str(error))
 
+    def ended_with_process(self, context: RequestContext, state: str, stop_ns: int) -> None:
+        """Logs a request that was still in flight when the process ended.
+
+        Args:
+            context: The request.
+            state: What the request was waiting for.
+            stop_ns: When the stop signal arrived.
+        """
+        now_ns = self._clock.now_ns()
+        self._log.warning(
+            "request ended with the process",
+            id=context.request_id,
+            service=context.destination.service,
+            state=state,
+            peer=context.peer,
+            hop=context.hop is not None,
+            age_ms=(now_ns - context.started_ns) // NS_PER_MS,
+            since_stop_ms=(now_ns - stop_ns) // NS_PER_MS,
+        )
+
     def internal_error(self, context: RequestContext) -> None:
         """Logs an unexpected exception; must be called in its `except` clause."""
         self._log.exception("request failed inside the node", id=context.request_id)
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -224,7 +224,9 @@
         with capture_logs() as lines, self.assertRaises(ConnectionResetError):
             self._answer_at_end(node)
         ends = [line for line in lines if line["event"] == "request ended with the process"]
-        self.assertEqual([line["state"] for line in ends], ["answer"])
+        self.assertEqual(
+            [(line["state"], line["address"]) for line in ends], [("answer", node.address)]
+        )
         grace_ms = 1000 * node.node._settings.stop_grace_s
         self.assertTrue(0 < ends[0]["since_stop_ms"] < grace_ms, ends)
 
