--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -240,7 +240,7 @@
         """Adds ``Connection: close`` to every answer from now on, after a stop signal."""
         self._stop_ns = self._clock.now_ns()
         for server in self._servers:
-            server.draining = True
+            server.announce_close()
 
     def stop(self, *, idle_grace_s: float, timeout_s: float) -> None:
         """Stops accepting connections, waits for requests in flight and closes idle connections.
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -22,7 +22,7 @@
 from ._http_head import MAX_HEAD_BYTES, parse_head
 from ._link_sender import LinkSender
 from ._outcome import RequestFailedError, refused
-from ._sockets import send_all, shut_down
+from ._sockets import ReadCancelledError, cancel_read, send_all, shut_down
 from ._sweeper import Sweeper
 from .exceptions import CallerGoneError
 
@@ -53,17 +53,24 @@
 
 
 class _Connection:
-    """A caller's connection; serves its requests sequentially."""
+    """A caller's connection; serves its requests sequentially.
+
+    Attributes:
+        awaits_request: Whether the connection is open and waits for the first byte of a request.
+    """
 
     __slots__ = (
         "_is_in_body",
         "_timed_out",
+        "awaits_request",
         "buffered",
         "head_deadline_ns",
         "is_idle",
         "read_stopped",
+        "requests",
         "server",
         "sock",
+        "wait_ended",
     )
 
     def __init__(self, sock: socket.socket, _address: tuple, server: "HttpServer") -> None:
@@ -72,7 +79,10 @@
         self.buffered = b""
         self.head_deadline_ns = 0
         self.is_idle = True
+        self.awaits_request = False
         self.read_stopped = False
+        self.requests = 0
+        self.wait_ended = False
         self._is_in_body = False
         self._timed_out = False
 
@@ -92,19 +102,40 @@
     def receive(self) -> bool:
         """Implements `ByteSource.receive`."""
         try:
-            data = self._receive_in_body() if self._is_in_body else self.sock.recv(BLOCK_BYTES)
+            data = self._receive_in_body() if self._is_in_body else self._receive_in_head()
         except OSError:
             return False
         self.buffered = self.buffered + data if self.buffered else data
         return bool(data)
 
+    def _receive_in_head(self) -> bytes:
+        while True:
+            try:
+                return self.sock.recv(BLOCK_BYTES)
+            except ReadCancelledError:
+                if self.awaits_request:
+                    return self._receive_arrived()
+                if self._timed_out:
+                    return b""
+                # The wait that was to end had already returned the first bytes of a request.
+
+    def _receive_arrived(self) -> bytes:
+        """Returns the bytes that have arrived, empty bytes if there are none."""
+        self.sock.settimeout(0.0)
+        try:
+            return self.sock.recv(BLOCK_BYTES)
+        except BlockingIOError:
+            return b""
+        finally:
+            self.sock.settimeout(None)
+
     def _receive_in_body(self) -> bytes:
         # Polls instead of shutting the socket down: closing a socket that is shut down for reading
         # sends a reset, which can reach the caller before the answer.
         self.sock.settimeout(BODY_POLL_INTERVAL_S)
         try:
             while not self.read_stopped:
-                with contextlib.suppress(TimeoutError):
+                with contextlib.suppress(TimeoutError, ReadCancelledError):
                     return self.sock.recv(BLOCK_BYTES)
             return b""
         finally:
@@ -134,7 +165,12 @@
     def expire(self) -> None:
         """Ends the wait for a request head that did not arrive in time."""
         self._timed_out = True
-        shut_down(self.sock, socket.SHUT_RD)
+        self.end_wait()
+
+    def end_wait(self) -> None:
+        """Ends the wait for a request; closes the connection unless one has arrived."""
+        self.wait_ended = True
+        cancel_read(self.sock)
 
     def _serve_one(self) -> bool:
         server = self.server
@@ -143,6 +179,7 @@
             if data is None:
                 return False
             head = parse_head(data, server.dialect)
+            self.requests += 1
             self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
@@ -166,8 +203,13 @@
             if server.draining and server.closes_idle_connections:
                 return None
             self.head_deadline_ns = now_ns + server.idle_timeout_ms * NS_PER_MS
-            if not self.receive():
-                return None
+            self.awaits_request = True
+            try:
+                if not self.receive():
+                    return None
+            finally:
+                self.awaits_request = False
+        self._timed_out = False
         self.is_idle = False
         server.sweeper.wake()
         self.head_deadline_ns = server.clock.now_ns() + server.head_timeout_ms * NS_PER_MS
@@ -201,8 +243,11 @@
         remaining_bytes = MAX_LINGER_BYTES
         try:
             self.sock.settimeout(LINGER_TIMEOUT_S)
-            while remaining_bytes > 0 and (data := self.sock.recv(BLOCK_BYTES)):
-                remaining_bytes -= len(data)
+            while remaining_bytes > 0:
+                with contextlib.suppress(ReadCancelledError):
+                    if not (data := self.sock.recv(BLOCK_BYTES)):
+                        break
+                    remaining_bytes -= len(data)
         except OSError:
             pass
 
@@ -221,6 +266,7 @@
 
     Attributes:
         draining: Whether every answer closes its connection.
+        draining_since_ns: Since when `draining` is set, 0 if it is not.
         idle_timeout_ms: Maximum time that a connection stays open without a request.
         head_timeout_ms: Maximum time from the first byte of a head to its end.
         max_head_bytes: Maximum length of a request head.
@@ -248,6 +294,7 @@
         self.clock = clock or BootClock()
         self.connections: set[_Connection] = set()
         self.draining = False
+        self.draining_since_ns = 0
         self.closes_idle_connections = False
         self.max_body_bytes = max_body_bytes
         self.dialect = dialect
@@ -279,6 +326,12 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().handle(sock, address)
 
+    def announce_close(self) -> None:
+        """Makes every answer close its connection from now on."""
+        if not self.draining:
+            self.draining = True
+            self.draining_since_ns = self.clock.now_ns()
+
     def drain(self, *, idle_grace_s: float, timeout_s: float) -> bool:
         """Stops accepting connections and waits until the requests in flight are answered.
 
@@ -292,7 +345,7 @@
         Returns:
             Whether all requests in flight were answered.
         """
-        self.draining = True
+        self.announce_close()
         self.stop_accepting()
         self._accept_queued()
         self.close()
@@ -302,8 +355,8 @@
         idle_checks = 0
         while self.connections and idle_checks < REQUIRED_IDLE_CHECKS:
             for connection in tuple(self.connections):
-                if connection.is_idle and not connection.buffered:
-                    shut_down(connection.sock, socket.SHUT_RD)
+                if connection.awaits_request:
+                    connection.end_wait()
             # A socket may hold a request that its greenlet has not read yet.
             idle_checks = 0 if self.in_flight else idle_checks + 1
             if self.clock.now_ns() >= deadline_ns:
--- /dev/null
+++ b/tests/test_unanswered_requests.py
@@ -0,0 +1,162 @@
+"""Requests whose connection ends without an answer, and the log line about each of them."""
+
+import time
+import unittest
+
+import gevent
+from structlog.testing import capture_logs
+
+from auburnsail._clock import BootClock
+from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
+from auburnsail._link_sender import LinkSender
+from tests.path_fakes import (
+    OK,
+    FakeUpstream,
+    PathNode,
+    connect,
+    exchange,
+    open_connection,
+    request,
+    wait_for,
+)
+
+POST = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx"
+
+
+class LateAnswerTest(unittest.TestCase):
+    """One node whose link of 1 Mbit/s takes 0.3 s for an answer."""
+
+    def test_a_complete_answer_that_waits_for_the_link_at_the_deadline_is_delivered(self):
+        """Guards against a reset in place of an answer that the upstream has completed (LOST).
+
+        The caller waits longer than the node's time limit, for example because the service's limit
+        is shorter than its own.
+        """
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 40000\r\n\r\n" + bytes(40_000)
+        upstream = FakeUpstream(lambda sock, run: answer)
+        self.addCleanup(upstream.stop)
+        link = LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock())
+        node = PathNode("n", upstream, "catalogue", link=link)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 150", body=b"x")
+        received = exchange(node.address, data)
+        self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 40_000)
+
+
+class UnansweredRequestTest(unittest.TestCase):
+    """One node whose upstream takes a while."""
+
+    def setUp(self):
+        """Starts the upstream and the node."""
+        self.upstream = FakeUpstream(self.run_request)
+        self.node = PathNode("n", self.upstream, "catalogue")
+        self.addCleanup(self.upstream.stop)
+        self.addCleanup(self.node.stop)
+        connect(self.node, owner=self.node)
+
+    def run_request(self, sock, run) -> bytes:
+        """Runs a request for 0.2 s, or one for the key k2 for 1.5 s."""
+        gevent.sleep(1.5 if "/k2" in run.head else 0.2)
+        return OK
+
+    def send_while_the_loop_stands(self, sock, stands_s: float) -> bytes:
+        """Sends a request, keeps the event loop from running and returns the answer.
+
+        The bytes and the timers that end the wait for a request become ready in the same turn of
+        the loop, and timers run first.
+        """
+        sock._sock.send(POST)
+        time.sleep(stands_s)
+        sock.settimeout(3.0)
+        return sock.recv(4096)
+
+    def test_a_request_that_arrives_as_a_drain_closes_idle_connections_is_answered(self):
+        """Guards against a stop that resets a caller whose request it has passed on (LOST).
+
+        The node shut its idle connections down for reading, read a request that had arrived at the
+        same moment, and took its own shutdown for the caller's.
+        """
+        sock = open_connection(self.node.address)
+        self.addCleanup(sock.close)
+        self.assertTrue(wait_for(lambda: self.node.server.connections))
+        drain = gevent.spawn(self.node.server.drain, idle_grace_s=0.1, timeout_s=3.0)
+        gevent.sleep(0.05)
+        answer = self.send_while_the_loop_stands(sock, 0.2)
+        self.assertEqual(len(self.upstream.runs), 1)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+        self.assertTrue(drain.get(timeout=3.0))
+
+    def test_a_request_that_arrives_as_its_idle_connection_expires_is_answered(self):
+        """Guards against an idle timeout that resets a caller whose request was passed on (LOST).
+
+        Another request is in flight, so that the sweep runs at its shortest interval.
+        """
+        self.node.server.idle_timeout_ms = 300
+        other = gevent.spawn(exchange, self.node.address, request("GET", "/catalogue/k2"))
+        self.assertTrue(wait_for(lambda: self.upstream.runs))
+        sock = open_connection(self.node.address)
+        self.addCleanup(sock.close)
+        self.assertTrue(wait_for(lambda: len(self.node.server.connections) == 2))
+        gevent.sleep(0.25)
+        answer = self.send_while_the_loop_stands(sock, 0.6)
+        self.assertEqual(len(self.upstream.runs), 2)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+        self.assertIn(b"200 OK", other.get(timeout=3.0))
+
+    def test_the_rest_of_a_request_whose_first_bytes_overtook_the_end_of_the_wait_is_read(self):
+        """Guards against an end of the wait that cuts off the next read on the connection."""
+        for first, rest in ((POST[:9], POST[9:]), (POST[:-1], POST[-1:])):
+            sock = open_connection(self.node.address)
+            self.addCleanup(sock.close)
+            self.assertTrue(wait_for(lambda: self.node.server.connections))
+            (connection,) = self.node.server.connections
+            sock._sock.send(first)
+            time.sleep(0.01)
+            # The wait has not returned yet, so its end and the bytes meet.
+            connection.end_wait()
+            gevent.sleep(0.05)
+            sock.sendall(rest)
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 OK\r\n"))
+            sock.close()
+            self.assertTrue(wait_for(lambda: not self.node.server.connections))
+
+    def test_an_answer_that_arrived_while_the_loop_stood_is_delivered_after_the_deadline(self):
+        """Guards against a time limit that replaces an answer which has arrived by a failure.
+
+        After a pause of the process the sweep runs before the greenlet that reads the answer.
+        """
+
+        def answer_and_stand_still(sock, run) -> bytes:
+            gevent.sleep(0.1)
+            sock.sendall(OK)
+            time.sleep(0.4)
+            return b""
+
+        self.upstream.script = answer_and_stand_still
+        data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
+        self.assertIn(b" 200 OK", exchange(self.node.address, data))
+
+    def test_an_idle_connection_that_expires_is_closed(self):
+        """Guards against connections without requests that are kept for good."""
+        self.node.server.idle_timeout_ms = 100
+        with open_connection(self.node.address, timeout_s=2.0) as sock:
+            self.assertEqual(sock.recv(1), b"")
+
+    def test_a_request_whose_caller_left_has_a_log_line(self):
+        """Guards against requests that end without an answer and without a trace in the logs."""
+        sock = open_connection(self.node.address)
+        with capture_logs() as lines:
+            sock.sendall(POST)
+            self.assertTrue(wait_for(lambda: self.upstream.runs))
+            sock.close()
+            self.assertTrue(wait_for(lambda: not self.node.application.in_flight))
+        (line,) = [line for line in lines if line["event"] == "request unanswered"]
+        self.assertEqual((line["cause"], line["caller_end"]), ("caller-gone", "closed"))
+        self.assertEqual((line["attempts"], line["outcome"]), (1, "unknown"))
+        self.assertEqual((line["connection_requests"], line["wait_ended"]), (1, False))
+        self.assertEqual(line["stopping_ms"], -1)
+
+
+if __name__ == "__main__":
+    unittest.main()
