--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -85,7 +85,6 @@
         self._resolver = RouteResolver(dialect) if is_routed else PathResolver()
         self._tree = TreeSettings({})
         self._clock = clock
-        self._stop_ns = 0
         self._announcement: Announcement | None = None
         moves_key_ranges = adapter is not None and adapter.grants_by_report
         half_life_ms = FAST_LOAD_HALF_LIFE_MS if moves_key_ranges else LOAD_HALF_LIFE_MS
@@ -237,8 +236,7 @@
             server.start()
 
     def announce_close(self) -> None:
-        """Adds ``Connection: close`` to every answer from now on, after a stop signal."""
-        self._stop_ns = self._clock.now_ns()
+        """Adds ``Connection: close`` to every answer from now on."""
         for server in self._servers:
             server.announce_close()
 
@@ -272,7 +270,7 @@
         self._application.end_requests()
         while self.in_flight and self._clock.now_ns() < end_ns:
             gevent.sleep(END_CHECK_INTERVAL_S)
-        self._application.reset_requests(self._stop_ns)
+        self._application.reset_requests()
 
 
 def _capacity(announcement: Announcement) -> tuple[str, int, int]:
--- a/src/auburnsail/_final_requests.py
+++ b/src/auburnsail/_final_requests.py
@@ -8,7 +8,7 @@
 __all__ = ["reset_requests"]
 
 
-def reset_requests(contexts: Iterable[RequestContext], log: RequestLog, stop_ns: int) -> None:
+def reset_requests(contexts: Iterable[RequestContext], log: RequestLog) -> None:
     """Resets the callers' connections of requests and writes one log line for each.
 
     Without a reset the end of the process would close the connections, and a partial answer without
@@ -17,10 +17,9 @@
     Args:
         contexts: The requests in flight.
         log: Receives the lines.
-        stop_ns: When the stop signal arrived.
     """
     for context in tuple(contexts):
-        log.ended_with_process(context, state_of(context), stop_ns)
+        log.ended_with_process(context, state_of(context))
         context.stop(STOPPING)
         context.request.reset_connection()
 
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -230,9 +230,9 @@
         """Ends the requests whose answer has not begun, because the node ends."""
         self._active_requests.stop_unanswered()
 
-    def reset_requests(self, stop_ns: int) -> None:
+    def reset_requests(self) -> None:
         """Resets the connections of the requests in flight; see `_final_requests`."""
-        reset_requests(self._active_requests, self._request_log, stop_ns)
+        reset_requests(self._active_requests, self._request_log)
 
     def close(self) -> None:
         """Closes the idle connections to peers; requests that are read from now on are refused."""
--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -109,13 +109,12 @@
         """Logs an answer that ended early after a part of it was relayed."""
         self._log.warning("answer cut short", id=context.request_id, error=str(error))
 
-    def ended_with_process(self, context: RequestContext, state: str, stop_ns: int) -> None:
+    def ended_with_process(self, context: RequestContext, state: str) -> None:
         """Logs a request that was still in flight when the process ended.
 
         Args:
             context: The request.
             state: What the request was waiting for.
-            stop_ns: When the stop signal arrived.
         """
         now_ns = self._clock.now_ns()
         self._log.warning(
@@ -126,7 +125,7 @@
             peer=context.peer,
             hop=context.hop is not None,
             age_ms=(now_ns - context.started_ns) // NS_PER_MS,
-            since_stop_ms=(now_ns - stop_ns) // NS_PER_MS,
+            **context.request.connection_facts(now_ns),
         )
 
     def internal_error(self, context: RequestContext) -> None:
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -228,7 +228,7 @@
             [(line["state"], line["address"]) for line in ends], [("answer", node.address)]
         )
         grace_ms = 1000 * node.node._settings.stop_grace_s
-        self.assertTrue(0 < ends[0]["since_stop_ms"] < grace_ms, ends)
+        self.assertTrue(0 < ends[0]["stopping_ms"] < grace_ms, ends)
 
     def test_an_answer_that_ends_within_the_last_moments_is_complete(self):
         """Guards against a stop that cuts off an answer that would have been complete in time."""
