Let an answer that has begun to arrive finish at the end of a stop

Callers saw: at the end of a stop a request whose upstream had sent a part of its answer got a 502 of this node ("stopping", unknown), though the rest came within milliseconds.

Cause: the end of the requests interrupted every exchange whose answer had not begun to be relayed. An answer with a length is buffered whole first.

Evidence: test_an_answer_of_which_a_part_has_arrived_is_relayed_whole: without this change 502 unknown stopping instead of 200.

Waiters that entered the queue meanwhile are refused once more. An answer that stops arriving is still replaced (test_an_answer_that_stops_arriving_is_replaced).

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -256,10 +256,15 @@
         """Removes a request."""
         self._active_requests.discard(context)
 
-    def stop_unanswered(self) -> None:
-        """Ends the requests whose answer has not begun, each with an answer of this node."""
+    def stop_unanswered(self, *, spares_arriving: bool = False) -> None:
+        """Ends the requests whose answer has not begun, each with an answer of this node.
+
+        Args:
+            spares_arriving: Whether to leave out requests whose peer has begun to answer.
+        """
         for context in tuple(self._active_requests):
-            if not context.request.is_answered:
+            is_spared = spares_arriving and _is_answer_arriving(context)
+            if not (context.request.is_answered or is_spared):
                 self._stop(context, STOPPING)
 
     def sweep(self, now_ns: int) -> None:
@@ -305,6 +310,12 @@
             self._on_stop(reason)
 
 
+def _is_answer_arriving(context: RequestContext) -> bool:
+    """Returns whether the peer has sent a part of its answer."""
+    exchange = context.exchange
+    return exchange is not None and (exchange.answered or exchange.has_early_answer)
+
+
 def _has_unread_answer(context: RequestContext) -> bool:
     """Returns whether bytes of the peer have arrived that the request's greenlet will read next.
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -43,6 +43,8 @@
 # cold start.
 FAST_LOAD_HALF_LIFE_MS = 2_000
 END_CHECK_INTERVAL_S = 0.01
+# At the end of the process, maximum wait for the rest of an answer that has begun to arrive.
+MAX_ARRIVAL_S = 0.2
 
 
 class DataPath:
@@ -258,19 +260,25 @@
     def end_requests(self, timeout_s: float) -> None:
         """Ends the requests in flight after `stop`, because the process ends.
 
-        Requests whose answer has not begun are answered by this node. Connections on which an
-        answer is not complete at the time-out are reset.
+        Requests whose answer has not begun are answered by this node, after `MAX_ARRIVAL_S` also
+        those whose peer had begun to answer. Connections on which an answer is not complete at the
+        time-out are reset.
 
         Args:
             timeout_s: Maximum wait for answers in seconds.
         """
-        end_ns = self._clock.now_ns() + int(timeout_s * NS_PER_S)
+        now_ns = self._clock.now_ns()
         self._gate.refuse_waiting(STOPPING)
+        self._end_unanswered(now_ns + int(MAX_ARRIVAL_S * NS_PER_S), spares_arriving=True)
+        self._end_unanswered(now_ns + int(timeout_s * NS_PER_S), spares_arriving=False)
+        self._application.reset_requests()
+
+    def _end_unanswered(self, end_ns: int, *, spares_arriving: bool) -> None:
+        """Ends requests that wait; returns when none is in flight, or at a time."""
         self._admission.refuse_waiting(STOPPING)
-        self._application.end_requests()
+        self._application.end_requests(spares_arriving=spares_arriving)
         while self.in_flight and self._clock.now_ns() < end_ns:
             gevent.sleep(END_CHECK_INTERVAL_S)
-        self._application.reset_requests()
 
 
 def _capacity(announcement: Announcement) -> tuple[str, int, int]:
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -226,9 +226,9 @@
             if reserve:
                 budget.reserve = USABLE_RESERVE_SHARE * reserve / max(1, nodes)
 
-    def end_requests(self) -> None:
-        """Ends the requests whose answer has not begun, because the node ends."""
-        self._active_requests.stop_unanswered()
+    def end_requests(self, *, spares_arriving: bool = False) -> None:
+        """Ends requests because the node ends; see `ActiveRequestTable.stop_unanswered`."""
+        self._active_requests.stop_unanswered(spares_arriving=spares_arriving)
 
     def reset_requests(self) -> None:
         """Resets the connections of the requests in flight; see `_final_requests`."""
--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -242,6 +242,32 @@
         node = self._start()
         self.assertTrue(self._answer_at_end(node).endswith(b"first,last"))
 
+    def test_an_answer_of_which_a_part_has_arrived_is_relayed_whole(self):
+        """Guards against a stop that replaces an answer by one of its own while it arrives.
+
+        The answer has a length, so it is buffered whole before its first byte is relayed.
+        """
+
+        def send_in_parts(sock, run) -> None:
+            sock.sendall(OK[:-1])
+            gevent.sleep(0.2)
+            sock.sendall(OK[-1:])
+
+        self.upstream.script = send_in_parts
+        node = self._start()
+        self.assertEqual(reason_of(self._answer_at_end(node)), (200, "", ""))
+
+    def test_an_answer_that_stops_arriving_is_replaced(self):
+        """Guards against LOST of a request whose answer the stop waits for in vain."""
+
+        def send_part(sock, run) -> None:
+            sock.sendall(OK[:-1])
+            gevent.sleep(5)
+
+        self.upstream.script = send_part
+        node = self._start()
+        self.assertEqual(reason_of(self._answer_at_end(node)), (502, "unknown", "stopping"))
+
     def test_the_stop_waits_for_requests_on_both_addresses(self):
         """Guards against a stop that ends as soon as one of the two servers has no requests."""
 
