--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -1,7 +1,9 @@
 """State of the requests in flight, and the sweep that stops late and abandoned ones."""
 
 import select
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+
+from gevent import socket
 
 from ._admission import Result, Ticket, Utilisation
 from ._admission_queue import AdmissionRequest
@@ -12,6 +14,7 @@
 from ._outcome import RequestFailedError
 from ._resolver import Destination
 from ._retry import AttemptLog, RetryBudget
+from ._sockets import shut_down
 
 __all__ = [
     "CALLER_GONE",
@@ -52,6 +55,7 @@
         ticket: Admission to the local upstream while it runs the request.
         utilisation: Utilisation that the other node reported for its upstream, or None.
         exchange: Current exchange with a peer, or None.
+        connecting: Socket that is being connected to a peer, or None.
         started_ns: When the request's head had been received.
         status: HTTP status of the upstream's answer, 0 before it arrived.
         answer_bytes: Length of the answer's body, 0 before it arrived or if it states no length.
@@ -79,6 +83,7 @@
         "budget",
         "caller_end",
         "caller_service",
+        "connecting",
         "covers_body",
         "deadline_ns",
         "destination",
@@ -132,6 +137,7 @@
         self.owner_hint = ""
         self.tried_addresses: set[str] = set()
         self.exchange: Exchange | None = None
+        self.connecting: socket.socket | None = None
         self.silence_deadline_ns = 0
         self.stall_deadline_ns = 0
         self.stop_reason = ""
@@ -197,6 +203,10 @@
             destination.is_subrequest,
         )
 
+    def on_connecting(self, sock: socket.socket) -> None:
+        """Records the socket that is being connected to a peer."""
+        self.connecting = sock
+
     def release(self, result: Result) -> None:
         """Releases the admission to the upstream, if the request still holds it."""
         ticket, self.ticket = self.ticket, None
@@ -211,6 +221,8 @@
         if self.stop_reason:
             return
         self.stop_reason = reason
+        if self.connecting is not None:
+            shut_down(self.connecting, socket.SHUT_RDWR)
         if self.exchange is not None:
             self.exchange.interrupt(reason)
         if self.request.is_answered:
@@ -233,6 +245,9 @@
     def __len__(self) -> int:
         return len(self._active_requests)
 
+    def __iter__(self) -> Iterator[RequestContext]:
+        return iter(self._active_requests)
+
     def add(self, context: RequestContext) -> None:
         """Adds a request."""
         self._active_requests.add(context)
@@ -241,10 +256,15 @@
         """Removes a request."""
         self._active_requests.discard(context)
 
-    def stop_unanswered(self) -> None:
-        """Ends the requests whose answer has not begun, each with an answer of this node."""
+    def stop_unanswered(self, *, spares_arriving: bool = False) -> None:
+        """Ends the requests whose answer has not begun, each with an answer of this node.
+
+        Args:
+            spares_arriving: Whether to leave out requests whose peer has begun to answer.
+        """
         for context in tuple(self._active_requests):
-            if not context.request.is_answered:
+            is_spared = spares_arriving and _is_answer_arriving(context)
+            if not (context.request.is_answered or is_spared):
                 self._stop(context, STOPPING)
 
     def sweep(self, now_ns: int) -> None:
@@ -290,6 +310,12 @@
             self._on_stop(reason)
 
 
+def _is_answer_arriving(context: RequestContext) -> bool:
+    """Returns whether the peer has sent a part of its answer."""
+    exchange = context.exchange
+    return exchange is not None and (exchange.answered or exchange.has_early_answer)
+
+
 def _has_unread_answer(context: RequestContext) -> bool:
     """Returns whether bytes of the peer have arrived that the request's greenlet will read next.
 
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -186,6 +186,9 @@
             gate.release(target.service, target.shard)
 
     def _run_admitted(self, context: RequestContext, target: Target, address: str) -> None:
+        if context.stop_reason:
+            # A stopped request must not enter the queue, whose waiters may have been refused already.
+            self._check_stopped(context)
         try:
             ticket = self._admission.admit(target, context.admission_request())
         except NotRunError as error:
@@ -305,9 +308,14 @@
                 max_idle_ns=idle_ns,
                 timeout_s=min(CONNECT_TIMEOUT_S, remaining_s),
                 request_id=context.request_id,
+                on_connecting=context.on_connecting,
             )
         except NotRunError as error:
+            if context.stop_reason:
+                self._check_stopped(context)
             raise not_run(CONNECT_FAILED, error.detail, error.step, error.peer) from error
+        finally:
+            context.connecting = None
 
     def _watch_silence(
         self, context: RequestContext, exchange: Exchange, address: str, local: Target | None
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -10,7 +10,7 @@
 from ._adapter import Adapter, SettingsInForce
 from ._admission import ObservedAdmission
 from ._balance import BalanceLimits, ServiceChooser
-from ._clock import Clock
+from ._clock import NS_PER_S, Clock
 from ._control import Announcement
 from ._crash_monitor import CrashMonitor
 from ._dialect import DEFAULT_DIALECT
@@ -42,6 +42,9 @@
 # Shorter half-life if key ranges move: hot ranges change within seconds, and moving one causes no
 # cold start.
 FAST_LOAD_HALF_LIFE_MS = 2_000
+END_CHECK_INTERVAL_S = 0.01
+# At the end of the process, maximum wait for the rest of an answer that has begun to arrive.
+MAX_ARRIVAL_S = 0.2
 
 
 class DataPath:
@@ -78,10 +81,12 @@
         link: LinkSender | None = None,
     ) -> None:
         self._settings = settings
+        self._gate = gate
         dialect = adapter.dialect if adapter is not None else DEFAULT_DIALECT
         is_routed = adapter is not None and adapter.has_routes
         self._resolver = RouteResolver(dialect) if is_routed else PathResolver()
         self._tree = TreeSettings({})
+        self._clock = clock
         self._announcement: Announcement | None = None
         moves_key_ranges = adapter is not None and adapter.grants_by_report
         half_life_ms = FAST_LOAD_HALF_LIFE_MS if moves_key_ranges else LOAD_HALF_LIFE_MS
@@ -252,10 +257,28 @@
         gevent.joinall(drains)
         self._application.close()
 
-    def end_requests(self) -> None:
-        """Answers the requests in flight whose answer has not begun, because the node ends."""
+    def end_requests(self, timeout_s: float) -> None:
+        """Ends the requests in flight after `stop`, because the process ends.
+
+        Requests whose answer has not begun are answered by this node, after `MAX_ARRIVAL_S` also
+        those whose peer had begun to answer. Connections on which an answer is not complete at the
+        time-out are reset.
+
+        Args:
+            timeout_s: Maximum wait for answers in seconds.
+        """
+        now_ns = self._clock.now_ns()
+        self._gate.refuse_waiting(STOPPING)
+        self._end_unanswered(now_ns + int(MAX_ARRIVAL_S * NS_PER_S), spares_arriving=True)
+        self._end_unanswered(now_ns + int(timeout_s * NS_PER_S), spares_arriving=False)
+        self._application.reset_requests()
+
+    def _end_unanswered(self, end_ns: int, *, spares_arriving: bool) -> None:
+        """Ends requests that wait; returns when none is in flight, or at a time."""
         self._admission.refuse_waiting(STOPPING)
-        self._application.end_requests()
+        self._application.end_requests(spares_arriving=spares_arriving)
+        while self.in_flight and self._clock.now_ns() < end_ns:
+            gevent.sleep(END_CHECK_INTERVAL_S)
 
 
 def _capacity(announcement: Announcement) -> tuple[str, int, int]:
