Expect chunks at the end of a stop, as elsewhere

Cause: an answer without a length is sent in chunks to HTTP/1.1 callers since; a test that was written beside it expected the bytes of the body at the end of the connection. Change: the test expects the exact chunks and their end.

--- a/tests/test_stop_end.py
+++ b/tests/test_stop_end.py
@@ -215,8 +215,8 @@
     def test_a_partial_answer_without_length_does_not_look_complete(self):
         """Guards against MIXED: the end of the process closes connections without a reset.
 
-        An answer without a length ends with its connection, so the caller would take the part that
-        it has for the whole answer. The log says which request it was.
+        For an HTTP/1.0 caller an answer without a length ends with its connection, so it would take
+        the part that it has for the whole answer. The log says which request it was.
         """
 
         self.upstream.script = _send_part
@@ -240,7 +240,8 @@
 
         self.upstream.script = send_slowly
         node = self._start()
-        self.assertTrue(self._answer_at_end(node).endswith(b"first,last"))
+        answer = self._answer_at_end(node)
+        self.assertTrue(answer.endswith(b"\r\n\r\n6\r\nfirst,\r\n4\r\nlast\r\n0\r\n\r\n"), answer)
 
     def test_an_answer_of_which_a_part_has_arrived_is_relayed_whole(self):
         """Guards against a stop that replaces an answer by one of its own while it arrives.
