Add a soak of real processes under stops: make stop-soak

No run of ours stops real processes while callers keep their connections; the soak in simulated time has no real sockets.

LocalFleet can start a node again beside its running upstream and write the output of its processes to files; wait_until takes the time between two checks.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 export PYTHONPATH := src:.
 
 .PHONY: format check reference unit test placement-experiments drain-experiment recovery control-cost
-.PHONY: bench silent-connections settings-spread demo region-cut soak fuzz soak-mutations overload poison balance capacity
+.PHONY: bench silent-connections settings-spread demo region-cut soak stop-soak fuzz soak-mutations overload poison balance capacity
 
 .venv: .venv/.installed
 
@@ -65,6 +65,11 @@
 soak: .venv
 	$(PY) -m tools.soak --seed $(SEED) --duration-s $(DURATION_S) $(if $(SUB_SEED),--sub-seed $(SUB_SEED))
 
+SEEDS ?= 1
+
+stop-soak: .venv
+	$(PY) -m tools.stop_soak --seed $(SEED) --duration-s $(DURATION_S) --seeds $(SEEDS)
+
 fuzz: .venv
 	$(PY) -m tools.fuzz --seed $(SEED) --duration-s $(DURATION_S)
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,5 +1,6 @@
 """A small fleet of real processes on loopback, for tests."""
 
+import contextlib
 import os
 import random
 import signal
@@ -46,13 +47,19 @@
             return port
 
 
-def wait_until(condition: Callable[[], bool], event: str, timeout_s: float = START_TIMEOUT_S):
+def wait_until(
+    condition: Callable[[], bool],
+    event: str,
+    timeout_s: float = START_TIMEOUT_S,
+    interval_s: float = 0.05,
+) -> None:
     """Polls a condition until it is true; an `AuburnsailError` counts as false.
 
     Args:
         condition: The condition.
         event: What the condition stands for, as it appears in the error message.
         timeout_s: Maximum wait in seconds.
+        interval_s: Time between two checks in seconds.
 
     Raises:
         TimeoutError: The condition was not true in time.
@@ -64,7 +71,7 @@
                 return
         except AuburnsailError:
             pass
-        gevent.sleep(0.05)
+        gevent.sleep(interval_s)
     raise TimeoutError(f"{event}: the condition was not met within {timeout_s} s")
 
 
@@ -108,6 +115,7 @@
     Args:
         tree: Settings tree of the first settings version.
         quiet: Whether the output of the processes is discarded.
+        logs: Folder that gets one file with the output of each process, instead of `quiet`.
 
     Attributes:
         upstream_options: Further command-line options of upstreams that start from now on.
@@ -119,7 +127,8 @@
         platform: The platform stand-in's HTTP interface.
     """
 
-    def __init__(self, tree: dict, *, quiet: bool = False) -> None:
+    def __init__(self, tree: dict, *, quiet: bool = False, logs: Path | None = None) -> None:
+        self._logs = logs
         self._output = {"stdout": subprocess.DEVNULL, "stderr": subprocess.DEVNULL} if quiet else {}
         self._services: dict[str, str] = {}
         self.upstream_options: list[str] = []
@@ -189,6 +198,11 @@
             arguments += self.upstream_options
             member.processes.append(self._spawn("standins.upstream", *arguments))
 
+    def restart_node(self, name: str) -> None:
+        """Starts the node of a member again, whose process has ended; its upstream keeps running."""
+        path = Path(self._folder.name) / f"{name}.json"
+        self.members[name].processes[0] = self._spawn("auburnsail._cli_node", str(path))
+
     def kill(self, name: str) -> None:
         """Kills the processes of a node and its upstream and waits until they have exited."""
         member = self.members[name]
@@ -245,7 +259,15 @@
 
     def _spawn(self, module: str, *arguments: str) -> subprocess.Popen:
         command = [sys.executable, "-m", module, *arguments]
-        process = subprocess.Popen(command, env=self._environ, cwd=ROOT, **self._output)
+        with contextlib.ExitStack() as stack:
+            output = self._output
+            if self._logs is not None:
+                path = self._logs / f"{len(self._processes):03d}-{module}.log"
+                output = {
+                    "stdout": stack.enter_context(path.open("wb")),
+                    "stderr": subprocess.STDOUT,
+                }
+            process = subprocess.Popen(command, env=self._environ, cwd=ROOT, **output)
         self._processes.append(process)
         return process
 
