Read the next request's body after an upload that was answered early

What callers saw: on a kept connection, the request after an upload is reset as soon as its head has been read, if its body arrives after its head. It is not passed on. If the node had read all of it and the last block was still waiting for the link or for the peer's receive buffer, the caller's connection is kept, and so was the mark: every later read of a body ended at once and was taken for the caller's end. Evidence: test_the_next_request_on_the_caller_s_connection_is_answered ends with ConnectionResetError before the change; the log line has the cause 'the connection ended inside the body', attempts 0 and connection_requests 2. Change: the mark is cleared when the next request begins.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -180,6 +180,7 @@
                 return False
             head = parse_head(data, server.dialect)
             self.requests += 1
+            self.read_stopped = False
             self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
