Don't reuse an upstream's connection that was shut down for sending

What callers saw: 502 with outcome unknown for a request that never left the node. Cause: if a peer answers before the whole body was sent, the node shuts its sending side down. The connection was returned to the pool all the same: after a refusal always, after another answer if the node had read all of the caller's body. Until the peer closes it, it looks open and idle, and sending the next request on it fails with EPIPE, which counts as possibly run. Evidence: test_the_upstream_s_connection_is_not_used_again and the test of the same after a refusal got "502 ... [Errno 32] Broken pipe" before. Change: an exchange whose sending was stopped isn't clean, so its connection is closed.

--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -244,7 +244,8 @@
     def _is_clean(self) -> bool:
         parser = self._parser
         if (
-            parser is None
+            self.sending_stopped
+            or parser is None
             or not parser.is_head_complete
             or not parser.keep_alive
             or parser.has_trailing_bytes
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,7 @@
 from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
 from auburnsail._link_sender import LinkSender
 from auburnsail._relay import BUFFERED_BYTES
-from tests.path_fakes import OK, PathNode, connect, open_connection
+from tests.path_fakes import OK, SHED, PathNode, connect, open_connection
 
 POST_HEAD = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
 REST_BYTES = 30_000
@@ -86,6 +86,31 @@
         answer = sock.recv(65536)
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
 
+    def test_the_upstream_s_connection_is_not_used_again(self):
+        """Guards against a request on a connection that the node has shut down for sending (502).
+
+        The upstream has not closed it yet, so it looks idle.
+        """
+        node = self.start("127.0.0.2")
+        self.upload(node).close()
+        self.check_next_request(node)
+
+    def test_the_upstream_s_connection_is_not_used_again_after_a_refusal(self):
+        """Guards against the same after an upload of which a part had not arrived."""
+        node = self.start("127.0.0.1", SHED)
+        with open_connection(node.address) as sock:
+            sock.sendall(POST_HEAD % (BUFFERED_BYTES + REST_BYTES) + bytes(BUFFERED_BYTES))
+            answer = sock.recv(65536)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 503 "), answer)
+        self.check_next_request(node)
+
+    def check_next_request(self, node: PathNode) -> None:
+        """Checks that a request on a new connection to the node is answered."""
+        with open_connection(node.address) as sock:
+            sock.sendall(POST_HEAD % 0)
+            answer = sock.recv(65536)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+
 
 if __name__ == "__main__":
     unittest.main()
