Don't reset a caller's connection for an error after the whole answer

What callers saw: the connection is reset after its answer was sent, if an unexpected error follows it in this program, for example when the request gives its slot or its key back. An answer that the caller has not received yet, or its next request, is lost with it. Cause: the handler of unexpected errors resets every connection on which an answer has begun. Evidence: test_an_unexpected_error_after_a_whole_answer_does_not_reset_it ends with ConnectionResetError before the change. Change: the connection is reset only if the answer isn't complete. The error is logged as before.

--- a/src/auburnsail/_caller_request.py
+++ b/src/auburnsail/_caller_request.py
@@ -56,9 +56,18 @@
         head: Parsed head of the request.
         body: Body of the request, read on demand.
         is_answered: Whether sending the answer has begun.
+        is_answer_complete: Whether the whole answer was sent.
     """
 
-    __slots__ = ("_can_reuse_connection", "_connection", "_message", "body", "head", "is_answered")
+    __slots__ = (
+        "_can_reuse_connection",
+        "_connection",
+        "_message",
+        "body",
+        "head",
+        "is_answer_complete",
+        "is_answered",
+    )
 
     def __init__(self, connection: "CallerConnection", head: RequestHead) -> None:
         self._connection = connection
@@ -67,6 +76,7 @@
         self.head = head
         self.body = RequestBody(connection, head, connection.server.max_body_bytes)
         self.is_answered = False
+        self.is_answer_complete = False
 
     @property
     def can_keep_alive(self) -> bool:
@@ -119,6 +129,7 @@
 
     def end(self, *, keep_alive: bool) -> None:
         """Records that the answer is complete and whether the connection can be reused."""
+        self.is_answer_complete = True
         self._can_reuse_connection = keep_alive
 
     def refuse(self, refusal: Refusal) -> None:
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -190,12 +190,12 @@
             # connection's greenlet. How much was sent is unknown here, so the outcome is unknown.
             self._request_log.internal_error(context)
             context.outcome, context.reason = Outcome.UNKNOWN.value, "internal"
-            if request.is_answered:
-                request.reset_connection()
-            else:
+            if not request.is_answered:
                 detail = f"the node failed: {type(error).__name__}"
                 status = "500 Internal Server Error"
                 request.refuse(unknown("internal", detail, "forward", status=status).refusal)
+            elif not request.is_answer_complete:
+                request.reset_connection()
         finally:
             self._active_requests.discard(context)
             if not context.outcome:
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest.mock import Mock
 
 import gevent
 from structlog.testing import capture_logs
@@ -137,6 +138,20 @@
         data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
         self.assertIn(b" 200 OK", exchange(self.node.address, data))
 
+    def test_an_unexpected_error_after_a_whole_answer_does_not_reset_it(self):
+        """Guards against a reset that destroys an answer which the caller has not read yet.
+
+        The connection is kept: the caller may already have sent its next request on it.
+        """
+        release = Mock(side_effect=RuntimeError("the fault under test"))
+        self.node.gate.release = release
+        with open_connection(self.node.address) as sock:
+            for _ in range(2):
+                sock.sendall(POST)
+                gevent.sleep(0.3)
+                self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 OK\r\n"))
+        self.assertEqual(release.call_count, 2)
+
     def test_an_idle_connection_that_expires_is_closed(self):
         """Guards against connections without requests that are kept for good."""
         self.node.server.idle_timeout_ms = 100
