Deliver a streamed answer whose end arrived while the process stood still

What callers saw: an answer that is relayed in blocks is cut off, though its end had arrived before the deadline that the caller set, after a pause of the node's process. Evidence: test_a_streamed_answer_that_arrived_while_the_loop_stood_is_delivered_whole ends with ConnectionResetError before the change.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -270,15 +270,14 @@
             self._stop(context, CALLER_GONE)
 
     def _check_time(self, context: RequestContext, now_ns: int) -> None:
-        if context.stall_deadline_ns:
-            if context.covers_body and now_ns >= context.deadline_ns:
-                self._stop(context, DEADLINE)
-            elif now_ns >= context.stall_deadline_ns:
-                self._stop(context, STALLED)
-        elif now_ns >= context.deadline_ns:
+        is_relaying = context.stall_deadline_ns > 0
+        if now_ns >= context.deadline_ns and (context.covers_body or not is_relaying):
             if context.is_overdue or not _has_unread_answer(context):
                 self._stop(context, DEADLINE)
             context.is_overdue = True
+        elif is_relaying:
+            if now_ns >= context.stall_deadline_ns:
+                self._stop(context, STALLED)
         elif 0 < context.silence_deadline_ns <= now_ns:
             exchange = context.exchange
             if exchange is not None and not (exchange.answered or _has_unread_answer(context)):
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -138,6 +138,20 @@
         data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
         self.assertIn(b" 200 OK", exchange(self.node.address, data))
 
+    def test_a_streamed_answer_that_arrived_while_the_loop_stood_is_delivered_whole(self):
+        """Guards against a time limit that cuts off an answer whose end has arrived before it."""
+
+        def answer_and_stand_still(sock, run) -> bytes:
+            sock.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n")
+            gevent.sleep(0.1)
+            sock.sendall(b"2\r\ncd\r\n0\r\n\r\n")
+            time.sleep(0.4)
+            return b""
+
+        self.upstream.script = answer_and_stand_still
+        data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
+        self.assertTrue(exchange(self.node.address, data).endswith(b"cd\r\n0\r\n\r\n"))
+
     def test_an_unexpected_error_after_a_whole_answer_does_not_reset_it(self):
         """Guards against a reset that destroys an answer which the caller has not read yet.
 
