Close a connection whose request head came too late

What callers saw: nothing at once, but a stop took longer than needed: with one such connection open, a drain ended only at its time limit, with a request counted as in flight. Cause: after the refusal (408) of a late head the connection lingers for up to 1 s for the caller's end. A caller that didn't close its side kept the connection for good. Change: a refusal of the head clears its deadline.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -184,6 +184,7 @@
             self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
+            self.head_deadline_ns = 0
             self.send(error.refusal.encode(close=True, dialect=server.dialect))
             self._close_after_linger()
             return False
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -172,6 +172,18 @@
         with open_connection(self.node.address, timeout_s=2.0) as sock:
             self.assertEqual(sock.recv(1), b"")
 
+    def test_a_connection_whose_head_came_too_late_is_closed(self):
+        """Guards against connections that are kept for good after the refusal of a late head.
+
+        The caller doesn't close its side. Each sweep of the connections found the head late again
+        and ended the read that waits for the caller's end, which then began anew.
+        """
+        self.node.server.head_timeout_ms = 100
+        with open_connection(self.node.address) as sock:
+            sock.sendall(POST[:9])
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 408 "))
+            self.assertTrue(wait_for(lambda: not self.node.server.connections, 3.0))
+
     def test_a_request_whose_caller_left_has_a_log_line(self):
         """Guards against requests that end without an answer and without a trace in the logs."""
         sock = open_connection(self.node.address)
