--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -180,9 +180,11 @@
                 return False
             head = parse_head(data, server.dialect)
             self.requests += 1
+            self.read_stopped = False
             self._is_in_body = head.chunked or head.length > 0
             request = Request(self, head)
         except RequestFailedError as error:
+            self.head_deadline_ns = 0
             self.send(error.refusal.encode(close=True, dialect=server.dialect))
             self._close_after_linger()
             return False
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest.mock import Mock
 
 import gevent
 from structlog.testing import capture_logs
@@ -137,12 +138,52 @@
         data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
         self.assertIn(b" 200 OK", exchange(self.node.address, data))
 
+    def test_a_streamed_answer_that_arrived_while_the_loop_stood_is_delivered_whole(self):
+        """Guards against a time limit that cuts off an answer whose end has arrived before it."""
+
+        def answer_and_stand_still(sock, run) -> bytes:
+            sock.sendall(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n")
+            gevent.sleep(0.1)
+            sock.sendall(b"2\r\ncd\r\n0\r\n\r\n")
+            time.sleep(0.4)
+            return b""
+
+        self.upstream.script = answer_and_stand_still
+        data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 250", body=b"x")
+        self.assertTrue(exchange(self.node.address, data).endswith(b"cd\r\n0\r\n\r\n"))
+
+    def test_an_unexpected_error_after_a_whole_answer_does_not_reset_it(self):
+        """Guards against a reset that destroys an answer which the caller has not read yet.
+
+        The connection is kept: the caller may already have sent its next request on it.
+        """
+        release = Mock(side_effect=RuntimeError("the fault under test"))
+        self.node.gate.release = release
+        with open_connection(self.node.address) as sock:
+            for _ in range(2):
+                sock.sendall(POST)
+                gevent.sleep(0.3)
+                self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 200 OK\r\n"))
+        self.assertEqual(release.call_count, 2)
+
     def test_an_idle_connection_that_expires_is_closed(self):
         """Guards against connections without requests that are kept for good."""
         self.node.server.idle_timeout_ms = 100
         with open_connection(self.node.address, timeout_s=2.0) as sock:
             self.assertEqual(sock.recv(1), b"")
 
+    def test_a_connection_whose_head_came_too_late_is_closed(self):
+        """Guards against connections that are kept for good after the refusal of a late head.
+
+        The caller doesn't close its side. Each sweep of the connections found the head late again
+        and ended the read that waits for the caller's end, which then began anew.
+        """
+        self.node.server.head_timeout_ms = 100
+        with open_connection(self.node.address) as sock:
+            sock.sendall(POST[:9])
+            self.assertTrue(sock.recv(4096).startswith(b"HTTP/1.1 408 "))
+            self.assertTrue(wait_for(lambda: not self.node.server.connections, 3.0))
+
     def test_a_request_whose_caller_left_has_a_log_line(self):
         """Guards against requests that end without an answer and without a trace in the logs."""
         sock = open_connection(self.node.address)
