Answer a request when an unexpected error occurs before its routing or after its answer

What callers saw: a connection that was closed without an answer and without a log line of the program, if an error that nobody expects occurred before routing; a kept connection that was closed after its answer, if the error occurred in a measurement or a log line. Cause: only refusals were caught around the creation of the request's context, and nothing around the records at its end. Evidence: test_an_unexpected_error_before_routing_is_answered and test_an_error_in_the_observer_keeps_the_connection, written by the reviewer, fail before the change. No run of a node has shown such an error. Change: before routing the answer is 500 and "not run", which is certain there. Records of ended requests are a part of their own (_request_records) whose errors are reported and end nothing.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -316,9 +316,10 @@
 
 
 def _has_unread_answer(context: RequestContext) -> bool:
-    """Returns whether bytes of the peer have arrived that the request's greenlet will read next.
+    """Returns whether the peer has sent bytes, or closed the connection, that were not read yet.
 
-    After a pause of the process, timers run before what arrived meanwhile is read.
+    After a pause of the process, sleeping greenlets run before those that read what arrived
+    meanwhile.
     """
     return context.exchange is not None and context.exchange.has_early_answer
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -14,7 +14,7 @@
 from ._control import Announcement
 from ._crash_monitor import CrashMonitor
 from ._dialect import DEFAULT_DIALECT
-from ._forward import Observer, ProxyApplication
+from ._forward import ProxyApplication
 from ._hop import HopSigner
 from ._http_server import HttpServer
 from ._limits import LOAD_HALF_LIFE_MS, Limits, SlotAdmission
@@ -24,6 +24,7 @@
 from ._ownership import Gate, UpstreamHooks
 from ._quarantine import CrashNotice, QuarantineLimits
 from ._request_policy import policies_by_service
+from ._request_records import Observer
 from ._resolver import PathResolver, RouteResolver
 from ._routing import Router
 from ._sections import Balance, Upstream
--- a/src/auburnsail/_forward.py
+++ b/src/auburnsail/_forward.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from typing import Protocol
 
 import gevent
 
@@ -26,6 +25,7 @@
 from ._peers import PeerTable
 from ._request_log import RequestLog
 from ._request_policy import RequestPolicy
+from ._request_records import Observer, RequestRecords
 from ._resolver import DestinationResolver, PathResolver, RouteResolver
 from ._retry import AttemptLog, RetryBudget, backoff_ms
 from ._routing import Router
@@ -33,7 +33,7 @@
 from ._upstream_answer import SHED
 from .exceptions import CallerGoneError, InvariantViolation, OutcomeUnknownError
 
-__all__ = ["Observer", "ProxyApplication"]
+__all__ = ["ProxyApplication"]
 
 # Bounds attempts that reached no upstream, which do not use up the retry budget.
 MAX_ATTEMPTS_NOT_RUN = 4
@@ -48,21 +48,6 @@
 CUT_SHORT = "cut-short"
 
 
-class Observer(Protocol):
-    """Receives the measurements of requests. Methods must not block.
-
-    `Measurements` implements this protocol.
-    """
-
-    def on_answer(
-        self, service: str, shard: int, outcome: str, status: int, duration_ns: int, reason: str
-    ) -> None:
-        """Records the outcome of a request that this node received from a caller."""
-
-    def on_served(self, service: str, duration_ns: int) -> None:
-        """Records a request that was sent to the local upstream."""
-
-
 class ProxyApplication:
     """Serves requests by forwarding them to the local upstream or to another node.
 
@@ -111,7 +96,6 @@
         link: LinkSender | None = None,
         link_usage: LinkUsage | None = None,
     ) -> None:
-        self._observer = observer
         self._resolver = resolver or PathResolver()
         self._dialect = dialect
         self._own_service = own_service
@@ -129,6 +113,9 @@
         )
         self._next_expiry_ns = 0
         self._request_log = RequestLog(own_address, router, self._clock)
+        self._records = RequestRecords(
+            self._request_log, observer, router, self._resolver, self._clock
+        )
         self.counters = Counters()
         self._runner = AttemptRunner(
             router,
@@ -159,9 +146,13 @@
         try:
             context = self._create_context(request)
         except RequestFailedError as error:
-            self.counters.refused += error.refusal.outcome is Outcome.REFUSED
-            self._observe_refusal(request, error.refusal)
-            request.refuse(error.refusal)
+            self._refuse_unrouted(request, error.refusal)
+            return
+        except Exception as error:
+            self._request_log.internal_error(
+                request.head.parsed_headers.get(self._dialect.request_id, "")
+            )
+            self._refuse_unrouted(request, _internal_failure(error, not_run))
             return
         self._active_requests.add(context)
         try:
@@ -179,20 +170,15 @@
         except Exception as error:
             # An unexpected error in a hook or in this program must end only this request, not the
             # connection's greenlet. How much was sent is unknown here, so the outcome is unknown.
-            self._request_log.internal_error(context)
+            self._request_log.internal_error(context.request_id)
             context.outcome, context.reason = Outcome.UNKNOWN.value, "internal"
             if not request.is_answered:
-                detail = f"the node failed: {type(error).__name__}"
-                status = "500 Internal Server Error"
-                request.refuse(unknown("internal", detail, "forward", status=status).refusal)
+                request.refuse(_internal_failure(error, unknown))
             elif not request.is_answer_complete:
                 request.reset_connection()
         finally:
             self._active_requests.discard(context)
-            if not context.outcome:
-                self._request_log.answered(context)
-            if self._observer is not None:
-                self._observe(context, self._observer)
+            self._records.ended(context)
 
     def sweep(self, now_ns: int) -> None:
         """Stops timed-out requests and those whose caller left; expires idle connections."""
@@ -285,29 +271,11 @@
             raise refused("400 Bad Request", "bad-deadline", detail)
         return min(int(value), policy.max_deadline_ms), True
 
-    def _observe(self, context: RequestContext, observer: Observer) -> None:
-        duration_ns = self._clock.now_ns() - context.started_ns
-        if context.local_service:
-            observer.on_served(context.local_service, duration_ns)
-        if context.hop is not None:
-            return
-        service = context.destination.service
-        if service in self._router.tree.services:
-            shard = -1
-            if context.outcome == Outcome.NOT_RUN.value:
-                shard = self._router.shard(service, context.destination.key)
-            observer.on_answer(
-                service, shard, context.outcome, context.status, duration_ns, context.reason
-            )
-
-    def _observe_refusal(self, request: Request, refusal: Refusal) -> None:
-        """Reports to the observer a request that was refused before routing."""
-        head = request.head
-        if self._observer is None or _headers.HOP in head.parsed_headers:
-            return
-        if service := self._resolver.service_of(head):
-            outcome = refusal.outcome.value
-            self._observer.on_answer(service, -1, outcome, 0, 0, refusal.reason)
+    def _refuse_unrouted(self, request: Request, refusal: Refusal) -> None:
+        """Refuses a request for which there is no context."""
+        self.counters.refused += refusal.outcome is Outcome.REFUSED
+        self._records.refused(request, refusal)
+        request.refuse(refusal)
 
     def _run(self, context: RequestContext) -> None:
         failures = context.failures
@@ -386,6 +354,13 @@
                 self._on_violation(error)
 
 
+def _internal_failure(error: Exception, failure: Callable[..., RequestFailedError]) -> Refusal:
+    """Returns the refusal for an unexpected error; `failure` is `not_run` or `unknown`."""
+    detail = f"the node failed: {type(error).__name__}"
+    status = "500 Internal Server Error"
+    return failure("internal", detail, "forward", status=status).refusal
+
+
 def _final_refusal(context: RequestContext, failures: list[RequestFailedError]) -> Refusal:
     """Returns the refusal to send to the caller after the last attempt failed."""
     last = failures[-1].refusal
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -168,7 +168,7 @@
         self.end_wait()
 
     def end_wait(self) -> None:
-        """Ends the wait for a request; closes the connection unless one has arrived."""
+        """Ends the wait for a request; the connection closes if no byte of one has arrived."""
         self.wait_ended = True
         cancel_read(self.sock)
 
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -222,7 +222,8 @@
             body += read_body(exchange, buffer_limit_bytes)
         _finish(context, exchange)
         context.release(Result.ANSWERED)
-        # The answer is complete, so only a caller that stops reading ends the request now.
+        # The answer is complete, so the deadline no longer ends the request. A caller that has not
+        # read it within the stall time-out does.
         context.covers_body = False
         context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
         request.send(head + body if body else head)
--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -128,9 +128,9 @@
             **context.request.connection_facts(now_ns),
         )
 
-    def internal_error(self, context: RequestContext) -> None:
+    def internal_error(self, request_id: str) -> None:
         """Logs an unexpected exception; must be called in its `except` clause."""
-        self._log.exception("request failed inside the node", id=context.request_id)
+        self._log.exception("request failed inside the node", id=request_id)
 
     def violation(self, error: Exception) -> None:
         """Logs a violated guarantee."""
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -42,6 +42,7 @@
     that the read waits for arrive in the same turn of the event loop, the read returns them, and a
     later read on the socket may be cancelled in its place.
     """
+    # gevent's public ways to end a read close or shut down the socket.
     socket.cancel_wait(sock._read_event, ReadCancelledError)
 
 
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -2,6 +2,7 @@
 
 import time
 import unittest
+from unittest import mock
 from unittest.mock import Mock
 
 import gevent
@@ -45,6 +46,34 @@
         self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 40_000)
 
 
+class UnexpectedErrorTest(unittest.TestCase):
+    """One node with an error in a part of the program."""
+
+    def start(self, **options) -> PathNode:
+        """Starts the upstream and the node."""
+        upstream = FakeUpstream()
+        self.addCleanup(upstream.stop)
+        node = PathNode("n", upstream, "catalogue", **options)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        return node
+
+    def test_an_unexpected_error_before_routing_is_answered(self):
+        """Guards against a connection that is closed without an answer and a log line."""
+        node = self.start()
+        node.application._resolver.destination = mock.Mock(side_effect=RuntimeError("under test"))
+        self.assertIn(b"HTTP/1.1 500", exchange(node.address, request("POST", body=b"x")))
+
+    def test_an_error_in_the_observer_keeps_the_connection(self):
+        """Guards against the end of a kept connection, announced as kept, after its answer."""
+        observer = mock.Mock(on_answer=mock.Mock(side_effect=RuntimeError("under test")))
+        node = self.start(observer=observer)
+        with open_connection(node.address) as sock:
+            for _ in range(2):
+                sock.sendall(POST)
+                self.assertIn(b" 200 OK", sock.recv(4096))
+
+
 class UnansweredRequestTest(unittest.TestCase):
     """One node whose upstream takes a while."""
 
