Start a test on a fleet only when no shards are moving

Cause: test_planned_move_refuses_no_requests failed once in a run of all tests beside other work ('node-0' != 'node-1'). If a node joins after the first assignment, `LocalFleet.wait_ready` moves shards to it and returned as soon as the node owned its first ones; with the rest of that move under way, the test's own move and the older one went for the same key. Evidence: a fleet whose node-0 joins late: wait_ready returned with 11 of 11 shards of node-1 still moving, in 5 of 5 starts. 14 runs of the test alone did not show the failure, since there all nodes joined before the first assignment. Change: the fleet is ready only if no node moves shards. Measured: the same late join, now 0 shards moving at return, three of three starts looked at; test_ownership passes.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -228,7 +228,7 @@
             states = {name: member.get("/v1/status") for name, member in self.members.items()}
             watchers = min(3, len(states) - 1)
             ready = all(
-                state["may_serve"] and len(state["watchers"]) == watchers
+                state["may_serve"] and not state["moving"] and len(state["watchers"]) == watchers
                 for state in states.values()
             )
             versions = {state["fleet_version"] for state in states.values()}
