Soak: upstreams write answers once more on kept connections

Change: every fourth sub-seed (3, 7, 11, ...) runs with a dialect with a request id and a server seal. Half of its callers' requests go to the service of two upstreams, since only there a refused request has a further attempt at the same upstream. The upstreams move to tools/soak_upstreams.py.

Three mutations: an answer without the id is relayed, "not run" counts without the id, a connection is used again for a request refused on it.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -9,6 +9,13 @@
 SUB_SEEDS = (2, 3, 5, 1542588269, 4031118404)
 # Mutations that the first run detects within the first second of virtual time.
 QUICK_MUTATIONS = ("a lost answer counts as written", "settings appended where a record exists")
+# A sub-seed with upstreams that write answers once more, and the mutations that it detects.
+REPEATING_SUB_SEED = 3
+REPEATING_MUTATIONS = (
+    "an answer without the id of the request is relayed",
+    "not run counts without the id of the request",
+    "a request uses a connection again on which it was refused",
+)
 
 
 class SoakTest(unittest.TestCase):
@@ -38,6 +45,20 @@
                     result, _ = find_violation(mutation, sub_seeds=1)
                     self.assertEqual(result.guarantee, mutation.guarantee)
 
+    def test_detects_a_repeated_answer_that_counts(self):
+        """Guards against runs in which no copy of an answer reaches another request.
+
+        A copy must also reach a further attempt of the request whose refusal it is.
+        """
+        faults = self.results[REPEATING_SUB_SEED].faults
+        for name in ("at-once", "late", "next"):
+            self.assertGreater(faults[f"repeated-answer-{name}"], 0, name)
+        for mutation in MUTATIONS:
+            if mutation.name in REPEATING_MUTATIONS:
+                with self.subTest(mutation.name), mutation.active():
+                    result = run_seed(REPEATING_SUB_SEED)
+                    self.assertIn(result.guarantee, ("P3", "P4", "P5"))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -43,6 +43,9 @@
     (3, 4, 1, 2, 1, 10, 8),
 )
 MOVES_PROFILE_INDEX = 2
+# Every fourth sub-seed has upstreams that write answers once more, and another writer in the store.
+RUNS_PER_ODD_RUN = 4
+ODD_RUN_INDEX = 3
 STOP_PROBABILITY = 0.08
 SILENCE_PROBABILITY = 0.08
 TRACE_LINES = 25
@@ -100,6 +103,7 @@
         self.sim.lost_answer_share = 0.2
         self.sim.table.lost_answer_share = 0.1
         self._net = FakeNetwork(self.sim)
+        self._is_odd = sub_seed % RUNS_PER_ODD_RUN == ODD_RUN_INDEX
         self.requests: RequestSimulation | None = None
 
     def run(self) -> RunResult:
@@ -107,7 +111,8 @@
         result = RunResult(self._sub_seed)
         with patched_request_path(self._net):
             try:
-                self.requests = self.sim.observer = RequestSimulation(self._net)
+                self.requests = RequestSimulation(self._net, repeats_answers=self._is_odd)
+                self.sim.observer = self.requests
                 self._run_phases()
             except GuaranteeError as error:
                 result.guarantee, result.detail = error.guarantee, str(error)
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -107,6 +107,18 @@
     return failures[-1].refusal
 
 
+def _finish_without_refused_id(self, **_refused_id: str) -> None:
+    _ORIGINAL_FINISH(self)
+
+
+def _accept_without_id(*statuses: int) -> Callable:
+    def find_refusal(dialect, answer, address, request_id, *, repeatable):
+        expected_id = "" if answer.status in statuses else request_id
+        return _ORIGINAL_FIND_REFUSAL(dialect, answer, address, expected_id, repeatable=repeatable)
+
+    return find_refusal
+
+
 def _admit_while_draining(self, service: str, shard: int, now_ns: int) -> GateDecision:
     drain_reason, self._drain_reason = self._drain_reason, ""
     try:
@@ -122,6 +134,8 @@
 
 
 _ORIGINAL_ADMIT = Mover.admit
+_ORIGINAL_FINISH = _exchange.Exchange.finish
+_ORIGINAL_FIND_REFUSAL = _attempt.find_refusal
 _ORIGINAL_APPEND = _versioned_log.VersionedLog.append
 _ALWAYS_TRUE = property(lambda self: True)
 
@@ -197,6 +211,21 @@
             (AttemptLog, "check_reported_outcome", lambda self, outcome: None),
         ),
     ),
+    Mutation(
+        "P3",
+        "an answer without the id of the request is relayed",
+        ((_attempt, "find_refusal", _accept_without_id(200)),),
+    ),
+    Mutation(
+        "P4",
+        "not run counts without the id of the request",
+        ((_attempt, "find_refusal", _accept_without_id(503)),),
+    ),
+    Mutation(
+        "P4",
+        "a request uses a connection again on which it was refused",
+        ((_exchange.Exchange, "finish", _finish_without_refused_id),),
+    ),
     Mutation("P5", "unknown outcome sent again", ((AttemptLog, "may_send", _ALWAYS_TRUE),)),
     Mutation("P5", "every method repeatable", ((RequestPolicy, "is_repeatable", lambda *_: True),)),
     Mutation("P6", "a drain does not stop admission", ((Mover, "admit", _admit_while_draining),)),
--- a/tools/soak_requests.py
+++ b/tools/soak_requests.py
@@ -1,4 +1,4 @@
-"""Simulates the requests of a soak run: shipped request path, fake upstreams and callers.
+"""Simulates the requests of a soak run: shipped request path and callers.
 
 What the upstreams execute and what the callers receive is recorded in a ledger, which checks it.
 """
@@ -6,11 +6,12 @@
 import random
 from dataclasses import dataclass
 from types import SimpleNamespace
+from unittest import mock
 
 from auburnsail import _data_path, _node
-from auburnsail._clock import NS_PER_MS
 from auburnsail._control import Announcement
 from auburnsail._data_path import DataPath
+from auburnsail._dialect import DEFAULT_DIALECT
 from auburnsail._gate import RequestGate
 from auburnsail._http_server import HttpServer, _Connection
 from auburnsail._routing import Router
@@ -29,30 +30,23 @@
     NodeObserver,
 )
 from tools.soak_patches import FakePeers
+from tools.soak_upstreams import DIALECT_WITH_IDS, Upstreams, parse_head
 
 __all__ = ["RequestSimulation"]
 
 CALLERS = 5
 CALLER_TIMEOUT_S = 2.0
 SLOTS = 3
-SERVICE_MS = (0.0, 5.0)
 BUSY_SERVICE_MS = (50.0, 150.0)
+PAUSE_MS = (10.0, 150.0)
+SERVICES = (KEYED_SERVICE, KEYED_SERVICE, UNKEYED_SERVICE)
+# A request that its upstream refused is sent again only if another upstream may run it.
+SERVICES_WITH_RETRIES = (KEYED_SERVICE, UNKEYED_SERVICE)
 EXTRA_CALLERS = 16
 EXTRA_CALLER_PAUSE_MS = (1.0, 10.0)
 DEADLINE_MS = 400
 SWEEP_INTERVAL_MS = 20
-# A node may pass new requests to its upstream for this long after its shutdown began, or after the
-# end of the latest fault if that is later (P6).
-MAX_DRAIN_ADMISSION_MS = 2000
 KEYS = 40
-# Faults of an upstream's answer; the empty one is a correct answer. The upstream refuses the request
-# (shed), closes the connection without an answer (close), answers 0.3 to 0.7 s later (late) or 50 ms
-# later (slow), omits the last byte (cut), or sends the answer twice (excess).
-ANSWER_FAULTS = ("", "shed", "close", "late", "cut", "excess", "slow")
-ANSWER_FAULT_WEIGHTS = (70, 8, 4, 6, 4, 4, 4)
-SHED_ANSWER = (
-    b"HTTP/1.1 503 Busy\r\nauburnsail-not-run: 1\r\nretry-after: 1\r\ncontent-length: 0\r\n\r\n"
-)
 
 
 class _Clock:
@@ -106,13 +100,15 @@
 
     Args:
         net: Fake network of the run.
+        repeats_answers: Whether upstreams write some answers once more; requests then have ids that
+            the nodes know.
 
     Attributes:
         ledger: Records executions and the outcomes that callers receive.
         completed_stops: Number of nodes that have completed a shutdown.
     """
 
-    def __init__(self, net: FakeNetwork) -> None:
+    def __init__(self, net: FakeNetwork, *, repeats_answers: bool = False) -> None:
         self._net = net
         self._sim = net.sim
         self._rng = random.Random(net.sim.rng.getrandbits(64))
@@ -120,11 +116,14 @@
         self._last_request_number = 0
         self.ledger = CheckedLedger()
         self.completed_stops = 0
-        self._service_ms = SERVICE_MS
+        copy_rng = random.Random(net.sim.rng.getrandbits(64)) if repeats_answers else None
+        self._dialect = DIALECT_WITH_IDS if repeats_answers else DEFAULT_DIALECT
+        self._upstreams = Upstreams(net, self._rng, self.ledger, copy_rng)
         for node in self._sim.nodes.values():
             self.on_start(node)
+        services = SERVICES_WITH_RETRIES if repeats_answers else SERVICES
         for _ in range(CALLERS):
-            net.spawn(None, self._call_forever)
+            net.spawn(None, lambda: self._call_forever(services, PAUSE_MS))
 
     def on_start(self, node: FakeNode) -> None:
         """Implements `NodeObserver.on_start`."""
@@ -142,8 +141,7 @@
             resolve_address=str,
             link_mbps=0.0,
         )
-        shipped_server, _data_path.HttpServer = _data_path.HttpServer, _Server
-        try:
+        with mock.patch.multiple(_data_path, HttpServer=_Server, DEFAULT_DIALECT=self._dialect):
             data_path = DataPath(
                 settings,
                 router,
@@ -154,8 +152,6 @@
                 on_crash=lambda notice: None,
                 on_failed_attempt=lambda: None,
             )
-        finally:
-            _data_path.HttpServer = shipped_server
         application = data_path._application
         application._jitter = random.Random(self._rng.getrandbits(64)).random
         data_path._chooser._rng = random.Random(self._rng.getrandbits(64))
@@ -170,7 +166,7 @@
         application._active_requests._active_requests = OrderedSet()
         self._net.listeners[address] = (node, False, server.serve)
         server.on_close = lambda: self._net.listeners.pop(address)
-        self._net.listeners[upstream] = (node, True, lambda sock: self._serve_upstream(node, sock))
+        self._net.listeners[upstream] = (node, True, lambda sock: self._upstreams.serve(node, sock))
 
         def sweep() -> None:
             if node.dead or request_path.is_stopped:
@@ -205,7 +201,7 @@
 
     def add_unkeyed_load(self) -> None:
         """Adds load to the unkeyed service, so that a drain finds requests in flight."""
-        self._service_ms = BUSY_SERVICE_MS
+        self._upstreams.service_ms = BUSY_SERVICE_MS
         for _ in range(EXTRA_CALLERS):
             self._net.spawn(
                 None, lambda: self._call_forever((UNKEYED_SERVICE,), EXTRA_CALLER_PAUSE_MS)
@@ -246,81 +242,9 @@
         if restart:
             self._sim.start_node(node.number)
 
-    # Upstreams.
-
-    def _serve_upstream(self, node: FakeNode, sock: FakeSocket) -> None:
-        buffered = b""
-        try:
-            while True:
-                while (end := buffered.find(b"\r\n\r\n")) < 0:
-                    if not (data := sock.recv(65536)):
-                        return
-                    buffered += data
-                fields = _parse_head(buffered[:end])
-                buffered = buffered[end + 4 :]
-                length = int(fields.get("content-length", "0"))
-                while len(buffered) < length:
-                    if not (data := sock.recv(65536)):
-                        return
-                    buffered += data
-                buffered = buffered[length:]
-                if not self._answer_request(node, sock, fields):
-                    return
-        except OSError:
-            return
-        finally:
-            sock.close()
-
-    def _answer_request(self, node: FakeNode, sock: FakeSocket, fields: dict[str, str]) -> bool:
-        weights = (1, 0, 0, 0, 0, 0, 1) if self._net.is_fault_free else ANSWER_FAULT_WEIGHTS
-        fault = self._rng.choices(ANSWER_FAULTS, weights)[0]
-        grant = fields.get("auburnsail-grant", "")
-        # The upstream runs on the same VM and therefore compares with the same boot clock.
-        is_expired = grant and int(grant.split(";")[3]) <= node.now(self._sim.now_ns)
-        if fault == "shed" or is_expired:
-            self._sim.event_counts["fenced"] += bool(is_expired)
-            sock.sendall(SHED_ANSWER)
-            return True
-        self._check_drain_stops_admission(node)
-        self.ledger.record_execution(fields["x-attempt"], fields["method"], grant)
-        body = fields["x-attempt"].encode() + b";"
-        body += b"." * self._rng.choice((0, 10, 1000, 70_000))
-        answer = b"HTTP/1.1 200 OK\r\nx-size: %d\r\ncontent-length: %d\r\n\r\n"
-        answer = answer % (len(body), len(body)) + body
-        self._net.sleep(self._rng.uniform(*self._service_ms))
-        match fault:
-            case "close":
-                return False
-            case "late":
-                self._net.sleep(self._rng.uniform(300, 700))
-            case "slow":
-                self._net.sleep(50)
-            case "cut":
-                sock.sendall(answer[:-1])
-                return False
-            case "excess":
-                sock.sendall(answer + answer)
-                return False
-        sock.sendall(answer)
-        return True
-
-    def _check_drain_stops_admission(self, node: FakeNode) -> None:
-        if not node.stop_requested_ns:
-            return
-        since_ns = max(node.stop_requested_ns, self._sim.last_fault_end_ns)
-        if self._sim.now_ns - since_ns > MAX_DRAIN_ADMISSION_MS * NS_PER_MS:
-            raise GuaranteeError(
-                "P6",
-                f"n{node.number} ran a new request too long after its shutdown began",
-            )
-
     # Callers.
 
-    def _call_forever(
-        self,
-        services: tuple[str, ...] = (KEYED_SERVICE, KEYED_SERVICE, UNKEYED_SERVICE),
-        pause_ms: tuple[float, float] = (10, 150),
-    ) -> None:
+    def _call_forever(self, services: tuple[str, ...], pause_ms: tuple[float, float]) -> None:
         while True:
             self._net.sleep(self._rng.uniform(*pause_ms))
             self._last_request_number += 1
@@ -361,7 +285,7 @@
 
     def _check_answer(self, attempt_id: str, answer: bytes, is_cut_by_shutdown: bool) -> str:
         head, separator, body = answer.partition(b"\r\n\r\n")
-        fields = _parse_head(head) if separator else {}
+        fields = parse_head(head) if separator else {}
         if not separator or len(body) != int(fields.get("content-length", "0")):
             if is_cut_by_shutdown:
                 raise GuaranteeError("P7", f"a shutdown cut off request {attempt_id}")
@@ -377,15 +301,5 @@
         return outcome
 
 
-def _parse_head(head: bytes) -> dict[str, str]:
-    first, *lines = head.decode("latin-1").split("\r\n")
-    fields = dict(line.split(": ", 1) for line in lines)
-    words = first.split(" ")
-    return {name.lower(): value for name, value in fields.items()} | {
-        "method": words[0],
-        "status": words[1],
-    }
-
-
 def _raise_violation(error: InvariantViolation) -> None:
     raise error
