Soak: another writer leaves rows in the fleet log

Change: in every fourth sub-seed (3, 7, 11, ...) another writer takes the next position of the log at times: an empty row, bytes that cannot be decoded, deeply nested data, or an entry of another position. Nodes read the log with positions, as they do from the real store. A node that has not gone past such a row at the end of the time without faults violates P2, and the ledger expects an entry without commands at that position. The fake log moves to tools/soak_fleet_log.py.

One mutation: a row that is no entry of its position is not passed over.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,16 +6,18 @@
 from tools.soak_mutations import MUTATIONS, find_violation
 
 # In the last two, a peer's answer is late, which must not block all further fetches of a node.
-SUB_SEEDS = (2, 3, 5, 1542588269, 4031118404)
+SUB_SEEDS = (2, 3, 5, 7, 1542588269, 4031118404)
 # Mutations that the first run detects within the first second of virtual time.
 QUICK_MUTATIONS = ("a lost answer counts as written", "settings appended where a record exists")
-# A sub-seed with upstreams that write answers once more, and the mutations that it detects.
-REPEATING_SUB_SEED = 3
-REPEATING_MUTATIONS = (
-    "an answer without the id of the request is relayed",
-    "not run counts without the id of the request",
-    "a request uses a connection again on which it was refused",
-)
+# A sub-seed with upstreams that write answers once more and with rows of another writer in the
+# fleet log, and the mutations that it detects.
+ODD_SUB_SEED = 7
+ODD_MUTATIONS = {
+    "a row that is no entry of its position is not passed over": "P2",
+    "an answer without the id of the request is relayed": "P3",
+    "not run counts without the id of the request": "P4",
+    "a request uses a connection again on which it was refused": "P4",
+}
 
 
 class SoakTest(unittest.TestCase):
@@ -45,19 +47,20 @@
                     result, _ = find_violation(mutation, sub_seeds=1)
                     self.assertEqual(result.guarantee, mutation.guarantee)
 
-    def test_detects_a_repeated_answer_that_counts(self):
-        """Guards against runs in which no copy of an answer reaches another request.
+    def test_detects_odd_entries_and_repeated_answers_that_count(self):
+        """Guards against runs in which no copy of an answer and no foreign row meets a node.
 
         A copy must also reach a further attempt of the request whose refusal it is.
         """
-        faults = self.results[REPEATING_SUB_SEED].faults
-        for name in ("at-once", "late", "next"):
-            self.assertGreater(faults[f"repeated-answer-{name}"], 0, name)
-        for mutation in MUTATIONS:
-            if mutation.name in REPEATING_MUTATIONS:
-                with self.subTest(mutation.name), mutation.active():
-                    result = run_seed(REPEATING_SUB_SEED)
-                    self.assertIn(result.guarantee, ("P3", "P4", "P5"))
+        faults = self.results[ODD_SUB_SEED].faults
+        for name in ("repeated-answer-at-once", "repeated-answer-late", "repeated-answer-next"):
+            self.assertGreater(faults[name], 0, name)
+        self.assertGreater(faults["foreign-row"], 0)
+        mutations = {mutation.name: mutation for mutation in MUTATIONS}
+        for name, guarantee in ODD_MUTATIONS.items():
+            with self.subTest(name), mutations[name].active():
+                result = run_seed(ODD_SUB_SEED)
+                self.assertEqual((result.guarantee, result.found_by), (guarantee, "ledger"))
 
 
 if __name__ == "__main__":
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -14,10 +14,10 @@
 import click
 
 from auburnsail._clock import NS_PER_MS
-from auburnsail._fleet import FleetState
 from auburnsail._model import Entry
 from auburnsail.exceptions import InvariantViolation
 from tools.soak_fleet import FleetSimulation
+from tools.soak_fleet_log import new_fleet_state
 from tools.soak_net import FakeNetwork
 from tools.soak_nodes import FAULT_WEIGHTS, KEYED_SERVICE, SHARDS, GuaranteeError
 from tools.soak_patches import patched_request_path
@@ -48,6 +48,7 @@
 ODD_RUN_INDEX = 3
 STOP_PROBABILITY = 0.08
 SILENCE_PROBABILITY = 0.08
+FOREIGN_ROW_PROBABILITY = 0.2
 TRACE_LINES = 25
 # Violated guarantee by the step that an `InvariantViolation` of the program names.
 STEP_GUARANTEES = {
@@ -104,6 +105,7 @@
         self.sim.table.lost_answer_share = 0.1
         self._net = FakeNetwork(self.sim)
         self._is_odd = sub_seed % RUNS_PER_ODD_RUN == ODD_RUN_INDEX
+        self._odd_rng = random.Random(f"odd {sub_seed}")
         self.requests: RequestSimulation | None = None
 
     def run(self) -> RunResult:
@@ -138,6 +140,8 @@
             if sim.rng.random() < SILENCE_PROBABILITY:
                 sim.fault_counts["silent-connections"] += 1
                 net.silence_connections()
+            if self._is_odd and self._odd_rng.random() < FOREIGN_ROW_PROBABILITY:
+                sim.write_foreign_row(self._odd_rng)
             sim.run(sim.rng.uniform(50, 800))
         net.is_fault_free = True
         sim.set_store_outage(False)
@@ -174,16 +178,18 @@
             GuaranteeError: A node differs, or a shard is not served.
         """
         sim = self.sim
-        expected = FleetState()
-        expected.add_service(KEYED_SERVICE, SHARDS)
+        expected = new_fleet_state()
         for version in range(1, len(sim.fleet_log) + 1):
-            entry = sim.entry(version)
+            entry = sim.fleet_log.entry(version)
             assert isinstance(entry, Entry)
             expected.apply(entry)
         for node in sim.nodes.values():
             if node.paused:
                 continue
             fleet = node.fleet
+            if any(fleet.version < position for position in sim.fleet_log.foreign_positions):
+                detail = f"n{node.number} has version {fleet.version}, before a foreign row"
+                raise GuaranteeError("P2", detail)
             has_converged = (
                 fleet.digest == expected.digest or len(sim.fleet_log) - fleet.version <= 1
             )
--- a/tools/soak_fleet.py
+++ b/tools/soak_fleet.py
@@ -10,13 +10,13 @@
 
 from auburnsail import _effects as effects
 from auburnsail._clock import NS_PER_MS
-from auburnsail._fleet import FleetState
 from auburnsail._membership import Membership
 from auburnsail._messages import Codec, Propose
 from auburnsail._model import Entry, Transfer, decode_entry
 from auburnsail._moves import GateDecision, Mover
 from auburnsail._rules import TICK_MS
 from auburnsail._session import NodeIdentity
+from tools.soak_fleet_log import FleetLog, new_fleet_state
 from tools.soak_nodes import (
     FAULT_WEIGHTS,
     FAULTS,
@@ -56,7 +56,7 @@
         self.store_down = False
         self.lost_answer_share = 0.0  # Share of appends to the store whose reply is lost.
         self.cut_links: set[tuple[int, int]] = set()  # Pairs of sender and receiver.
-        self.fleet_log: list[bytes] = []  # Encoded entries in the store.
+        self.fleet_log = FleetLog()
         self.nodes: dict[int, FakeNode] = {}
         self.event_counts: Counter = Counter()  # Journal notes, commands and others by kind.
         self.fault_counts: Counter = Counter()  # Injected faults by kind.
@@ -69,7 +69,6 @@
         self.last_fault_end_ns = 0  # End of the latest fault.
         self._keyed_nodes = nodes - unkeyed
         self.table = SettingsTable(self)
-        self._decoded_entries: list[Entry] = []
         self.transfers: list[Transfer] = []  # Transfers in the fleet log, oldest first.
         self._events: list[tuple[int, int, Callable[[], None]]] = []
         self._sequence = 0
@@ -82,8 +81,7 @@
         address = f"10.0.0.{number}:1"
         identity = NodeIdentity(f"n{number}", region, domain, address, address, "a")
         rng = random.Random(self.rng.getrandbits(64))
-        fleet = FleetState()
-        fleet.add_service(KEYED_SERVICE, SHARDS)
+        fleet = new_fleet_state()
         membership = Membership(identity, fleet, Codec(SECRET, rng.getrandbits(48)), rng)
         membership.session.set_upstream(self.service_of(number), 4)
         drift = self.rng.uniform(-MAX_CLOCK_DRIFT, MAX_CLOCK_DRIFT)
@@ -236,6 +234,14 @@
             message = Propose(command.id, f"10.0.0.{sender.number}:1", (command,))
             self._send(sender, recorder, sender.membership._codec.encode(message))
 
+    def write_foreign_row(self, rng: random.Random) -> None:
+        """Leaves a row at the end of the fleet log that is no entry, unless the store is down."""
+        if self.store_down:
+            return
+        self.fleet_log.append_foreign_row(rng)
+        self.fault_counts["foreign-row"] += 1
+        self.add_trace_event(f"log {len(self.fleet_log)}: row of another writer")
+
     def set_store_outage(self, is_down: bool) -> None:
         """Starts or ends a store outage."""
         self.add_trace_event("store down" if is_down else "store up")
@@ -322,11 +328,10 @@
                 self._record_commands(request.data)
                 self.fault_counts["lost-write"] += is_lost
                 reply: effects.StoreReply = effects.Appended()
-            elif self.entry(request.expected + 1).id == request.append_id:
+            elif self.fleet_log.entry(request.expected + 1).id == request.append_id:
                 reply = effects.Appended()
             else:
-                records = enumerate(self.fleet_log[request.expected :], request.expected + 1)
-                reply = effects.Superseded(tuple(records))
+                reply = effects.Superseded(tuple(self.fleet_log.rows_after(request.expected)))
             if not is_lost:
                 self._reply(node, request, reply)
 
@@ -357,7 +362,7 @@
             if self.store_down:
                 return None
             if is_fleet:
-                return [(0, data) for data in self.fleet_log[fetch.after :]]
+                return self.fleet_log.rows_after(fetch.after)
             return self.table.records_after(fetch.after)
         peer = self.nodes[int(fetch.address.split(":")[0].split(".")[3])]
         links = {(asker, peer.number), (peer.number, asker)}
@@ -370,14 +375,8 @@
         newest = (replica.settings_version, replica.settings_data)
         return [newest] if newest[0] > fetch.after else []
 
-    def entry(self, version: int) -> Entry | None:
-        """Returns an entry of the fleet log in the store, or None if it has no such version."""
-        while len(self._decoded_entries) < min(version, len(self.fleet_log)):
-            self._decoded_entries.append(decode_entry(self.fleet_log[len(self._decoded_entries)]))
-        return self._decoded_entries[version - 1] if version <= len(self.fleet_log) else None
-
     def _check_applied(self, node: FakeNode, entry: Entry) -> None:
-        if entry != self.entry(entry.version):
+        if entry != self.fleet_log.entry(entry.version):
             detail = f"n{node.number} applied entry {entry.version}, which differs from the store's"
             raise GuaranteeError("P2", detail)
 
--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -27,12 +27,14 @@
 from auburnsail._data_path import DataPath
 from auburnsail._effects import Appended, OutcomeUnknown
 from auburnsail._gate import RequestGate
+from auburnsail._model import Entry, decode_entry
 from auburnsail._moves import GateDecision, Mover
 from auburnsail._outcome import not_run
 from auburnsail._replica import POLL_INTERVAL_MS, Replica
 from auburnsail._request_policy import RequestPolicy
 from auburnsail._retry import AttemptLog
 from auburnsail._store import Transaction
+from auburnsail.exceptions import InvalidInputError
 from tools.soak import RunResult, run_seed
 
 __all__ = ["MUTATIONS", "Mutation", "find_violation"]
@@ -80,6 +82,14 @@
         return _ORIGINAL_APPEND(self, expected, append_id, data, checks)
 
 
+def _decode_entries_only(self, data: bytes, position: int) -> Entry | None:
+    try:
+        entry = decode_entry(data)
+    except InvalidInputError:
+        return None
+    return entry if position in (0, entry.version) else None
+
+
 def _accept_any_version(self, version: int, data: bytes, now_ns: int = 0) -> bool:
     if version == self.version:
         return False
@@ -186,6 +196,11 @@
         "settings appended where a record exists",
         ((_versioned_log.VersionedLog, "append", _append_unconditionally),),
     ),
+    Mutation(
+        "P2",
+        "a row that is no entry of its position is not passed over",
+        ((_log_follower.FleetFollower, "_decode", _decode_entries_only),),
+    ),
     Mutation(
         "P3",
         "connection reused after a time-out",
