Soak: determine served shards again when other shards are released

Cause: the check for two owners keeps the shards that a node would serve until the version of the log, the session or the number of shards that are being released changes. A node may end the release of eight shards and begin that of eight others between two checks; then it counted as serving the latter. The same check could also miss a violation. No fault of the product was found.

Change: the set of released shards decides, not their number.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -3,7 +3,9 @@
 import unittest
 
 from tools.soak import run_seed
+from tools.soak_fleet import FleetSimulation
 from tools.soak_mutations import MUTATIONS, find_violation
+from tools.soak_nodes import KEYED_SERVICE
 
 # In the last two, a peer's answer is late, which must not block all further fetches of a node.
 SUB_SEEDS = (2, 3, 5, 7, 1542588269, 4031118404)
@@ -63,5 +65,28 @@
                 self.assertEqual((result.guarantee, result.found_by), (guarantee, "ledger"))
 
 
+class SingleOwnerCheckTest(unittest.TestCase):
+    """The check for two owners of a shard, which keeps the shards that each node would serve."""
+
+    def test_shards_of_a_node_are_determined_again_after_each_release(self):
+        """Guards against a violation that is none, and against one that is not seen.
+
+        A node that ended the release of some shards and began that of as many others, at the same
+        version of the log, counted as serving the wrong ones (sub-seed 195 on 78ad48c).
+        """
+        sim = FleetSimulation(1, nodes=4)
+        sim.run(4000)
+        node = sim.nodes[0]
+        row = node.fleet.sessions[node.membership.own_id]
+        target = sim.nodes[1].membership.own_id
+        shards = node.fleet.shards_of(row)[:2]
+        for shard, other in (shards, reversed(shards)):
+            node.mover._releases.clear()
+            node.mover.move(KEYED_SERVICE, [shard], target, node.now(sim.now_ns))
+            sim.check_single_owner()
+            self.assertNotIn(shard, node.served_cache[1])
+            self.assertIn(other, node.served_cache[1])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tools/soak_fleet.py
+++ b/tools/soak_fleet.py
@@ -124,7 +124,8 @@
         for node in self.nodes.values():
             if node.paused or node.dead or not self._may_serve(node):
                 continue
-            state = (node.fleet.version, node.mover.moving_shards, node.membership.own_id)
+            moving = frozenset(node.mover.releasing(KEYED_SERVICE))
+            state = (node.fleet.version, moving, node.membership.own_id)
             if node.served_cache[0] != state:
                 shards = [shard for shard in range(SHARDS) if self.would_admit(node, shard)]
                 node.served_cache = (state, shards)
@@ -286,9 +287,8 @@
                 case effects.StoreRequest():
                     self._append(node, effect)
                 case effects.FetchLog():
-                    self.call_later(
-                        self.rng.uniform(2, 60), lambda fetch=effect: self._fetch(node, fetch)
-                    )
+                    delay_ms = self.rng.uniform(2, 60)
+                    self.call_later(delay_ms, lambda fetch=effect: self._fetch(node, fetch))
                 case effects.Applied(entry=entry, results=results):
                     self._check_applied(node, entry)
                     self.observer.on_applied(node)
