Upstream stand-in: refusals and answers written once more

Change: faults repeat_refusal_share, repeat_answer_share, repeat_delay_ms and repeat_without_id, with the counter repeated. Copies are written on the same connection and never inside another answer. Refusals carry x-request-id, as successes did.

--- a/standins/server.py
+++ b/standins/server.py
@@ -5,12 +5,16 @@
 
 import errno
 import itertools
+from collections.abc import Callable
 
 import gevent
 from gevent import socket
+from gevent.lock import BoundedSemaphore
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 CONNECTION_ENVIRON_KEY = "standin.connection"
+# Of an answer that is longer, only the beginning is kept.
+MAX_RECORDED_BYTES = 64 * 1024
 
 
 class Connection:
@@ -19,10 +23,12 @@
     Attributes:
         number: Sequence number in the order of acceptance.
         has_work: Whether it has carried a request other than an administrative one.
+        write_lock: Held while an answer is written.
     """
 
     def __init__(self, sock: socket.socket, number: int) -> None:
         self._socket = sock
+        self.write_lock = BoundedSemaphore(1)
         self.number = number
         self.has_work = False
 
@@ -44,6 +50,15 @@
             return True
         return False
 
+    def write_between_answers(self, data: bytes) -> bool:
+        """Writes bytes that belong to no answer; returns False if the connection has ended."""
+        with self.write_lock:
+            try:
+                self._socket.sendall(data)
+            except OSError:
+                return False
+        return True
+
     def _is_closed(self) -> bool:
         try:
             return not self._socket._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
@@ -59,6 +74,28 @@
     def __init__(self, sock, address, server, rfile=None) -> None:
         super().__init__(sock, address, server, rfile)
         self._connection = server.open_connection(sock)
+        self._written = b""
+        self._is_writing = False
+
+    def handle_one_response(self) -> None:
+        """Handles one request, and reports its answer to the server if the connection is kept."""
+        self._written = b""
+        try:
+            super().handle_one_response()
+        finally:
+            if self._is_writing:
+                self._is_writing = False
+                self._connection.write_lock.release()
+        if self._written and not self.close_connection:
+            self.server.on_answer(self._connection, self._written)
+
+    def _sendall(self, data: bytes) -> None:
+        if not self._is_writing:
+            self._connection.write_lock.acquire()
+            self._is_writing = True
+        if len(self._written) <= MAX_RECORDED_BYTES:
+            self._written += data
+        super()._sendall(data)
 
     def get_environ(self) -> dict:
         """Returns the WSGI environment of the current request, with its connection."""
@@ -97,6 +134,7 @@
 
     Attributes:
         connections: Open connections.
+        on_answer: Called with a connection that is kept and the answer that was written to it.
         most_working_connections: Maximum of `working_connections` since the start.
     """
 
@@ -109,6 +147,7 @@
         self._newest_number = 0
         self._last_silent_number = 0
         self.connections: set[Connection] = set()
+        self.on_answer: Callable[[Connection, bytes], None] = lambda connection, answer: None
         self.most_working_connections = 0
 
     @property
@@ -138,13 +177,17 @@
         """Makes all connections accepted so far silent for the rest of their lifetime."""
         self._last_silent_number = self._newest_number
 
+    def is_silent(self, connection: Connection) -> bool:
+        """Returns whether a connection is silent."""
+        return connection.number <= self._last_silent_number
+
     def block_if_silent(self, connection: Connection) -> None:
         """Returns at once unless the connection is silent.
 
         Raises:
             ConnectionResetError: The connection is silent and the peer has closed it.
         """
-        if connection.number <= self._last_silent_number:
+        if self.is_silent(connection):
             connection.wait_closed(None)
             raise ConnectionResetError(errno.ECONNRESET, "silent connection")
 
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -29,6 +29,7 @@
     Ledger,
     now_ns,
 )
+from .repeats import AnswerRepeater
 from .reports import DelayedReports
 from .server import CONNECTION_ENVIRON_KEY, Connection, UpstreamServer
 from .upstream_model import Counters, Faults, Options
@@ -127,7 +128,7 @@
         deadline_ms = float(environ.get("HTTP_AUBURNSAIL_DEADLINE_MS", "inf"))
         reason = reason or self._refusal_reason(connection, grant, deadline_ms)
         if reason:
-            return self._respond_refused(reason, start_response)
+            return self._respond_refused(reason, environ, start_response)
         execution = Execution(
             number=0,
             upstream=self._options.name,
@@ -233,11 +234,12 @@
             return "slots-full"
         return self._epoch_fence.check(grant, now_ns()) if grant else ""
 
-    def _respond_refused(self, reason: str, start_response) -> list[bytes]:
+    def _respond_refused(self, reason: str, environ: dict, start_response) -> list[bytes]:
         increment(self.counters.refused, reason)
         status = self.faults.shed_status if reason in ("shed", "slots-full") else 503
         body = msgspec.json.encode({"reason": reason, "upstream": self._options.name})
-        return _respond(start_response, status, body, [NOT_RUN_HEADER])
+        request_id = ("x-request-id", environ.get("HTTP_X_REQUEST_ID", ""))
+        return _respond(start_response, status, body, [NOT_RUN_HEADER, request_id])
 
     def _service_time_s(self, override_ms: str | None) -> float:
         """Returns the service time of the next request in seconds.
@@ -378,6 +380,7 @@
     upstream = Upstream(Options(**values), Ledger(ledger, ledger_limit))
     server = UpstreamServer((host, int(port)), upstream, connect_ms)
     upstream.server = server
+    AnswerRepeater(server, lambda: upstream.faults, upstream.counters, random.Random(listen))
     server.start()
     gevent.signal_handler(signal.SIGTERM, drain_and_exit, upstream, server)
     gevent.spawn(
--- a/standins/upstream_model.py
+++ b/standins/upstream_model.py
@@ -14,6 +14,11 @@
         shed_share: Share of requests that are refused although slots are free.
         shed_status: Status of refusals by `shed_share` and of refusals for lack of slots, 429 or
             503.
+        repeat_refusal_share: Share of refusals that are written once more on the same connection.
+        repeat_answer_share: Share of the other answers to work that are written once more.
+        repeat_delay_ms: Time between an answer and its copy. A copy is never written inside an
+            answer.
+        repeat_without_id: Whether copies lack the id of the request.
         load_lag_ms: Age of the reported load.
         load_factor: Multiplier of the reported load.
         health_lag_ms: Age of the reported health.
@@ -26,6 +31,10 @@
     speed: float = 1.0
     shed_share: float = 0.0
     shed_status: int = 503
+    repeat_refusal_share: float = 0.0
+    repeat_answer_share: float = 0.0
+    repeat_delay_ms: float = 0.0
+    repeat_without_id: bool = False
     load_lag_ms: float = 0.0
     load_factor: float = 1.0
     health_lag_ms: float = 0.0
@@ -38,12 +47,14 @@
     Attributes:
         outcomes: Number of executions by outcome.
         refused: Number of requests that were not run, by reason.
+        repeated: Number of copies that were written, by kind: ``refusal`` or ``answer``.
         most_running: Maximum number of requests that ran concurrently.
         late_work: Number of requests that arrived more than 2 s after the drain began.
     """
 
     outcomes: dict[str, int] = {}
     refused: dict[str, int] = {}
+    repeated: dict[str, int] = {}
     most_running: int = 0
     late_work: int = 0
 
--- a/tests/test_upstream_standin.py
+++ b/tests/test_upstream_standin.py
@@ -5,20 +5,25 @@
 import tempfile
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 
 import gevent
 import msgspec
 
+from auburnsail._dialect import Dialect
 from auburnsail._pool import HttpPeer
 from auburnsail.exceptions import OutcomeUnknownError
 from standins.ledger import now_ns, read_ledger
 from tests.fleet import ROOT, free_port, wait_until
+from tests.path_fakes import PathNode, connect, exchange, reason_of, request
 
 NS_PER_S = 1_000_000_000
+# The stand-in names the request in each answer and itself in each success.
+DIALECT = Dialect(request_id="x-request-id", server_seal="x-upstream")
 
 
-class UpstreamTest(unittest.TestCase):
-    """Each test runs its own process of the upstream stand-in."""
+class StandinTestCase(unittest.TestCase):
+    """Starts processes of the upstream stand-in and calls them."""
 
     def start(self, *arguments: str) -> HttpPeer:
         """Starts an upstream and returns a client for it."""
@@ -41,6 +46,10 @@
         """Returns the decoded response of an administrative path."""
         return msgspec.json.decode(peer.fetch("POST", path, body, timeout_s=5).body)
 
+
+class UpstreamTest(StandinTestCase):
+    """Each test runs its own process of the upstream stand-in."""
+
     def test_refuses_superseded_and_expired_grants(self):
         """Guards against an upstream that runs requests with superseded or expired grants.
 
@@ -106,3 +115,99 @@
                 self.call(peer, "bad", standin_crash=1)
             runs = [(run.request_id, run.outcome) for run in read_ledger(path)]
         self.assertEqual(runs, [("good", "completed"), ("bad", "crashed")])
+
+
+class RepeatedAnswerTest(StandinTestCase):
+    """The HTTP server and request path of a node whose stand-in writes answers once more."""
+
+    def set_faults(self, **faults) -> None:
+        """Replaces the faults of the stand-in."""
+        body = msgspec.json.encode(faults)
+        self.assertEqual(self.admin.fetch("POST", "/admin/faults", body, timeout_s=5).status, 200)
+
+    def start_node(self, service_ms: int) -> None:
+        """Starts the stand-in and a node that serves all keys with it."""
+        peer = self.start("--grants", "ignored", "--service-ms", str(service_ms))
+        self.admin = HttpPeer(peer.address)
+        self.node = PathNode(
+            "n", SimpleNamespace(address=peer.address), "catalogue", dialect=DIALECT
+        )
+        self.addCleanup(self.node.stop)
+        connect(self.node, owner=self.node)
+
+    def send(self, request_id: str) -> tuple[int, str, bytes]:
+        """Sends a request to the node and returns status, outcome and body of the answer."""
+        lines = (f"x-request-id: {request_id}", "auburnsail-deadline-ms: 2000")
+        data = exchange(self.node.address, request("POST", "/catalogue/k", *lines, body=b"x"))
+        return *reason_of(data)[:2], data.partition(b"\r\n\r\n")[2]
+
+    def executed_ids(self) -> list[str]:
+        """Returns the ids of the requests that the stand-in has run."""
+        return [run["request_id"] for run in self.fetch_json(self.admin, "/admin/ledger")]
+
+    def send_many(self, prefix: str) -> dict[str, tuple[int, str, bytes]]:
+        """Sends requests one after another and returns the answers by id."""
+        return {f"{prefix}-{number}": self.send(f"{prefix}-{number}") for number in range(40)}
+
+    def check_answers(self, answers: dict[str, tuple[int, str, bytes]]) -> None:
+        """Checks that each caller was told what happened to its own request."""
+        executed = self.executed_ids()
+        for request_id, (status, outcome, body) in answers.items():
+            self.assertLessEqual(executed.count(request_id), 1, request_id)
+            if status == 200:
+                self.assertEqual(msgspec.json.decode(body)["request"], request_id)
+            if outcome == "not-run":
+                self.assertNotIn(request_id, executed)
+
+    def test_a_copy_reaches_the_next_request_on_the_connection(self):
+        """Guards against a fault that writes nothing, or only on connections that end."""
+        peer = self.start("--service-ms", "400")
+        admin = HttpPeer(peer.address)
+        for without_id in (False, True):
+            faults = {"repeat_answer_share": 1, "repeat_delay_ms": 100}
+            faults["repeat_without_id"] = without_id
+            self.fetch_json(admin, "/admin/faults", msgspec.json.encode(faults))
+            first, second = self.call(peer, "a"), self.call(peer, "b")
+            self.assertEqual(second.body, first.body)
+            self.assertEqual("x-request-id" in dict(second.headers), not without_id)
+            self.fetch_json(admin, "/admin/faults", b"{}")
+            peer.drop_idle()
+        self.assertGreaterEqual(self.fetch_json(admin, "/admin/counters")["repeated"]["answer"], 2)
+
+    def test_a_node_does_not_pass_on_copies(self):
+        """Guards against answers to the wrong caller, and against "not run" after an execution.
+
+        The copies come directly after the answer, or while the next request runs.
+        """
+        self.start_node(service_ms=15)
+        for delay_ms in (0, 6):
+            for without_id in (False, True):
+                with self.subTest(delay_ms=delay_ms, without_id=without_id):
+                    self.set_faults(
+                        shed_share=0.3,
+                        repeat_refusal_share=1,
+                        repeat_answer_share=1,
+                        repeat_delay_ms=delay_ms,
+                        repeat_without_id=without_id,
+                    )
+                    answers = self.send_many(f"{delay_ms}-{without_id}")
+                    self.check_answers(answers)
+                    outcomes = {outcome for _, outcome, _ in answers.values()}
+                    self.assertIn("not-run", outcomes)
+                    self.assertIn("", outcomes)
+        repeated = self.fetch_json(self.admin, "/admin/counters")["repeated"]
+        self.assertGreater(min(repeated["refusal"], repeated["answer"]), 0)
+
+    def test_a_copy_of_its_refusal_does_not_answer_the_second_attempt(self):
+        """Guards against "not run" for a request that runs at its second attempt.
+
+        The copy has the id of both attempts, so only the connection tells them apart.
+        """
+        self.start_node(service_ms=150)
+        for number in range(3):
+            self.set_faults(shed_share=1, repeat_refusal_share=1, repeat_delay_ms=60)
+            self.assertEqual(self.send(f"r{number}")[:2], (503, "not-run"))
+            self.set_faults()
+            self.assertEqual(self.send(f"r{number}")[0], 200)
+            self.assertEqual(self.executed_ids().count(f"r{number}"), 1)
+        self.assertEqual(self.fetch_json(self.admin, "/admin/counters")["repeated"]["refusal"], 3)
