make fuzz: run whole nodes beside another writer

Change: tools/fuzz_nodes.py starts three nodes with their upstreams and a store as processes. Another writer leaves rows of the fleet log, checkpoints, announcements, datagrams with a valid tag and bytes at the data and control addresses; nodes are killed and started again in between.

Not written: repeated answers, since the built-in dialect has no request id.

--- a/Makefile
+++ b/Makefile
@@ -61,12 +61,14 @@
 
 SEED ?= 1
 DURATION_S ?= 60
+NODES_DURATION_S ?= 20
 
 soak: .venv
 	$(PY) -m tools.soak --seed $(SEED) --duration-s $(DURATION_S) $(if $(SUB_SEED),--sub-seed $(SUB_SEED))
 
 fuzz: .venv
 	$(PY) -m tools.fuzz --seed $(SEED) --duration-s $(DURATION_S)
+	$(PY) -m tools.fuzz_nodes --seed $(SEED) --duration-s $(NODES_DURATION_S)
 
 soak-mutations: .venv
 	$(PY) -m tools.soak_mutations
--- a/tools/fuzz.py
+++ b/tools/fuzz.py
@@ -2,7 +2,7 @@
 
 Each round takes a valid input of one decoder, replaces parts of it by odd values or changes its
 bytes, and passes it on. A decoder may refuse an input only with the errors that its callers expect.
-A round is repeatable by its seed. Whole nodes are not run.
+A round is repeatable by its seed. `tools/fuzz_nodes.py` runs whole nodes.
 """
 
 import logging
