--- a/tools/soak.py
+++ b/tools/soak.py
@@ -43,9 +43,9 @@
     (3, 4, 1, 2, 1, 10, 8),
 )
 MOVES_PROFILE_INDEX = 2
-# Every fourth sub-seed has upstreams that write answers once more, and another writer in the store.
-RUNS_PER_ODD_RUN = 4
-ODD_RUN_INDEX = 3
+# Every eighth sub-seed has upstreams that write answers once more, and another writer in the store.
+RUNS_PER_ODD_RUN = 8
+ODD_RUN_INDEX = 7
 STOP_PROBABILITY = 0.08
 SILENCE_PROBABILITY = 0.08
 FOREIGN_ROW_PROBABILITY = 0.2
