--- a/tools/soak_mutations.py
+++ b/tools/soak_mutations.py
@@ -27,12 +27,14 @@
 from auburnsail._data_path import DataPath
 from auburnsail._effects import Appended, OutcomeUnknown
 from auburnsail._gate import RequestGate
+from auburnsail._model import Entry, decode_entry
 from auburnsail._moves import GateDecision, Mover
 from auburnsail._outcome import not_run
 from auburnsail._replica import POLL_INTERVAL_MS, Replica
 from auburnsail._request_policy import RequestPolicy
 from auburnsail._retry import AttemptLog
 from auburnsail._store import Transaction
+from auburnsail.exceptions import InvalidInputError
 from tools.soak import RunResult, run_seed
 
 __all__ = ["MUTATIONS", "Mutation", "find_violation"]
@@ -80,6 +82,14 @@
         return _ORIGINAL_APPEND(self, expected, append_id, data, checks)
 
 
+def _decode_entries_only(self, data: bytes, position: int) -> Entry | None:
+    try:
+        entry = decode_entry(data)
+    except InvalidInputError:
+        return None
+    return entry if position in (0, entry.version) else None
+
+
 def _accept_any_version(self, version: int, data: bytes, now_ns: int = 0) -> bool:
     if version == self.version:
         return False
@@ -107,6 +117,18 @@
     return failures[-1].refusal
 
 
+def _finish_without_refused_id(self, **_refused_id: str) -> None:
+    _ORIGINAL_FINISH(self)
+
+
+def _accept_without_id(*statuses: int) -> Callable:
+    def find_refusal(dialect, answer, address, request_id, *, repeatable):
+        expected_id = "" if answer.status in statuses else request_id
+        return _ORIGINAL_FIND_REFUSAL(dialect, answer, address, expected_id, repeatable=repeatable)
+
+    return find_refusal
+
+
 def _admit_while_draining(self, service: str, shard: int, now_ns: int) -> GateDecision:
     drain_reason, self._drain_reason = self._drain_reason, ""
     try:
@@ -122,6 +144,8 @@
 
 
 _ORIGINAL_ADMIT = Mover.admit
+_ORIGINAL_FINISH = _exchange.Exchange.finish
+_ORIGINAL_FIND_REFUSAL = _attempt.find_refusal
 _ORIGINAL_APPEND = _versioned_log.VersionedLog.append
 _ALWAYS_TRUE = property(lambda self: True)
 
@@ -172,6 +196,11 @@
         "settings appended where a record exists",
         ((_versioned_log.VersionedLog, "append", _append_unconditionally),),
     ),
+    Mutation(
+        "P2",
+        "a row that is no entry of its position is not passed over",
+        ((_log_follower.FleetFollower, "_decode", _decode_entries_only),),
+    ),
     Mutation(
         "P3",
         "connection reused after a time-out",
@@ -197,6 +226,21 @@
             (AttemptLog, "check_reported_outcome", lambda self, outcome: None),
         ),
     ),
+    Mutation(
+        "P3",
+        "an answer without the id of the request is relayed",
+        ((_attempt, "find_refusal", _accept_without_id(200)),),
+    ),
+    Mutation(
+        "P4",
+        "not run counts without the id of the request",
+        ((_attempt, "find_refusal", _accept_without_id(503)),),
+    ),
+    Mutation(
+        "P4",
+        "a request uses a connection again on which it was refused",
+        ((_exchange.Exchange, "finish", _finish_without_refused_id),),
+    ),
     Mutation("P5", "unknown outcome sent again", ((AttemptLog, "may_send", _ALWAYS_TRUE),)),
     Mutation("P5", "every method repeatable", ((RequestPolicy, "is_repeatable", lambda *_: True),)),
     Mutation("P6", "a drain does not stop admission", ((Mover, "admit", _admit_while_draining),)),
