Reserve the ports of a test run until it ends; show why a fleet did not start

Seen: test_a_running_node_reloads_on_sighup failed beside another run of the tests, and with 127.0.0.1:9464 taken; a LocalFleet ended once with "fleet start" after 20 s, without a trace.

Cause: that node takes the fixed metrics port of deploy/system.toml on 127.0.0.1. free_port and free_addresses bound a port, released it and returned it, so that another run could take it before a process listened on it, or while the process restarted; free_port did not look at datagrams, which a node's control address uses as well. The output of a quiet fleet was dropped.

Change: tools/ports.py keeps a socket bound to each port until the process ends. The node of the test keeps the port of the deployment and gets a loopback address of its own (127.x.y.z), so what the test checks is as before. LocalFleet writes the output of a quiet fleet to files; if it does not start, the error has state, status and last lines of each process, and the files are kept. A fleet whose platform stand-in does not start ends its processes.

Whether the one "fleet start" after 20 s came from a port is not known; the next one shows its output.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,7 +1,7 @@
 """A small fleet of real processes on loopback, for tests."""
 
 import os
-import random
+import shutil
 import signal
 import subprocess
 import sys
@@ -13,39 +13,17 @@
 
 import gevent
 import msgspec
-from gevent import socket
 
 from auburnsail._pool import Answer, HttpPeer
 from auburnsail.exceptions import AuburnsailError
+from tools.ports import reserve_port
 
 ROOT = Path(__file__).parent.parent
-PORT_RANGE = (10_000, 32_000)
-PORTS = (12_000, 32_000)
 START_TIMEOUT_S = 20.0
+SHOWN_OUTPUT_LINES = 20
 SECRET = "0123456789abcdef0123456789abcdef"
 
 
-_allocated_ports: set[int] = set()
-
-
-def free_port() -> int:
-    """Returns a free loopback port that was not returned before.
-
-    The port lies below the system's ephemeral range: an outgoing connection could occupy a port of
-    that range before the process that is to listen on it has started.
-    """
-    while True:
-        port = random.randrange(*PORTS)
-        with socket.socket() as sock:
-            try:
-                sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        if port not in _allocated_ports:
-            _allocated_ports.add(port)
-            return port
-
-
 def wait_until(condition: Callable[[], bool], event: str, timeout_s: float = START_TIMEOUT_S):
     """Polls a condition until it is true; an `AuburnsailError` counts as false.
 
@@ -107,7 +85,8 @@
 
     Args:
         tree: Settings tree of the first settings version.
-        quiet: Whether the output of the processes is discarded.
+        quiet: Whether the output of the processes goes to files, which are kept and shown in the
+            error if the fleet does not start.
 
     Attributes:
         upstream_options: Further command-line options of upstreams that start from now on.
@@ -120,26 +99,29 @@
     """
 
     def __init__(self, tree: dict, *, quiet: bool = False) -> None:
-        self._output = {"stdout": subprocess.DEVNULL, "stderr": subprocess.DEVNULL} if quiet else {}
+        self._quiet = quiet
         self._services: dict[str, str] = {}
         self.upstream_options: list[str] = []
-        self._processes: list[subprocess.Popen] = []
-        self._folder = tempfile.TemporaryDirectory(prefix="auburnsail-")
+        self._processes: list[tuple[str, subprocess.Popen]] = []
+        self._folder = Path(tempfile.mkdtemp(prefix="auburnsail-"))
+        self._has_failed = False
         self._environ = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}")
         self.members: dict[str, Member] = {}
         self.data_addresses: list[str] = []
         self.control_addresses: list[str] = []
         self.upstream_addresses: list[str] = []
-        port = free_port()
+        port = reserve_port()
         self.store_url = f"http://127.0.0.1:{port}"
         self.platform = HttpPeer(f"127.0.0.1:{port}")
-        self._spawn("standins.platform", "--listen", f"127.0.0.1:{port}")
-        wait_until(lambda: self._is_reachable(self.platform, "/admin/faults"), "platform start")
-        path = Path(self._folder.name) / "tree.json"
-        path.write_bytes(msgspec.json.encode(tree))
-        arguments = ["settings", "init", "--store", self.store_url, str(path)]
-        command = [sys.executable, "-m", "auburnsail._cli_operator", *arguments]
-        subprocess.run(command, env=self._environ, cwd=ROOT, check=True, capture_output=True)
+        self._spawn("platform", "standins.platform", "--listen", f"127.0.0.1:{port}")
+        try:
+            self._wait_start(
+                lambda: self._is_reachable(self.platform, "/admin/faults"), "platform start"
+            )
+            self._write_settings(tree)
+        except BaseException:
+            self.stop()
+            raise
 
     def add_node(
         self, name: str, region: str, domain: str, service: str, **settings: object
@@ -156,8 +138,8 @@
         Returns:
             The node and its upstream, which are still starting.
         """
-        data, control, upstream = (f"127.0.0.1:{free_port()}" for _ in range(3))
-        path = Path(self._folder.name) / f"{name}.json"
+        data, control, upstream = (f"127.0.0.1:{reserve_port()}" for _ in range(3))
+        path = self._folder / f"{name}.json"
         content = {
             "node": name,
             "region": region,
@@ -181,13 +163,14 @@
     def start(self, name: str) -> None:
         """Starts or restarts the processes of a member."""
         member = self.members[name]
-        path = Path(self._folder.name) / f"{name}.json"
-        member.processes = [self._spawn("auburnsail._cli_node", str(path))]
+        path = self._folder / f"{name}.json"
+        member.processes = [self._spawn(name, "auburnsail._cli_node", str(path))]
         if self._services[name]:
             arguments = ["--name", name, "--service", self._services[name]]
             arguments += ["--listen", member.upstream, "--node", member.control]
             arguments += self.upstream_options
-            member.processes.append(self._spawn("standins.upstream", *arguments))
+            process = self._spawn(f"{name}-upstream", "standins.upstream", *arguments)
+            member.processes.append(process)
 
     def kill(self, name: str) -> None:
         """Kills the processes of a node and its upstream and waits until they have exited."""
@@ -207,7 +190,8 @@
         If too few do, half of the shards of the largest owner move to a member without any.
 
         Raises:
-            TimeoutError: The fleet did not reach this state in time.
+            TimeoutError: The fleet did not reach this state in time; the message has the state and
+                the last output of each process.
         """
 
         def is_ready() -> bool:
@@ -227,7 +211,7 @@
                 HttpPeer(self.members[source].control).fetch("POST", target, timeout_s=2.0)
             return len(versions) == 1 and ready and len(owner_names) >= owners
 
-        wait_until(is_ready, "fleet start")
+        self._wait_start(is_ready, "fleet start")
 
     def request(self, address: str, method: str, target: str, request_id: str) -> Answer:
         """Sends a request to a node's data address and returns the answer."""
@@ -235,19 +219,66 @@
         return HttpPeer(address).fetch(method, target, timeout_s=5.0, headers=headers)
 
     def stop(self) -> None:
-        """Kills all processes and removes the temporary folder."""
-        for process in self._processes:
+        """Kills all processes; removes the temporary folder unless the fleet failed to start."""
+        for _, process in self._processes:
             process.send_signal(signal.SIGCONT)
             process.kill()
-        for process in self._processes:
+        for _, process in self._processes:
             process.wait()
-        self._folder.cleanup()
+        if not self._has_failed:
+            shutil.rmtree(self._folder)
 
-    def _spawn(self, module: str, *arguments: str) -> subprocess.Popen:
+    def _write_settings(self, tree: dict) -> None:
+        """Writes the first settings version to the store.
+
+        Raises:
+            RuntimeError: The command failed; the message has its output.
+        """
+        path = self._folder / "tree.json"
+        path.write_bytes(msgspec.json.encode(tree))
+        arguments = ["settings", "init", "--store", self.store_url, str(path)]
+        command = [sys.executable, "-m", "auburnsail._cli_operator", *arguments]
+        result = subprocess.run(
+            command, env=self._environ, cwd=ROOT, check=False, capture_output=True, text=True
+        )
+        if result.returncode:
+            raise RuntimeError(f"settings init: {result.returncode}: {result.stderr}")
+
+    def _spawn(self, name: str, module: str, *arguments: str) -> subprocess.Popen:
         command = [sys.executable, "-m", module, *arguments]
-        process = subprocess.Popen(command, env=self._environ, cwd=ROOT, **self._output)
-        self._processes.append(process)
+        with self._output_path(name).open("ab") as output:
+            streams = {"stdout": output, "stderr": subprocess.STDOUT} if self._quiet else {}
+            process = subprocess.Popen(command, env=self._environ, cwd=ROOT, **streams)
+        self._processes.append((name, process))
         return process
 
+    def _output_path(self, name: str) -> Path:
+        return self._folder / f"{name}.out"
+
+    def _wait_start(self, condition: Callable[[], bool], event: str) -> None:
+        """Waits as `wait_until` does; an error shows what the processes did and wrote."""
+        try:
+            wait_until(condition, event, START_TIMEOUT_S)
+        except TimeoutError as error:
+            self._has_failed = True
+            raise TimeoutError(f"{error}\n{self._describe_processes()}") from error
+
+    def _describe_processes(self) -> str:
+        lines = [f"Output is kept in {self._folder}"]
+        for name, process in self._processes:
+            code = process.poll()
+            lines.append(f"{name}: {'running' if code is None else f'ended with {code}'}")
+            if name in self.members:
+                lines.append(f"  status: {self._status_of(name)}")
+            output = self._output_path(name).read_text(errors="replace").splitlines()
+            lines += [f"  {line}" for line in output[-SHOWN_OUTPUT_LINES:]]
+        return "\n".join(lines)
+
+    def _status_of(self, name: str) -> str:
+        try:
+            return str(self.members[name].get("/v1/status"))
+        except AuburnsailError as error:
+            return str(error)
+
     def _is_reachable(self, peer: HttpPeer, target: str) -> bool:
         return peer.fetch("GET", target, timeout_s=1.0).status == 200
--- a/tests/test_load.py
+++ b/tests/test_load.py
@@ -22,7 +22,7 @@
     plan_requests,
 )
 from auburnsail.exceptions import SettingsError
-from tests.fleet import free_port
+from tools.ports import reserve_port
 
 GET = RequestKind("GET", "/catalogue/{key}")
 
@@ -128,7 +128,7 @@
         server = WSGIServer(("127.0.0.1", 0), application, log=None, error_log=None)
         server.start()
         self.addCleanup(server.stop)
-        addresses = (f"127.0.0.1:{free_port()}", f"127.0.0.1:{server.server_port}")
+        addresses = (f"127.0.0.1:{reserve_port()}", f"127.0.0.1:{server.server_port}")
         client = LoadClient(addresses, follows_owner=False, avoid_s=0.0)
         run = LoadRun(client, LoadRecorder(1, 1), 1000, "r")
         schedule = plan_requests(Arrivals(100, 0.5), (GET,), KeySampler(10, 1.0), 3)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -28,8 +28,8 @@
 from auburnsail.platform._desired_state import RetryLimits, decode_desired_state
 from auburnsail.platform._reports import ReportApplication
 from tests.fake_table import FakeTable
-from tests.fleet import free_port
 from tests.test_platform_formats import DESIRED_STATE, REPORT, FakeControl
+from tools.ports import reserve_port
 
 DEEP = b"[" * 200_000
 DEEP_MSGPACK = b"\x91" * 200_000
@@ -261,7 +261,7 @@
 
     def test_no_address_raises_an_unexpected_error(self):
         """Guards against a node that fails in each renewal because one address is odd."""
-        own = f"127.0.0.1:{free_port()}"
+        own = f"127.0.0.1:{reserve_port()}"
         link = SimpleNamespace(record_sent=lambda size: None)
         udp = UdpSocket(own, lambda data, address: None, str, link)
         try:
--- a/tests/test_operator_docs.py
+++ b/tests/test_operator_docs.py
@@ -11,7 +11,8 @@
 from auburnsail import effective, parse_tree
 from auburnsail._pool import HttpPeer
 from auburnsail._settings_rules import parse_tree_strictly
-from tests.fleet import ROOT, free_port, wait_until
+from tests.fleet import ROOT, wait_until
+from tools.ports import reserve_port
 
 PAGE = ROOT / "docs" / "operators" / "settings.md"
 CONSOLE_BLOCK = re.compile(r"^```console\n(.*?)^```$", re.DOTALL | re.MULTILINE)
@@ -35,7 +36,7 @@
         program.chmod(0o755)
         path = f"{self.folder}:{os.environ['PATH']}"
         self.environ = dict(os.environ, PYTHONPATH=f"{ROOT / 'src'}:{ROOT}", PATH=path)
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{reserve_port()}"
         command = [sys.executable, "-m", "standins.platform", "--listen", address]
         platform = subprocess.Popen(command, env=self.environ, cwd=ROOT)
         self.addCleanup(platform.wait)
@@ -70,7 +71,7 @@
     def test_unavailable_store_has_its_own_exit_code(self):
         """Guards against an unavailable store that scripts cannot distinguish from a refusal."""
         command = ["auburnsail", "settings", "show", "--timeout-s", "0.1"]
-        environ = dict(self.environ, AUBURNSAIL_STORE=f"http://127.0.0.1:{free_port()}")
+        environ = dict(self.environ, AUBURNSAIL_STORE=f"http://127.0.0.1:{reserve_port()}")
         result = subprocess.run(command, env=environ, capture_output=True, check=False)
         self.assertEqual(result.returncode, 3)
 
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -15,13 +15,14 @@
 from auburnsail._outcome import not_run, refused, unknown
 from auburnsail._settings import Scope
 from auburnsail.exceptions import SettingsError
-from auburnsail.platform._boot_file import load_boot_file
+from auburnsail.platform._boot_file import METRICS_PORT, load_boot_file
 from auburnsail.platform._desired_state import RetryLimits, decode_desired_state
 from auburnsail.platform._header_names import DIALECT
 from auburnsail.platform._program import build_adapter
 from auburnsail.platform._reports import ReportApplication, decode_report, encode_grant
-from tests.fleet import ROOT, free_port
+from tests.fleet import ROOT
 from tools.fuzz import REPORT
+from tools.ports import reserve_host, reserve_port
 
 RETRY_LIMITS = RetryLimits(0.2, 56)
 BOOT_FILE = {
@@ -152,10 +153,12 @@
         """Guards against a reload signal that ends the process, the default action of SIGHUP."""
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "boot.json"
-            ports = {name: f"127.0.0.1:{free_port()}" for name in BOOT_FILE["listen"]}
-            store = {"address": f"127.0.0.1:{free_port()}"}
-            content = {"ip": "127.0.0.1", "listen": ports, "platform": store}
-            content["internal-ports"] = [free_port(), free_port()]
+            ports = {name: f"127.0.0.1:{reserve_port()}" for name in BOOT_FILE["listen"]}
+            store = {"address": f"127.0.0.1:{reserve_port()}"}
+            # The metrics port is that of the deployment; the address is this run's own.
+            host = reserve_host(METRICS_PORT)
+            content = {"ip": host, "listen": ports, "platform": store}
+            content["internal-ports"] = [reserve_port(), reserve_port()]
             path.write_bytes(msgspec.json.encode(BOOT_FILE | content))
             process = subprocess.Popen(
                 [sys.executable, "deploy/node.py", "--settings", str(path)],
--- a/tests/test_platform_standin.py
+++ b/tests/test_platform_standin.py
@@ -9,7 +9,8 @@
 from auburnsail._pool import HttpPeer
 from auburnsail._store import Check, HttpObjectStore, HttpTableStore, Put, Transaction
 from auburnsail.exceptions import OutcomeUnknownError, StoreUnavailableError
-from tests.fleet import ROOT, free_port, wait_until
+from tests.fleet import ROOT, wait_until
+from tools.ports import reserve_port
 
 
 class PlatformTest(unittest.TestCase):
@@ -18,7 +19,7 @@
     @classmethod
     def setUpClass(cls):
         """Starts the process and creates clients."""
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{reserve_port()}"
         command = [sys.executable, "-m", "standins.platform", "--listen", address]
         process = subprocess.Popen(command, cwd=ROOT)
         cls.addClassCleanup(process.wait)
--- a/tests/test_status_commands.py
+++ b/tests/test_status_commands.py
@@ -12,7 +12,8 @@
 from auburnsail._settings_changes import SettingsChanges
 from auburnsail._store import HttpTableStore
 from auburnsail._store_retry import RetrySchedule
-from tests.fleet import ROOT, SECRET, LocalFleet, free_port, wait_until
+from tests.fleet import ROOT, SECRET, LocalFleet, wait_until
+from tools.ports import reserve_port
 
 TREE = {"services": {"catalogue": {"keyed": True, "shards": 8}, "pledge": {}}}
 EXIT_REFUSED, EXIT_INVALID_INPUT, EXIT_UNAVAILABLE = 1, 2, 3
@@ -97,7 +98,7 @@
 
     def test_error_names_the_unreachable_node(self):
         """Guards against an error message without the address that did not answer."""
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{reserve_port()}"
         result = self.run_command("status", "--node", address)
         self.assertEqual(result.returncode, EXIT_UNAVAILABLE)
         self.assertIn(address, result.stderr)
--- a/tests/test_upstream_standin.py
+++ b/tests/test_upstream_standin.py
@@ -12,7 +12,8 @@
 from auburnsail._pool import HttpPeer
 from auburnsail.exceptions import OutcomeUnknownError
 from standins.ledger import now_ns, read_ledger
-from tests.fleet import ROOT, free_port, wait_until
+from tests.fleet import ROOT, wait_until
+from tools.ports import reserve_port
 
 NS_PER_S = 1_000_000_000
 
@@ -22,7 +23,7 @@
 
     def start(self, *arguments: str) -> HttpPeer:
         """Starts an upstream and returns a client for it."""
-        address = f"127.0.0.1:{free_port()}"
+        address = f"127.0.0.1:{reserve_port()}"
         command = [sys.executable, "-m", "standins.upstream", "--name", "u", "--service", "s"]
         process = subprocess.Popen([*command, "--listen", address, *arguments], cwd=ROOT)
         self.addCleanup(process.wait)
--- a/tools/bench.py
+++ b/tools/bench.py
@@ -18,8 +18,9 @@
 import psutil
 
 from auburnsail._pool import HttpPeer
-from tests.fleet import ROOT, SECRET, free_port, wait_until
+from tests.fleet import ROOT, SECRET, wait_until
 from tools.bench_processes import LoadResult
+from tools.ports import reserve_port
 
 LARGE_BODY_BYTES = 64 << 20
 SHARDS = 64
@@ -47,7 +48,7 @@
         self._processes: dict[str, subprocess.Popen] = {}
         self.data_addresses: dict[str, str] = {}
         self.upstream_addresses: dict[str, str] = {}
-        self._store_address = f"127.0.0.1:{free_port()}"
+        self._store_address = f"127.0.0.1:{reserve_port()}"
 
     def start(self) -> None:
         """Starts all processes and waits until both nodes answer requests for many keys."""
@@ -96,7 +97,7 @@
         return psutil.Process(self._processes[name].pid)
 
     def _start_node(self, name: str) -> None:
-        data, control, upstream = (f"127.0.0.1:{free_port()}" for _ in range(3))
+        data, control, upstream = (f"127.0.0.1:{reserve_port()}" for _ in range(3))
         path = self._folder / f"{name}.json"
         settings = {
             "node": name,
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -1,42 +1,23 @@
 """Starts the processes of a fleet on loopback and ends them by their process ids."""
 
 import os
-import random
 import signal
-import socket
 import subprocess
 import sys
 from pathlib import Path
 
 import msgspec
 
+from .ports import LOOPBACK, reserve_port
+
 ROOT = Path(__file__).parent.parent
 EXIT_TIMEOUT_S = 5.0
-# Below the ephemeral port range of Linux, so that no outgoing connection occupies a port between
-# its selection and the bind of the process.
-PORT_RANGE = (10_000, 32_000)
 FLEET_SECRET = "0123456789abcdef0123456789abcdef"
 
 
 def free_addresses(count: int) -> list[str]:
-    """Returns loopback addresses whose ports are currently free for TCP and UDP."""
-    bound_sockets: list[socket.socket] = []
-    addresses: list[str] = []
-    try:
-        while len(addresses) < count:
-            port = random.SystemRandom().randrange(*PORT_RANGE)
-            pair = (socket.socket(), socket.socket(socket.AF_INET, socket.SOCK_DGRAM))
-            bound_sockets += pair
-            try:
-                for sock in pair:
-                    sock.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-            addresses.append(f"127.0.0.1:{port}")
-    finally:
-        for sock in bound_sockets:
-            sock.close()
-    return addresses
+    """Returns loopback addresses that are reserved for this process and free for TCP and UDP."""
+    return [f"{LOOPBACK}:{reserve_port()}" for _ in range(count)]
 
 
 class Processes:
