Count a crash of the upstream once, however many requests it breaks

Callers saw: requests refused with 422 `quarantined` that had crashed nothing (make poison, "other requests refused").

Cause: each request whose connection closed without an answer checks for a crash by connecting to the upstream. CrashMonitor compared the address with the last crash before that connection, which gives way to other requests (the address is resolved in a thread), and noted the crash after it. So all requests that a crash broke found it new, and each recorded a crash of its own with those still in flight. A harmless request was counted up to seven times by one crash and refused on all nodes.

In the trace node-0 has 7 broken exchanges within 2 ms and records 7 crashes within 8 ms, the last with b0 alone; node-1 to node-3 count b0 seven times, poison once.

Change: the checks take turns, so all requests that the crash broke are still in flight when it is recorded; those that were in flight are not counted again, also after an announcement that the upstream sent before it crashed. A check that begins after an exchange broke and finds the upstream well holds for that exchange too, so requests wait for two checks at most.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -289,7 +289,7 @@
                     raise
                 self._report_silence(context, exchange)
                 if local is not None and not exchange.interrupt_reason:
-                    self._crash_monitor.on_broken_exchange(address)
+                    self._crash_monitor.on_broken_exchange(context, address)
                 raise failure_of(context, exchange, error) from error
         finally:
             context.exchange = None
--- a/src/auburnsail/_crash_monitor.py
+++ b/src/auburnsail/_crash_monitor.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import gevent
+from gevent.lock import Semaphore
 
 from ._active_requests import RequestContext
 from ._clock import Clock
@@ -35,7 +36,11 @@
         self._clock = clock
         self._on_crash = on_crash
         self._running: dict[RequestContext, bytes | None] = {}
+        self._counted: set[RequestContext] = set()
         self._crashed_address = ""
+        self._check_lock = Semaphore()
+        self._checks_started = 0
+        self._accepted: tuple[str, int] = ("", 0)
         self.quarantine = Quarantine()
 
     def start(self, context: RequestContext) -> None:
@@ -54,17 +59,37 @@
     def end(self, context: RequestContext, completed: bool) -> None:
         """Records that a request is no longer in flight."""
         digest = self._running.pop(context, None)
+        self._counted.discard(context)
         if digest is not None:
             self.quarantine.record_end(digest, completed)
 
-    def on_broken_exchange(self, address: str) -> None:
-        """Checks for a crash after the upstream closed a connection without an answer."""
-        if address == self._crashed_address or not self._running or accepts_connections(address):
-            return
-        self._crashed_address = address
-        self._fingerprint_running()
-        now_ns = self._clock.now_ns()
-        self._on_crash(self.quarantine.record_crash(f"{self._node}:{now_ns}", now_ns))
+    def on_broken_exchange(self, context: RequestContext, address: str) -> None:
+        """Checks for a crash after the upstream closed a connection without an answer.
+
+        A crash breaks the exchanges of all running requests and counts once, with all of them. The
+        checks take turns, so that each request counts as running until the crash is recorded.
+
+        Args:
+            context: The request whose exchange broke; it has not ended yet.
+            address: Address of the upstream.
+        """
+        checks_before = self._checks_started
+        with self._check_lock:
+            if address == self._crashed_address or context in self._counted:
+                return
+            accepted_address, accepted_check = self._accepted
+            if accepted_address == address and accepted_check > checks_before:
+                # The upstream accepted a connection after this exchange broke.
+                return
+            self._checks_started += 1
+            if accepts_connections(address):
+                self._accepted = (address, self._checks_started)
+                return
+            self._crashed_address = address
+            self._counted.update(self._running)
+            self._fingerprint_running()
+            now_ns = self._clock.now_ns()
+            self._on_crash(self.quarantine.record_crash(f"{self._node}:{now_ns}", now_ns))
 
     def on_announcement(self) -> None:
         """Records that the upstream is running again, because it has announced itself."""
