Detect a crash whose process is still closing its sockets

Cause: the check after a broken exchange connects to the upstream once. The system closes the connections of an ending process before the socket on which it listened, and meanwhile accepts a connection or doesn't answer it. Both counted as "has not crashed". The poison request then ended unsuspected; where other requests found the crash later, they were suspected in its place.

Change: keeps_connections connects up to three times, 50 ms each, and waits 10 ms for the end of a connection that was accepted; the crash check uses it, in place of one connection of at most 200 ms. A request whose upstream closed the connection without having ended waits 10 ms.

--- a/src/auburnsail/_crash_monitor.py
+++ b/src/auburnsail/_crash_monitor.py
@@ -9,7 +9,7 @@
 from ._clock import Clock
 from ._outcome import QUARANTINED, not_run, refused
 from ._quarantine import CrashNotice, Quarantine, Treatment, fingerprint
-from ._sockets import accepts_connections
+from ._sockets import keeps_connections
 
 __all__ = ["CrashMonitor"]
 
@@ -82,7 +82,7 @@
                 # The upstream accepted a connection after this exchange broke.
                 return
             self._checks_started += 1
-            if accepts_connections(address):
+            if keeps_connections(address):
                 self._accepted = (address, self._checks_started)
                 return
             self._crashed_address = address
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -13,6 +13,7 @@
     "enable_keepalive",
     "endpoint",
     "is_open_and_idle",
+    "keeps_connections",
     "send_all",
     "set_options",
     "shut_down",
@@ -21,6 +22,9 @@
 MAX_PORT = 65_535
 MAX_HOST_LENGTH = 253
 CONNECT_PROBE_TIMEOUT_S = 0.2
+MAX_CONNECT_PROBES = 3
+RETRIED_PROBE_TIMEOUT_S = 0.05
+STAYS_OPEN_S = 0.01
 # A silent connection acknowledges nothing. Ten round trips between regions take 0.4 s.
 USER_TIMEOUT_MS = 500
 # An idle silent connection ends after two unanswered probes, 3 s, which is about the bound on the
@@ -70,6 +74,32 @@
     return True
 
 
+def keeps_connections(address: str) -> bool:
+    """Returns False if an address refuses connections, at once or after it dropped one.
+
+    While a process ends, the system may still accept a connection on the socket on which the
+    process listened, or not answer; such a connection is tried again. If all are dropped, the
+    result is True, because this does not show that nothing listens. It takes `STAYS_OPEN_S` if the
+    address keeps a connection, and at most the time-outs of `MAX_CONNECT_PROBES` connections.
+    """
+    for _ in range(MAX_CONNECT_PROBES):
+        try:
+            sock = socket.create_connection(endpoint(address), RETRIED_PROBE_TIMEOUT_S)
+        except ConnectionRefusedError:
+            return False
+        except (TimeoutError, ConnectionResetError):
+            continue
+        except OSError:
+            return True
+        with sock, contextlib.suppress(ConnectionResetError):
+            sock.settimeout(STAYS_OPEN_S)
+            try:
+                sock.recv(1)
+            except TimeoutError:
+                return True
+    return True
+
+
 def send_all(sock: socket.socket, data: bytes) -> None:
     """Sends all bytes; blocks while the peer does not read.
 
--- a/tests/test_crash_monitor.py
+++ b/tests/test_crash_monitor.py
@@ -5,16 +5,18 @@
 from unittest import mock
 
 import gevent
+from gevent import socket
 from gevent.event import Event
 
 from auburnsail._clock import BootClock
 from auburnsail._crash_monitor import CrashMonitor
 from auburnsail._quarantine import CrashNotice, Treatment, fingerprint
+from auburnsail._sockets import endpoint
 from tools.ports import LOOPBACK, reserve_port
 
 POISON = ("POST", "/pledge/poison", b"poison")
 HARMLESS = [("GET", f"/pledge/basket-{number}", b"") for number in range(5)]
-ACCEPTS_CONNECTIONS = "auburnsail._crash_monitor.accepts_connections"
+KEEPS_CONNECTIONS = "auburnsail._crash_monitor.keeps_connections"
 
 
 class FakeContext:
@@ -49,6 +51,15 @@
             self.monitor.start(context)
         return contexts
 
+    def listen(self, backlog: int = 16) -> socket.socket:
+        """Returns a socket that listens on the upstream's address and accepts nothing by itself."""
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(endpoint(self.address))
+        listener.listen(backlog)
+        self.addCleanup(listener.close)
+        return listener
+
     def break_exchange(self, context: FakeContext) -> None:
         """Ends a request as `AttemptRunner` does after a connection closed without an answer."""
         self.monitor.on_broken_exchange(context, self.address)
@@ -106,13 +117,54 @@
             return True
 
         contexts = self.start(*HARMLESS[:2])
-        with mock.patch(ACCEPTS_CONNECTIONS, probe):
+        with mock.patch(KEEPS_CONNECTIONS, probe):
             greenlets = self.break_exchanges(contexts)
             gevent.sleep(0)
             probes[0].set()
             gevent.joinall(greenlets, raise_error=True)
         self.assertEqual(len(self.notices), 1)
 
+    def test_a_process_that_still_listens_while_it_ends_has_crashed(self):
+        """Guards against a poison request that is not suspected, and others that are in its place.
+
+        The connections of a process that ends are closed before the socket that it listened on.
+        """
+        listener = self.listen()
+        gevent.spawn_later(0.002, listener.close)
+        self.break_exchange(*self.start(POISON))
+        self.assertEqual(
+            [notice.fingerprints for notice in self.notices], [(fingerprint(*POISON),)]
+        )
+
+    def test_a_process_that_no_longer_answers_while_it_ends_has_crashed(self):
+        """Guards against a crash that is missed because the check got no answer and timed out."""
+        listener = self.listen(backlog=0)
+        for _ in range(4):
+            # Fills the queue of connections, so that further ones are not answered.
+            sock = socket.socket()
+            self.addCleanup(sock.close)
+            sock.setblocking(False)
+            sock.connect_ex(endpoint(self.address))
+        gevent.spawn_later(0.02, listener.close)
+        self.break_exchange(*self.start(POISON))
+        self.assertEqual(
+            [notice.fingerprints for notice in self.notices], [(fingerprint(*POISON),)]
+        )
+
+    def test_an_upstream_that_closes_connections_has_not_crashed(self):
+        """Guards against requests that are suspected because the upstream closed a connection."""
+        listener = self.listen()
+        self.break_exchange(*self.start(POISON))
+
+        def close_all() -> None:
+            while True:
+                listener.accept()[0].close()
+
+        closer = gevent.spawn(close_all)
+        self.addCleanup(closer.kill)
+        self.break_exchange(*self.start(POISON))
+        self.assertEqual(self.notices, [])
+
     def test_waiting_requests_share_one_check(self):
         """Guards against answers that are late because each broken exchange is checked in turn."""
         first_probe, probes = Event(), []
@@ -124,7 +176,7 @@
             return True
 
         contexts = self.start(*HARMLESS)
-        with mock.patch(ACCEPTS_CONNECTIONS, probe):
+        with mock.patch(KEEPS_CONNECTIONS, probe):
             greenlets = self.break_exchanges(contexts)
             gevent.sleep(0)
             first_probe.set()
--- a/tools/soak_patches.py
+++ b/tools/soak_patches.py
@@ -42,7 +42,7 @@
             (_exchange, "is_open_and_idle", lambda sock: sock.is_open_and_idle),
             (_pool, "is_open_and_idle", lambda sock: sock.is_open_and_idle),
             (_limits, "AsyncResult", lambda: _FakeAsyncResult(net)),
-            (_crash_monitor, "accepts_connections", lambda address: address in net.listeners),
+            (_crash_monitor, "keeps_connections", lambda address: address in net.listeners),
         ):
             stack.enter_context(mock.patch.object(module, name, replacement))
         # Runs cause failed requests on purpose, so their log lines are suppressed.
