make poison: send all poison requests before the quarantine may expire

Seen: make poison loses 3 upstreams against 2 when the attempts take a little longer than usual.

Cause: a fault of the experiment. The quarantine of its settings lasts 3 s from the second crash; the 28 requests after it take 2.9 s at 0.1 s each. One that comes later finds the entry expired, as docs/requests.md says ("refused until the quarantine ends"), runs and crashes a third upstream.

A run with 30 attempts that missed for this reason was not caught.

Change: the quarantine lasts twice the planned time of the attempts (6 s for 30). All bounds stay, and the wait for its end stays at 8 s. The experiment also fails if the attempts outlast the quarantine, since such a run does not show the bound.

--- a/tools/poison.py
+++ b/tools/poison.py
@@ -5,6 +5,7 @@
 but must never be refused.
 """
 
+import math
 import sys
 import time
 from dataclasses import dataclass, field
@@ -19,11 +20,12 @@
 from tests.fleet import LocalFleet, wait_until
 
 LOCATIONS = (("wien", "wien-1"), ("wien", "wien-2"), ("tirol", "tirol-1"), ("tirol", "tirol-2"))
-TREE = {"services": {"pledge": {"quarantine": {"expiry_s": 3}}}}
 MAX_UPSTREAMS_LOST = 2
 POISON_INTERVAL_S = 0.1
 CALLERS = 8
 REFUSED = "refused"
+# The quarantine lasts longer than the attempts: after its end a poison request runs again, by rule.
+EXPIRY_FACTOR = 2
 
 
 @dataclass(slots=True)
@@ -35,12 +37,14 @@
         poison_outcomes: Number of poison requests by outcome.
         other_outcomes: Number of other requests by outcome.
         quarantine_ended: Whether the request was served again after the quarantine had expired.
+        attempts_in_time: Whether all poison requests were sent before the quarantine could expire.
     """
 
     upstreams_lost: int = 0
     poison_outcomes: dict[str, int] = field(default_factory=dict)
     other_outcomes: dict[str, int] = field(default_factory=dict)
     quarantine_ended: bool = False
+    attempts_in_time: bool = False
 
     def missed_bounds(self) -> list[str]:
         """Returns a message for each bound that was missed."""
@@ -55,6 +59,8 @@
             missed.append("no other request was served")
         if not self.quarantine_ended:
             missed.append("the quarantine did not expire")
+        if not self.attempts_in_time:
+            missed.append("the attempts took longer than the quarantine")
         return missed
 
 
@@ -65,7 +71,9 @@
         attempts: Number of times the poison request is sent.
     """
     result = ExperimentResult()
-    fleet = LocalFleet(TREE, quiet=True)
+    expiry_s = math.ceil(EXPIRY_FACTOR * attempts * POISON_INTERVAL_S)
+    tree = {"services": {"pledge": {"quarantine": {"expiry_s": expiry_s}}}}
+    fleet = LocalFleet(tree, quiet=True)
     try:
         for number, (region, domain) in enumerate(LOCATIONS):
             fleet.add_node(f"node-{number}", region, domain, "pledge")
@@ -76,10 +84,12 @@
             for n in range(CALLERS)
         ]
         gevent.sleep(1.0)
+        first_attempt_s = time.monotonic()
         for attempt in range(attempts):
             reason = _send_poison(fleet, attempt)
             result.poison_outcomes[reason] = result.poison_outcomes.get(reason, 0) + 1
             gevent.sleep(POISON_INTERVAL_S)
+        result.attempts_in_time = time.monotonic() - first_attempt_s < expiry_s
         stop_event.set()
         gevent.joinall(callers, timeout=5.0)
         upstreams = [member.processes[1] for member in fleet.members.values()]
