Test directly that a restarted watcher does not count as its predecessor

Change: two tests without random choices. A close whose evidence is a seal in the name of the new incarnation is rejected; a renewal that names the earlier incarnation gets no acknowledgement.

--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -125,6 +125,21 @@
         evidence = (Evidence(self.first.id, silent_ms), Evidence(self.second.id, silent_ms))
         self.assertEqual(self.append(Close("c", lost.id, evidence)), [""])
 
+    def test_a_restarted_watcher_does_not_seal_in_its_own_name(self):
+        """Guards against a close by a watcher that has lost what its predecessor acknowledged.
+
+        The log names the watcher's earlier incarnation. A seal by the next one proves nothing about
+        the leases that the earlier one acknowledged.
+        """
+        lost = session("n3", 1, "c@1", watchers=(self.first.id, self.second.id))
+        self.append(Join("4", lost))
+        restarted = session("n1", 2, "a@1")
+        self.append(Resume("r", self.first.id, restarted))
+        silent_ms = silence_before_seal_ns() // NS_PER_MS
+        evidence = (Evidence(restarted.id, silent_ms), Evidence(self.second.id, silent_ms))
+        self.assertNotEqual(self.append(Close("c", lost.id, evidence)), [""])
+        self.assertIn(lost.id, self.fleet.sessions)
+
     def row(self, session: Session):
         """Returns the fleet's row of an open session."""
         return self.fleet.sessions[session.id]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -5,8 +5,9 @@
 
 from auburnsail import _rules
 from auburnsail._checkpoint import dump_fleet, restore_fleet
+from auburnsail._effects import Send
 from auburnsail._fleet import FleetState
-from auburnsail._messages import Codec, ProposalQueued
+from auburnsail._messages import Ack, Codec, ProposalQueued, Renewal
 from auburnsail._model import SessionId, Transfer, decode_entry
 from auburnsail._moves import GateDecision
 from auburnsail._watcher import Seal, Watcher
@@ -135,6 +136,22 @@
         self.assertTrue(second.membership.proposals.is_in_log("copy"))
         self.assertEqual(fleet.owner(KEYED_SERVICE, shard).session.id, ids[0])
 
+    def test_a_restarted_watcher_does_not_acknowledge_renewals_of_its_predecessor(self):
+        """Guards against a lease that a watcher extends although its predecessor sealed it.
+
+        Which sessions the earlier incarnation sealed is lost when the process is restarted.
+        """
+        membership, holder = self.sim.nodes[0].membership, self.sim.nodes[1].membership.own_id
+        own_id = membership.own_id
+        now_ns = self.sim.nodes[0].now(self.sim.now_ns)
+        codec = Codec(SECRET, 1)
+        for incarnation, acknowledged in ((own_id.incarnation, 1), (own_id.incarnation - 1, 0)):
+            renewal = Renewal(holder, SessionId(own_id.node, incarnation), now_ns, 0, 0)
+            effects = membership.on_datagram(codec.encode(renewal), "holder", now_ns)
+            sent = [codec.decode(effect.data) for effect in effects if isinstance(effect, Send)]
+            acks = [message for message in sent if isinstance(message, Ack)]
+            self.assertEqual(len(acks), acknowledged, incarnation)
+
     def test_log_entries_apply_on_top_of_a_checkpoint(self):
         """Guards against a different state on a node that joined from a checkpoint."""
         fleet = self.sim.nodes[0].fleet
