Tests: move shards to a new member once while a fleet starts

Cause: LocalFleet.wait_ready asks members for their state one after another and moves half of the largest owner's shards to a member without any. A state from before a move at the one and from after it at the other shows 0 and 4, so 2 more of the 4 move: 6 and 2. While a move is in progress it is also requested again at each poll. Such a move may be carried out after the test has begun.

Evidence: the two new tests that replay these states fail on the code before, one with the moves of 4 and 2 shards.

Change: a move is requested only if all states have the same version, and again only after the version has risen. tests/test_fleet_ports.py is now tests/test_fleet_of_tests.py.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -194,7 +194,10 @@
                 the last output of each process.
         """
 
+        moved_at_version = 0
+
         def is_ready() -> bool:
+            nonlocal moved_at_version
             states = {name: member.get("/v1/status") for name, member in self.members.items()}
             watchers = min(3, len(states) - 1)
             ready = all(
@@ -203,8 +206,12 @@
             )
             versions = {state["fleet_version"] for state in states.values()}
             owner_names = [name for name in states if states[name]["shards"]]
-            if ready and owner_names and len(owner_names) < owners:
+            version = max(versions)
+            # States of different versions may show shards of a finished move at neither node.
+            can_move = ready and len(versions) == 1 and version > moved_at_version
+            if can_move and owner_names and len(owner_names) < owners:
                 # A node that joined after the first assignment owns no shards; move some to it.
+                moved_at_version = version
                 newcomer = next(n for n in states if self._services[n] and not states[n]["shards"])
                 source = max(owner_names, key=lambda name: states[name]["shards"])
                 target = f"/v1/move?target={newcomer}&shards={states[source]['shards'] // 2}"
--- a/tests/test_fleet_ports.py
+++ b/tests/test_fleet_of_tests.py
@@ -1,9 +1,10 @@
-"""Ports of test runs side by side, and the error of a fleet that does not start."""
+"""The fleet of tests: ports of runs side by side, moves before it is ready, a failed start."""
 
 import random
 import shutil
 import unittest
 from pathlib import Path
+from types import SimpleNamespace
 from unittest import mock
 
 from gevent import socket
@@ -60,6 +61,50 @@
             self.listen(host, port)
 
 
+class WaitReadyTest(unittest.TestCase):
+    """The moves that give shards to members without any, with members that only report a state."""
+
+    def moves(self, *states: tuple[tuple[int, int], tuple[int, int]]) -> list[str]:
+        """Returns the requested moves; each state is version and shards of the two members."""
+        fleet, reports = LocalFleet.__new__(LocalFleet), iter(states)
+        fleet._services, current = {"a": "pledge", "b": "pledge"}, []
+
+        def status(number: int) -> dict:
+            if number == 0:
+                current[:] = next(reports)
+            version, shards = current[number]
+            return {
+                "may_serve": True,
+                "watchers": ["other"],
+                "fleet_version": version,
+                "shards": shards,
+            }
+
+        fleet.members = {
+            name: SimpleNamespace(control=name, get=lambda target, n=number: status(n))
+            for number, name in enumerate("ab")
+        }
+        with mock.patch("tests.fleet.HttpPeer") as peer:
+            fleet.wait_ready(owners=2)
+        fetches = peer.return_value.fetch.call_args_list
+        return [call.args[1] for call in fetches]
+
+    def test_shards_that_have_just_moved_are_not_moved_again(self):
+        """Guards against shards that move after the start, from reports before and after a move."""
+        moves = self.moves(((5, 0), (5, 8)), ((5, 0), (6, 4)), ((6, 4), (6, 4)))
+        self.assertEqual(moves, ["/v1/move?target=a&shards=4"])
+
+    def test_a_move_is_not_requested_twice_while_it_is_in_progress(self):
+        """Guards against shards that move after the start because a move took a moment."""
+        moves = self.moves(((5, 0), (5, 8)), ((5, 0), (5, 8)), ((6, 4), (6, 4)))
+        self.assertEqual(moves, ["/v1/move?target=a&shards=4"])
+
+    def test_a_move_without_effect_is_requested_again(self):
+        """Guards against a start that waits in vain for a move that the owner gave up."""
+        moves = self.moves(((5, 0), (5, 8)), ((6, 0), (6, 8)), ((7, 4), (7, 4)))
+        self.assertEqual(len(moves), 2)
+
+
 class FailedStartTest(unittest.TestCase):
     """A fleet whose node ends at its start."""
 
