test_full_link: bound the downloads that are forwarded, not the wall-clock time of their answers

Cause: a trace of the pacer beside 12 busy processes on 8 cores shows that the link never idles while a block waits (9 ms in all at most), but sends its first block 36 to 91 ms after the requests arrived: the test's one process serves 20 callers, two nodes and an upstream, and the 9 downloads that are let through leave 90 ms. No node can know that ahead; the decision was right, and a ready answer is delivered, also late.

Change: the test bounds the number of downloads by what the link carries until the deadline, from both sides, and test_link_load checks in virtual time that none ends after its deadline, to the nanosecond and with a service time, which the test here never had.

--- a/tests/test_full_link.py
+++ b/tests/test_full_link.py
@@ -85,6 +85,7 @@
         """Guards against forwarded requests whose answers arrive too late over this VM's link.
 
         The link is full, so another VM would run downloads in vain while their callers wait.
+        test_link_load checks when answers end in virtual time; here a busy machine would delay them.
         """
         remote_upstream = FakeUpstream(lambda sock, run: _answer(run.head))
         owner = PathNode("b", remote_upstream, "catalogue")
@@ -94,19 +95,20 @@
         line = f"auburnsail-deadline-ms: {DEADLINE_MS}"
         data = request("GET", "/catalogue/download", line)
         exchange(self.address, data)
-        started_s, answers = time.monotonic(), []
+        answers = []
 
         def send_request() -> None:
             answer = exchange(self.address, data)
-            answers.append((reason_of(answer), len(answer), time.monotonic() - started_s))
+            answers.append((reason_of(answer), len(answer)))
 
         gevent.joinall([gevent.spawn(send_request) for _ in range(20)], raise_error=True)
         served = [item for item in answers if item[0][0] == 200 and item[1] > len(DOWNLOAD_BODY)]
         refused = [item for item in answers if item[0] == (503, "not-run", "link-full")]
         self.assertEqual(len(served) + len(refused), 20)
         self.assertEqual(len(remote_upstream.runs), 1 + len(served))
-        self.assertGreater(len(served), 0.75 * DEADLINE_MS / 1000 / DOWNLOAD_DURATION_S)
-        self.assertLess(max(duration_s for *_, duration_s in served), DEADLINE_MS / 1000)
+        capacity = DEADLINE_MS / 1000 / DOWNLOAD_DURATION_S
+        self.assertGreater(len(served), 0.75 * capacity)
+        self.assertLess(len(served), capacity)
 
     def test_a_large_settings_record_is_fetched_in_time_over_a_full_link(self):
         """Guards against a settings change that nodes with narrow links apply seconds late."""
