An answer counts as stalled from its last progress, not from its start

Callers saw: a caller that read steadily but slowly, or whose answer waited for a narrow link behind others, was reset in the middle of its answer after 30 s in all. A block of a streamed answer, up to 64 KiB, had 30 s in all as well.

Cause: the stall deadline was set once before a write. The write's own progress and the wait for the VM's link were not seen.

Nothing is added to the write of a small answer except two flags. Bytes that the socket accepts are too coarse: the kernel wakes a blocked writer only when a large part of its buffer is free.

`test_stalled_answers_end` replaces the time-out in the module that now uses it; its bounds are the same.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -32,6 +32,7 @@
 SILENT = "silent"
 STALLED = "stalled"
 
+# Longest time that an answer may be relayed without progress.
 STALL_TIMEOUT_NS = 30_000 * NS_PER_MS
 
 
@@ -69,7 +70,8 @@
         upstream_attempts: Number of failed attempts that reached an upstream.
         local_service: Service of the request if the local upstream admitted it.
         silence_deadline_ns: When the current attempt ends if the peer is silent, 0 for never.
-        stall_deadline_ns: When the answer counts as stalled, 0 before relaying began.
+        progress_ns: When the answer last advanced, 0 before relaying began.
+        acknowledged_bytes: Bytes that the caller's kernel had acknowledged at the last sweep.
         stop_reason: Why the request was stopped, or an empty string.
         is_overdue: Whether a sweep has found the deadline passed.
         caller_end: How the caller ended its connection, ``closed`` or ``reset``; empty if it has
@@ -77,6 +79,7 @@
     """
 
     __slots__ = (
+        "acknowledged_bytes",
         "answer_bytes",
         "attempts",
         "body_prefix",
@@ -98,12 +101,12 @@
         "outcome",
         "owner_hint",
         "peer",
+        "progress_ns",
         "reason",
         "request",
         "request_id",
         "silence_deadline_ns",
         "soft_deadline_ns",
-        "stall_deadline_ns",
         "started_ns",
         "status",
         "stop_reason",
@@ -139,7 +142,8 @@
         self.exchange: Exchange | None = None
         self.connecting: socket.socket | None = None
         self.silence_deadline_ns = 0
-        self.stall_deadline_ns = 0
+        self.progress_ns = 0
+        self.acknowledged_bytes = 0
         self.stop_reason = ""
         self.caller_end = ""
         self.is_overdue = False
@@ -290,13 +294,13 @@
             self._stop(context, CALLER_GONE)
 
     def _check_time(self, context: RequestContext, now_ns: int) -> None:
-        is_relaying = context.stall_deadline_ns > 0
+        is_relaying = context.progress_ns > 0
         if now_ns >= context.deadline_ns and (context.covers_body or not is_relaying):
             if context.is_overdue or not _has_unread_answer(context):
                 self._stop(context, DEADLINE)
             context.is_overdue = True
         elif is_relaying:
-            if now_ns >= context.stall_deadline_ns:
+            if _is_stalled(context, now_ns):
                 self._stop(context, STALLED)
         elif 0 < context.silence_deadline_ns <= now_ns:
             exchange = context.exchange
@@ -309,6 +313,23 @@
             self._on_stop(reason)
 
 
+def _is_stalled(context: RequestContext, now_ns: int) -> bool:
+    """Returns whether the answer has not advanced for the stall time-out; records its progress.
+
+    While a part is being written, the bytes that the caller acknowledges are progress. The wait for
+    the VM's link is not the caller's.
+    """
+    request = context.request
+    if request.is_waiting_for_link:
+        context.progress_ns = now_ns
+    elif request.is_writing:
+        acknowledged = request.acknowledged_bytes()
+        if acknowledged != context.acknowledged_bytes:
+            context.acknowledged_bytes = acknowledged
+            context.progress_ns = now_ns
+    return now_ns - context.progress_ns >= STALL_TIMEOUT_NS
+
+
 def _is_answer_arriving(context: RequestContext) -> bool:
     """Returns whether the peer has sent a part of its answer."""
     exchange = context.exchange
--- a/src/auburnsail/_caller_request.py
+++ b/src/auburnsail/_caller_request.py
@@ -45,6 +45,9 @@
     def send(self, data: bytes) -> None:
         """Sends bytes to the caller."""
 
+    def acknowledged_bytes(self) -> int:
+        """Returns the number of bytes that the caller's kernel has acknowledged."""
+
     def reset(self) -> None:
         """Resets the connection."""
 
@@ -56,6 +59,7 @@
         head: Parsed head of the request.
         body: Body of the request, read on demand.
         is_answered: Whether sending the answer has begun.
+        is_writing: Whether a part of the answer is being sent.
         is_answer_complete: Whether the whole answer was sent.
     """
 
@@ -67,6 +71,7 @@
         "head",
         "is_answer_complete",
         "is_answered",
+        "is_writing",
     )
 
     def __init__(self, connection: "CallerConnection", head: RequestHead) -> None:
@@ -76,6 +81,7 @@
         self.head = head
         self.body = RequestBody(connection, head, connection.server.max_body_bytes)
         self.is_answered = False
+        self.is_writing = False
         self.is_answer_complete = False
 
     @property
@@ -90,6 +96,11 @@
         """Whether the answer is complete and the connection can be used again."""
         return self._can_reuse_connection
 
+    @property
+    def is_waiting_for_link(self) -> bool:
+        """Whether the next block of the answer waits for its turn on the VM's link."""
+        return self._message is not None and self._message.is_waiting
+
     def connection_facts(self, now_ns: int) -> dict[str, object]:
         """Returns the state of the caller's connection for log lines.
 
@@ -108,6 +119,10 @@
         """Returns the file descriptor of the caller's connection, -1 if it is closed."""
         return self._connection.sock.fileno()
 
+    def acknowledged_bytes(self) -> int:
+        """Returns the number of bytes on the connection that the caller has acknowledged."""
+        return self._connection.acknowledged_bytes()
+
     def send(self, data: bytes, total_bytes: int = 0) -> None:
         """Sends a part of the answer; blocks while the caller does not read or the link is full.
 
@@ -118,14 +133,18 @@
         Raises:
             CallerGoneError: The caller closed the connection.
         """
-        self.is_answered = True
+        self.is_answered = self.is_writing = True
         connection = self._connection
-        if connection.server.link is None:
-            connection.send(data)
-            return
-        if self._message is None:
-            self._message = connection.server.link.begin(max(total_bytes, len(data)))
-        self._message.send(connection.send, data)
+        link = connection.server.link
+        try:
+            if link is None:
+                connection.send(data)
+                return
+            if self._message is None:
+                self._message = link.begin(max(total_bytes, len(data)))
+            self._message.send(connection.send, data)
+        finally:
+            self.is_writing = False
 
     def end(self, *, keep_alive: bool) -> None:
         """Records that the answer is complete and whether the connection can be reused."""
--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -22,7 +22,7 @@
 from ._http_head import MAX_HEAD_BYTES, parse_head
 from ._link_sender import LinkSender
 from ._outcome import RequestFailedError, refused
-from ._sockets import ReadCancelledError, cancel_read, send_all, shut_down
+from ._sockets import ReadCancelledError, acknowledged_bytes, cancel_read, send_all, shut_down
 from ._sweeper import Sweeper
 from .exceptions import CallerGoneError
 
@@ -156,6 +156,10 @@
         """Implements `ByteSource.send_continue`."""
         self.send(_CONTINUE)
 
+    def acknowledged_bytes(self) -> int:
+        """Implements `CallerConnection.acknowledged_bytes`."""
+        return acknowledged_bytes(self.sock)
+
     def reset(self) -> None:
         """Closes the connection with a TCP reset."""
         with contextlib.suppress(OSError):
--- a/src/auburnsail/_link_sender.py
+++ b/src/auburnsail/_link_sender.py
@@ -30,6 +30,11 @@
         self._sender = sender
         self._transfer = transfer
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether the next block waits for its turn."""
+        return self._transfer is not None and self._sender.is_waiting(self._transfer)
+
     def send(self, write: Callable[[bytes | memoryview], None], data: bytes) -> None:
         """Writes a part of the message; blocks until all of it is written.
 
@@ -106,6 +111,10 @@
         finally:
             self.stop_waiting(transfer)
 
+    def is_waiting(self, transfer: LinkTransfer) -> bool:
+        """Returns whether the next block of a transfer waits for its turn."""
+        return transfer.number in self._ready_events
+
     def stop_waiting(self, transfer: LinkTransfer) -> None:
         """Stops waiting for the next block of a transfer; does nothing if it is not waiting."""
         event = self._ready_events.pop(transfer.number, None)
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -1,7 +1,7 @@
 """Sends requests to peers and relays their answers to callers, one block at a time."""
 
 from . import _headers
-from ._active_requests import CALLER_GONE, DEADLINE, STALL_TIMEOUT_NS, STOPPING, RequestContext
+from ._active_requests import CALLER_GONE, DEADLINE, STOPPING, RequestContext
 from ._admission import Result, Utilisation
 from ._answer_parser import AnswerParser
 from ._clock import Clock
@@ -222,14 +222,14 @@
             body += read_body(exchange, buffer_limit_bytes)
         _finish(context, exchange)
         context.release(Result.ANSWERED)
-        # The answer is complete, so the deadline no longer ends the request. A caller that has not
-        # read it within the stall time-out does.
+        # The answer is complete, so the deadline no longer ends the request. A caller that reads
+        # nothing for the stall time-out does.
         context.covers_body = False
-        context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
+        context.progress_ns = clock.now_ns()
         request.send(head + body if body else head)
         request.end(keep_alive=keep_alive)
         return
-    context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
+    context.progress_ns = clock.now_ns()
     try:
         _stream(context, exchange, answer, head, is_chunked, clock)
     except OutcomeUnknownError:
@@ -254,7 +254,7 @@
         pending += _chunk(block) if is_chunked else block
         request.send(pending, answer.length or UNKNOWN_LENGTH_BYTES)
         pending = b""
-        context.stall_deadline_ns = clock.now_ns() + STALL_TIMEOUT_NS
+        context.progress_ns = clock.now_ns()
     if is_chunked:
         pending += _LAST_CHUNK
     if pending:
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import select
+import struct
 
 from gevent import socket
 
@@ -11,6 +12,7 @@
     "USER_TIMEOUT_MS",
     "ReadCancelledError",
     "accepts_connections",
+    "acknowledged_bytes",
     "cancel_read",
     "enable_keepalive",
     "endpoint",
@@ -33,6 +35,8 @@
 # spread of settings.
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
+# `tcpi_bytes_acked` in `struct tcp_info` of Linux.
+_BYTES_ACKED = struct.Struct("120xQ")
 
 
 class ReadCancelledError(OSError):
@@ -129,6 +133,19 @@
         sock.sendall(memoryview(data)[sent:])
 
 
+def acknowledged_bytes(sock: socket.socket) -> int:
+    """Returns the number of sent bytes that the peer has acknowledged, 0 if the socket is closed.
+
+    Unlike the bytes that a socket accepts, this advances with each packet that the peer has room
+    for; the kernel wakes a blocked writer only when a large part of its buffer is free.
+    """
+    try:
+        data = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, _BYTES_ACKED.size)
+    except OSError:
+        return 0
+    return _BYTES_ACKED.unpack(data)[0] if len(data) == _BYTES_ACKED.size else 0
+
+
 def is_open_and_idle(sock: socket.socket) -> bool:
     """Returns whether a connection is open and has no bytes to read; does not block."""
     poll = select.poll()
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -431,7 +431,7 @@
             closed.append(run.head[:4])
 
         self.upstream.script = script
-        with mock.patch("auburnsail._relay.STALL_TIMEOUT_NS", 100_000_000):
+        with mock.patch("auburnsail._active_requests.STALL_TIMEOUT_NS", 100_000_000):
             for method in ("GET", "POST"):
                 with open_connection(self.owner.address) as sock:
                     sock.sendall(request(method))
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -6,11 +6,13 @@
 from unittest.mock import Mock
 
 import gevent
+from gevent import socket
 from structlog.testing import capture_logs
 
-from auburnsail._clock import BootClock
+from auburnsail._clock import NS_PER_MS, BootClock
 from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
 from auburnsail._link_sender import LinkSender
+from auburnsail._sockets import endpoint
 from tests.path_fakes import (
     OK,
     FakeUpstream,
@@ -22,6 +24,7 @@
     wait_for,
 )
 
+STALL_TIMEOUT = "auburnsail._active_requests.STALL_TIMEOUT_NS"
 POST = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx"
 
 
@@ -46,6 +49,78 @@
         self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 40_000)
 
 
+class SlowAnswerTest(unittest.TestCase):
+    """One node that gives up an answer without progress after 0.4 s."""
+
+    HEADS = (
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 60000\r\n\r\n", b""),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nea60\r\n", b"\r\n0\r\n\r\n"),
+    )
+
+    def setUp(self):
+        """Starts the upstream."""
+        self.enterContext(mock.patch(STALL_TIMEOUT, 400 * NS_PER_MS))
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+
+    def start(self, **options) -> PathNode:
+        """Starts the node."""
+        node = PathNode("n", self.upstream, "catalogue", **options)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        return node
+
+    def connect_slow_caller(self, node: PathNode) -> socket.socket:
+        """Returns a connection with small packets, whose kernel buffers hold little."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        sock.connect(endpoint(node.address))
+        self.assertTrue(wait_for(lambda: node.server.connections))
+        (connection,) = node.server.connections
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        return sock
+
+    def test_a_caller_that_reads_slowly_gets_the_whole_answer(self):
+        """Guards against a reset in the middle of an answer that its caller is reading."""
+        node = self.start()
+        for head, end in self.HEADS:
+            answer = head + bytes(60_000) + end
+            self.upstream.script = lambda sock, run, answer=answer: answer
+            sock = self.connect_slow_caller(node)
+            sock.sendall(request())
+            size = 0
+            while part := sock.recv(4096):
+                size += len(part)
+                gevent.sleep(0.06)
+            self.assertGreater(size, 60_000)
+            self.assertTrue(wait_for(lambda: not node.server.connections))
+
+    def test_a_caller_that_reads_nothing_is_reset(self):
+        """Guards against an answer that is kept for good because its caller does not read it."""
+        node = self.start()
+        for head, end in self.HEADS:
+            self.upstream.script = lambda sock, run, answer=head + bytes(60_000) + end: answer
+            sock = self.connect_slow_caller(node)
+            sock.sendall(request())
+            self.assertTrue(wait_for(lambda: node.application.in_flight, 1.0))
+            self.assertTrue(wait_for(lambda: not node.application.in_flight, 2.0))
+            with self.assertRaises(ConnectionResetError):
+                while sock.recv(65536):
+                    pass
+
+    def test_answers_that_wait_for_the_link_are_delivered(self):
+        """Guards against the wait for the VM's own link being taken for a caller not reading."""
+        node = self.start(link=LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock()))
+        for head, end in self.HEADS:
+            answer = head + bytes(60_000) + end
+            self.upstream.script = lambda sock, run, answer=answer: answer
+            callers = [gevent.spawn(exchange, node.address, request()) for _ in range(2)]
+            for caller in callers:
+                self.assertGreater(len(caller.get(timeout=5.0)), 60_000)
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     """One node with an error in a part of the program."""
 
