A streamed answer whose rest arrived during a pause is not stalled

Callers saw: after the node's process stood still for more than 30 s (SIGSTOP, a pause of the VM), a streamed answer was reset as stalled although its further bytes had arrived meanwhile.

Change: the same rule for both.

Result: on the parent commit the test fails with "ConnectionResetError: [Errno 104] Connection reset by peer"; it passes three of three times after.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -74,6 +74,7 @@
         acknowledged_bytes: Bytes that the caller's kernel had acknowledged at the last sweep.
         stop_reason: Why the request was stopped, or an empty string.
         is_overdue: Whether a sweep has found the deadline passed.
+        is_stalled: Whether the last sweep found the answer stalled.
         caller_end: How the caller ended its connection, ``closed`` or ``reset``; empty if it has
             not.
     """
@@ -97,6 +98,7 @@
         "is_caller_polled",
         "is_overdue",
         "is_sending",
+        "is_stalled",
         "local_service",
         "outcome",
         "owner_hint",
@@ -147,6 +149,7 @@
         self.stop_reason = ""
         self.caller_end = ""
         self.is_overdue = False
+        self.is_stalled = False
         self.is_caller_polled = False
         self.started_ns = started_ns
         self.status = 0
@@ -300,8 +303,10 @@
                 self._stop(context, DEADLINE)
             context.is_overdue = True
         elif is_relaying:
-            if _is_stalled(context, now_ns):
+            is_stalled = _is_stalled(context, now_ns)
+            if is_stalled and (context.is_stalled or not _has_unread_answer(context)):
                 self._stop(context, STALLED)
+            context.is_stalled = is_stalled
         elif 0 < context.silence_deadline_ns <= now_ns:
             exchange = context.exchange
             if exchange is not None and not (exchange.answered or _has_unread_answer(context)):
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -251,6 +251,7 @@
     request = context.request
     pending = head
     while block := exchange.read():
+        context.progress_ns = clock.now_ns()
         pending += _chunk(block) if is_chunked else block
         request.send(pending, answer.length or UNKNOWN_LENGTH_BYTES)
         pending = b""
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -110,6 +110,24 @@
                 while sock.recv(65536):
                     pass
 
+    def test_an_answer_whose_rest_arrived_while_the_loop_stood_is_delivered_whole(self):
+        """Guards against a pause of the process that is taken for a silent peer.
+
+        After the pause the sweep runs before the greenlet that reads the rest.
+        """
+
+        def answer_and_stand_still(sock, run) -> bytes:
+            sock.sendall(self.HEADS[1][0])
+            for part in (bytes(30_000), bytes(30_000) + self.HEADS[1][1]):
+                gevent.sleep(0.1)
+                sock.sendall(part)
+                time.sleep(0.6)
+            return b""
+
+        self.upstream.script = answer_and_stand_still
+        answer = exchange(self.start().address, request())
+        self.assertTrue(answer.endswith(b"\r\n0\r\n\r\n"), len(answer))
+
     def test_answers_that_wait_for_the_link_are_delivered(self):
         """Guards against the wait for the VM's own link being taken for a caller not reading."""
         node = self.start(link=LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock()))
