A failure after the deadline ends if its caller never reads it

Callers saw nothing; operators saw a request in flight, with its connection and greenlet, for good: its deadline had passed, and the 504 waited for a caller that did not read.

Change: the answer to a stopped request has the stall time-out too, counted from its last progress. The line `request unanswered` names "stalled" as its cause, as for other stalled answers, in place of the error text of a socket that the node itself has closed.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -70,7 +70,7 @@
         upstream_attempts: Number of failed attempts that reached an upstream.
         local_service: Service of the request if the local upstream admitted it.
         silence_deadline_ns: When the current attempt ends if the peer is silent, 0 for never.
-        progress_ns: When the answer last advanced, 0 before relaying began.
+        progress_ns: When the answer last advanced, 0 before relaying began and after a stop.
         acknowledged_bytes: Bytes that the caller's kernel had acknowledged at the last sweep.
         stop_reason: Why the request was stopped, or an empty string.
         is_overdue: Whether a sweep has found the deadline passed.
@@ -228,6 +228,7 @@
         if self.stop_reason:
             return
         self.stop_reason = reason
+        self.progress_ns = 0
         if self.connecting is not None:
             shut_down(self.connecting, socket.SHUT_RDWR)
         if self.exchange is not None:
@@ -282,6 +283,7 @@
         poll = select.poll()
         for context in tuple(self._active_requests):
             if context.stop_reason:
+                self._check_late_answer(context, now_ns)
                 continue
             self._check_time(context, now_ns)
             if context.is_sending:
@@ -312,6 +314,13 @@
             if exchange is not None and not (exchange.answered or _has_unread_answer(context)):
                 exchange.interrupt(SILENT)
 
+    def _check_late_answer(self, context: RequestContext, now_ns: int) -> None:
+        """Gives up the answer to a stopped request if its caller does not read it."""
+        if context.request.is_writing and _is_stalled(context, now_ns):
+            context.stop_reason = STALLED
+            context.request.reset_connection()
+            self._on_stop(STALLED)
+
     def _stop(self, context: RequestContext, reason: str) -> None:
         if not context.stop_reason:
             context.stop(reason)
@@ -325,7 +334,7 @@
     the VM's link is not the caller's.
     """
     request = context.request
-    if request.is_waiting_for_link:
+    if not context.progress_ns or request.is_waiting_for_link:
         context.progress_ns = now_ns
     elif request.is_writing:
         acknowledged = request.acknowledged_bytes()
--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -4,7 +4,7 @@
 
 import structlog
 
-from ._active_requests import RequestContext
+from ._active_requests import STALLED, RequestContext
 from ._clock import NS_PER_MS, Clock
 from ._outcome import Refusal, RequestFailedError
 from ._routing import Router
@@ -92,7 +92,7 @@
             id=context.request_id,
             service=context.destination.service,
             kind=context.destination.kind,
-            cause=error.detail,
+            cause=STALLED if context.stop_reason == STALLED else error.detail,
             step=error.step,
             caller_end=context.caller_end,
             attempts=context.attempts.count,
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,5 +1,6 @@
 """Requests whose connection ends without an answer, and the log line about each of them."""
 
+import contextlib
 import time
 import unittest
 from unittest import mock
@@ -110,6 +111,32 @@
                 while sock.recv(65536):
                     pass
 
+    def test_a_failure_that_the_caller_does_not_read_ends(self):
+        """Guards against a connection that is kept for good by a 504 that nobody reads.
+
+        Bytes of earlier answers, which the caller has not read either, fill the kernel's buffers.
+        """
+        node = self.start()
+
+        def fill_connection(sock, run) -> None:
+            (connection,) = node.server.connections
+            for _ in range(5):
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        connection.sock._sock.send(bytes(4096))
+                gevent.sleep(0.05)
+            gevent.sleep(5)
+
+        self.upstream.script = fill_connection
+        with capture_logs() as lines:
+            data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 500", body=b"x")
+            self.connect_slow_caller(node).sendall(data)
+            gevent.sleep(0.7)
+            self.assertTrue(node.application.in_flight)
+            self.assertTrue(wait_for(lambda: not node.application.in_flight, 2.0))
+        causes = [line.get("cause", line.get("reason")) for line in lines]
+        self.assertEqual(causes, ["deadline", "stalled"])
+
     def test_an_answer_whose_rest_arrived_while_the_loop_stood_is_delivered_whole(self):
         """Guards against a pause of the process that is taken for a silent peer.
 
