--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -32,6 +32,7 @@
 SILENT = "silent"
 STALLED = "stalled"
 
+# Longest time that an answer may be relayed without progress.
 STALL_TIMEOUT_NS = 30_000 * NS_PER_MS
 
 
@@ -69,14 +70,17 @@
         upstream_attempts: Number of failed attempts that reached an upstream.
         local_service: Service of the request if the local upstream admitted it.
         silence_deadline_ns: When the current attempt ends if the peer is silent, 0 for never.
-        stall_deadline_ns: When the answer counts as stalled, 0 before relaying began.
+        progress_ns: When the answer last advanced, 0 before relaying began and after a stop.
+        acknowledged_bytes: Bytes that the caller's kernel had acknowledged at the last sweep.
         stop_reason: Why the request was stopped, or an empty string.
         is_overdue: Whether a sweep has found the deadline passed.
+        is_stalled: Whether the last sweep found the answer stalled.
         caller_end: How the caller ended its connection, ``closed`` or ``reset``; empty if it has
             not.
     """
 
     __slots__ = (
+        "acknowledged_bytes",
         "answer_bytes",
         "attempts",
         "body_prefix",
@@ -94,16 +98,17 @@
         "is_caller_polled",
         "is_overdue",
         "is_sending",
+        "is_stalled",
         "local_service",
         "outcome",
         "owner_hint",
         "peer",
+        "progress_ns",
         "reason",
         "request",
         "request_id",
         "silence_deadline_ns",
         "soft_deadline_ns",
-        "stall_deadline_ns",
         "started_ns",
         "status",
         "stop_reason",
@@ -139,10 +144,12 @@
         self.exchange: Exchange | None = None
         self.connecting: socket.socket | None = None
         self.silence_deadline_ns = 0
-        self.stall_deadline_ns = 0
+        self.progress_ns = 0
+        self.acknowledged_bytes = 0
         self.stop_reason = ""
         self.caller_end = ""
         self.is_overdue = False
+        self.is_stalled = False
         self.is_caller_polled = False
         self.started_ns = started_ns
         self.status = 0
@@ -221,6 +228,7 @@
         if self.stop_reason:
             return
         self.stop_reason = reason
+        self.progress_ns = 0
         if self.connecting is not None:
             shut_down(self.connecting, socket.SHUT_RDWR)
         if self.exchange is not None:
@@ -275,6 +283,7 @@
         poll = select.poll()
         for context in tuple(self._active_requests):
             if context.stop_reason:
+                self._check_late_answer(context, now_ns)
                 continue
             self._check_time(context, now_ns)
             if context.is_sending:
@@ -290,25 +299,51 @@
             self._stop(context, CALLER_GONE)
 
     def _check_time(self, context: RequestContext, now_ns: int) -> None:
-        is_relaying = context.stall_deadline_ns > 0
+        is_relaying = context.progress_ns > 0
         if now_ns >= context.deadline_ns and (context.covers_body or not is_relaying):
             if context.is_overdue or not _has_unread_answer(context):
                 self._stop(context, DEADLINE)
             context.is_overdue = True
         elif is_relaying:
-            if now_ns >= context.stall_deadline_ns:
+            is_stalled = _is_stalled(context, now_ns)
+            if is_stalled and (context.is_stalled or not _has_unread_answer(context)):
                 self._stop(context, STALLED)
+            context.is_stalled = is_stalled
         elif 0 < context.silence_deadline_ns <= now_ns:
             exchange = context.exchange
             if exchange is not None and not (exchange.answered or _has_unread_answer(context)):
                 exchange.interrupt(SILENT)
 
+    def _check_late_answer(self, context: RequestContext, now_ns: int) -> None:
+        """Gives up the answer to a stopped request if its caller does not read it."""
+        if context.request.is_writing and _is_stalled(context, now_ns):
+            context.stop_reason = STALLED
+            context.request.reset_connection()
+            self._on_stop(STALLED)
+
     def _stop(self, context: RequestContext, reason: str) -> None:
         if not context.stop_reason:
             context.stop(reason)
             self._on_stop(reason)
 
 
+def _is_stalled(context: RequestContext, now_ns: int) -> bool:
+    """Returns whether the answer has not advanced for the stall time-out; records its progress.
+
+    While a part is being written, the bytes that the caller acknowledges are progress. The wait for
+    the VM's link is not the caller's.
+    """
+    request = context.request
+    if not context.progress_ns or request.is_waiting_for_link:
+        context.progress_ns = now_ns
+    elif request.is_writing:
+        acknowledged = request.acknowledged_bytes()
+        if acknowledged != context.acknowledged_bytes:
+            context.acknowledged_bytes = acknowledged
+            context.progress_ns = now_ns
+    return now_ns - context.progress_ns >= STALL_TIMEOUT_NS
+
+
 def _is_answer_arriving(context: RequestContext) -> bool:
     """Returns whether the peer has sent a part of its answer."""
     exchange = context.exchange
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -1,16 +1,19 @@
 """Requests whose connection ends without an answer, and the log line about each of them."""
 
+import contextlib
 import time
 import unittest
 from unittest import mock
 from unittest.mock import Mock
 
 import gevent
+from gevent import socket
 from structlog.testing import capture_logs
 
-from auburnsail._clock import BootClock
+from auburnsail._clock import NS_PER_MS, BootClock
 from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
 from auburnsail._link_sender import LinkSender
+from auburnsail._sockets import endpoint
 from tests.path_fakes import (
     OK,
     FakeUpstream,
@@ -22,6 +25,7 @@
     wait_for,
 )
 
+STALL_TIMEOUT = "auburnsail._active_requests.STALL_TIMEOUT_NS"
 POST = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: 1\r\n\r\nx"
 
 
@@ -46,6 +50,122 @@
         self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 40_000)
 
 
+class SlowAnswerTest(unittest.TestCase):
+    """One node that gives up an answer without progress after 0.4 s."""
+
+    HEADS = (
+        (b"HTTP/1.1 200 OK\r\ncontent-length: 60000\r\n\r\n", b""),
+        (b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\nea60\r\n", b"\r\n0\r\n\r\n"),
+    )
+
+    def setUp(self):
+        """Starts the upstream."""
+        self.enterContext(mock.patch(STALL_TIMEOUT, 400 * NS_PER_MS))
+        self.upstream = FakeUpstream()
+        self.addCleanup(self.upstream.stop)
+
+    def start(self, **options) -> PathNode:
+        """Starts the node."""
+        node = PathNode("n", self.upstream, "catalogue", **options)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        return node
+
+    def connect_slow_caller(self, node: PathNode) -> socket.socket:
+        """Returns a connection with small packets, whose kernel buffers hold little."""
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1000)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+        sock.connect(endpoint(node.address))
+        self.assertTrue(wait_for(lambda: node.server.connections))
+        (connection,) = node.server.connections
+        connection.sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+        return sock
+
+    def test_a_caller_that_reads_slowly_gets_the_whole_answer(self):
+        """Guards against a reset in the middle of an answer that its caller is reading."""
+        node = self.start()
+        for head, end in self.HEADS:
+            answer = head + bytes(60_000) + end
+            self.upstream.script = lambda sock, run, answer=answer: answer
+            sock = self.connect_slow_caller(node)
+            sock.sendall(request())
+            size = 0
+            while part := sock.recv(4096):
+                size += len(part)
+                gevent.sleep(0.06)
+            self.assertGreater(size, 60_000)
+            self.assertTrue(wait_for(lambda: not node.server.connections))
+
+    def test_a_caller_that_reads_nothing_is_reset(self):
+        """Guards against an answer that is kept for good because its caller does not read it."""
+        node = self.start()
+        for head, end in self.HEADS:
+            self.upstream.script = lambda sock, run, answer=head + bytes(60_000) + end: answer
+            sock = self.connect_slow_caller(node)
+            sock.sendall(request())
+            self.assertTrue(wait_for(lambda: node.application.in_flight, 1.0))
+            self.assertTrue(wait_for(lambda: not node.application.in_flight, 2.0))
+            with self.assertRaises(ConnectionResetError):
+                while sock.recv(65536):
+                    pass
+
+    def test_a_failure_that_the_caller_does_not_read_ends(self):
+        """Guards against a connection that is kept for good by a 504 that nobody reads.
+
+        Bytes of earlier answers, which the caller has not read either, fill the kernel's buffers.
+        """
+        node = self.start()
+
+        def fill_connection(sock, run) -> None:
+            (connection,) = node.server.connections
+            for _ in range(5):
+                with contextlib.suppress(BlockingIOError):
+                    while True:
+                        connection.sock._sock.send(bytes(4096))
+                gevent.sleep(0.05)
+            gevent.sleep(5)
+
+        self.upstream.script = fill_connection
+        with capture_logs() as lines:
+            data = request("POST", "/catalogue/k1", "auburnsail-deadline-ms: 500", body=b"x")
+            self.connect_slow_caller(node).sendall(data)
+            gevent.sleep(0.7)
+            self.assertTrue(node.application.in_flight)
+            self.assertTrue(wait_for(lambda: not node.application.in_flight, 2.0))
+        causes = [line.get("cause", line.get("reason")) for line in lines]
+        self.assertEqual(causes, ["deadline", "stalled"])
+
+    def test_an_answer_whose_rest_arrived_while_the_loop_stood_is_delivered_whole(self):
+        """Guards against a pause of the process that is taken for a silent peer.
+
+        After the pause the sweep runs before the greenlet that reads the rest.
+        """
+
+        def answer_and_stand_still(sock, run) -> bytes:
+            sock.sendall(self.HEADS[1][0])
+            for part in (bytes(30_000), bytes(30_000) + self.HEADS[1][1]):
+                gevent.sleep(0.1)
+                sock.sendall(part)
+                time.sleep(0.6)
+            return b""
+
+        self.upstream.script = answer_and_stand_still
+        answer = exchange(self.start().address, request())
+        self.assertTrue(answer.endswith(b"\r\n0\r\n\r\n"), len(answer))
+
+    def test_answers_that_wait_for_the_link_are_delivered(self):
+        """Guards against the wait for the VM's own link being taken for a caller not reading."""
+        node = self.start(link=LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock()))
+        for head, end in self.HEADS:
+            answer = head + bytes(60_000) + end
+            self.upstream.script = lambda sock, run, answer=answer: answer
+            callers = [gevent.spawn(exchange, node.address, request()) for _ in range(2)]
+            for caller in callers:
+                self.assertGreater(len(caller.get(timeout=5.0)), 60_000)
+
+
 class UnexpectedErrorTest(unittest.TestCase):
     """One node with an error in a part of the program."""
 
