Limit the whole wait for a caller that still sends after its answer

What callers saw: nothing; a caller that sent a byte now and then kept its connection for as long as it liked, and after a refused head it also held a drain until the drain's own time limit. Cause: the wait had a limit of 1 s for each read and of 1 MiB for all of them, but none in time for all of them. Change: the wait has a limit of 5 s in all (linger_timeout_ms). Measured: test_linger fails before, with the limit set to 600 ms and a byte every 0.2 s for 1.6 s, after an answer and after a refused head ("AssertionError: {<auburnsail._http_server._Connection object ...>} is not false"), and passes after. tests.test_linger, test_unanswered_requests and test_drain_race: 15 tests pass.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -20,9 +20,10 @@
 from ._dialect import DEFAULT_DIALECT, Dialect
 from ._http_body import BLOCK_BYTES
 from ._http_head import MAX_HEAD_BYTES, parse_head
+from ._linger import linger
 from ._link_sender import LinkSender
 from ._outcome import RequestFailedError, refused
-from ._sockets import ReadCancelledError, cancel_read, send_all, shut_down
+from ._sockets import ReadCancelledError, cancel_read, send_all
 from ._sweeper import Sweeper
 from .exceptions import CallerGoneError
 
@@ -33,9 +34,8 @@
 DRAIN_CHECK_INTERVAL_S = 0.025
 # Consecutive checks without a request in flight after which a drain is complete.
 REQUIRED_IDLE_CHECKS = 2
-LINGER_TIMEOUT_S = 1.0
+LINGER_TIMEOUT_MS = 5_000
 BODY_POLL_INTERVAL_S = 0.02
-MAX_LINGER_BYTES = 1 << 20
 MAX_BODY_BYTES = 1 << 30
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
@@ -186,7 +186,7 @@
         except RequestFailedError as error:
             self.head_deadline_ns = 0
             self.send(error.refusal.encode(close=True, dialect=server.dialect))
-            self._close_after_linger()
+            self._linger()
             return False
         try:
             server.application(request)
@@ -195,9 +195,13 @@
             self._is_in_body = False
         if request.can_reuse_connection:
             return True
-        self._close_after_linger()
+        self._linger()
         return False
 
+    def _linger(self) -> None:
+        if self.sock.fileno() >= 0:
+            linger(self.sock, self.server.clock, self.server.linger_timeout_ms)
+
     def _read_head(self) -> bytes | None:
         server = self.server
         now_ns = server.clock.now_ns()
@@ -236,23 +240,6 @@
         self.buffered = self.buffered[end + 4 :]
         return data
 
-    def _close_after_linger(self) -> None:
-        # Closing a socket with unread bytes sends a reset, which can reach the caller before the
-        # answer. So the remaining bytes are read and discarded first.
-        if self.sock.fileno() < 0:
-            return
-        shut_down(self.sock, socket.SHUT_WR)
-        remaining_bytes = MAX_LINGER_BYTES
-        try:
-            self.sock.settimeout(LINGER_TIMEOUT_S)
-            while remaining_bytes > 0:
-                with contextlib.suppress(ReadCancelledError):
-                    if not (data := self.sock.recv(BLOCK_BYTES)):
-                        break
-                    remaining_bytes -= len(data)
-        except OSError:
-            pass
-
 
 class HttpServer(WSGIServer):
     """Serves HTTP on one address.
@@ -271,6 +258,8 @@
         draining_since_ns: Since when `draining` is set, 0 if it is not.
         idle_timeout_ms: Maximum time that a connection stays open without a request.
         head_timeout_ms: Maximum time from the first byte of a head to its end.
+        linger_timeout_ms: Maximum time that a connection stays open after its last answer for a
+            caller that still sends.
         max_head_bytes: Maximum length of a request head.
         closes_idle_connections: Whether a draining server closes a connection after its answer
             without waiting for a further request.
@@ -302,6 +291,7 @@
         self.dialect = dialect
         self.idle_timeout_ms = IDLE_TIMEOUT_MS
         self.head_timeout_ms = HEAD_TIMEOUT_MS
+        self.linger_timeout_ms = LINGER_TIMEOUT_MS
         self.max_head_bytes = MAX_HEAD_BYTES
         self.sweeper = sweeper or Sweeper(application, self.clock)
         self.sweeper.add(self)
