Keep a closing connection until its caller has received the answer

What callers saw: a large answer that was read slowly ended in a reset if its caller sent more bytes on a connection that the node closed after this answer: a further request, or a body that it still uploaded. Cause: the wait for the caller's end stopped after 1 s of silence, after 1 MiB or at its time limit, also while a part of the answer lay in the node's send buffer. Closing a socket with unread bytes, and bytes that arrive after the close, send a reset, and the rest of the answer is dropped. Without such bytes the system goes on delivering after the close. Change: the node reads and discards until the caller's system has acknowledged the whole answer (TIOCOUTQ), for 30 s and 1 GiB at most; the limits on silence, bytes and time begin then. A caller that never reads is closed at the limit (test with 300 ms).

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -34,6 +34,7 @@
 DRAIN_CHECK_INTERVAL_S = 0.025
 # Consecutive checks without a request in flight after which a drain is complete.
 REQUIRED_IDLE_CHECKS = 2
+RECEIPT_TIMEOUT_MS = 30_000
 LINGER_TIMEOUT_MS = 5_000
 BODY_POLL_INTERVAL_S = 0.02
 MAX_BODY_BYTES = 1 << 30
@@ -200,7 +201,8 @@
 
     def _linger(self) -> None:
         if self.sock.fileno() >= 0:
-            linger(self.sock, self.server.clock, self.server.linger_timeout_ms)
+            server = self.server
+            linger(self.sock, server.clock, server.receipt_timeout_ms, server.linger_timeout_ms)
 
     def _read_head(self) -> bytes | None:
         server = self.server
@@ -258,8 +260,9 @@
         draining_since_ns: Since when `draining` is set, 0 if it is not.
         idle_timeout_ms: Maximum time that a connection stays open without a request.
         head_timeout_ms: Maximum time from the first byte of a head to its end.
-        linger_timeout_ms: Maximum time that a connection stays open after its last answer for a
-            caller that still sends.
+        receipt_timeout_ms: Maximum time that a connection stays open after its last answer until
+            the caller's system has all of it.
+        linger_timeout_ms: Maximum time that it then stays open for a caller that still sends.
         max_head_bytes: Maximum length of a request head.
         closes_idle_connections: Whether a draining server closes a connection after its answer
             without waiting for a further request.
@@ -291,6 +294,7 @@
         self.dialect = dialect
         self.idle_timeout_ms = IDLE_TIMEOUT_MS
         self.head_timeout_ms = HEAD_TIMEOUT_MS
+        self.receipt_timeout_ms = RECEIPT_TIMEOUT_MS
         self.linger_timeout_ms = LINGER_TIMEOUT_MS
         self.max_head_bytes = MAX_HEAD_BYTES
         self.sweeper = sweeper or Sweeper(application, self.clock)
--- a/src/auburnsail/_linger.py
+++ b/src/auburnsail/_linger.py
@@ -2,37 +2,69 @@
 
 import contextlib
 
+import gevent
 from gevent import socket
 
 from ._clock import NS_PER_MS, NS_PER_S, Clock
 from ._http_body import BLOCK_BYTES
-from ._sockets import ReadCancelledError, shut_down
+from ._sockets import ReadCancelledError, shut_down, unacknowledged_bytes
 
 __all__ = ["linger"]
 
 SILENCE_TIMEOUT_S = 1.0
+RECEIPT_CHECK_INTERVAL_S = 0.02
 MAX_DISCARDED_BYTES = 1 << 20
+MAX_DISCARDED_BEFORE_RECEIPT_BYTES = 1 << 30
 
 
-def linger(sock: socket.socket, clock: Clock, timeout_ms: int) -> None:
+def linger(sock: socket.socket, clock: Clock, receipt_timeout_ms: int, timeout_ms: int) -> None:
     """Ends the answers on a connection and discards what its caller still sends.
 
-    Closing a socket with unread bytes sends a reset, which can reach the caller before the answer.
-    This returns once the caller has closed its side or is silent, or at a limit.
+    Closing a socket with unread bytes, or before further bytes arrive, sends a reset, which
+    destroys what the caller's system has not received of the answer. This returns once the caller
+    has closed its side, or has received the answer and is silent, or at a limit.
 
     Args:
         sock: The caller's connection.
         clock: Source of time.
-        timeout_ms: Maximum time in milliseconds.
+        receipt_timeout_ms: Maximum time in milliseconds until the caller's system has the answer.
+        timeout_ms: Maximum time in milliseconds from then on.
     """
     shut_down(sock, socket.SHUT_WR)
+    # A caller that has left resets the connection, and then nothing remains to be delivered.
+    with contextlib.suppress(OSError):
+        if _discard_until_received(sock, clock, receipt_timeout_ms):
+            _discard(sock, clock, timeout_ms)
+
+
+def _discard_until_received(sock: socket.socket, clock: Clock, timeout_ms: int) -> bool:
+    """Returns whether the caller's system has the answer; if not, its side ended or at a limit."""
+    end_ns = clock.now_ns() + timeout_ms * NS_PER_MS
+    remaining_bytes = MAX_DISCARDED_BEFORE_RECEIPT_BYTES
+    sock.settimeout(RECEIPT_CHECK_INTERVAL_S)
+    while unacknowledged_bytes(sock):
+        if remaining_bytes <= 0 or clock.now_ns() >= end_ns:
+            return False
+        with contextlib.suppress(TimeoutError, ReadCancelledError):
+            if not (data := sock.recv(BLOCK_BYTES)):
+                return False
+            remaining_bytes -= len(data)
+            # A read that needs no wait does not let other greenlets run.
+            gevent.sleep(0)
+    return True
+
+
+def _discard(sock: socket.socket, clock: Clock, timeout_ms: int) -> None:
+    """Discards bytes until the caller's side ends or a limit.
+
+    Raises:
+        OSError: The connection broke, or the caller was silent (`TimeoutError`).
+    """
     end_ns = clock.now_ns() + timeout_ms * NS_PER_MS
     remaining_bytes = MAX_DISCARDED_BYTES
-    # Silence is a time-out; a caller that has the answer may also reset the connection.
-    with contextlib.suppress(OSError):
-        while remaining_bytes > 0 and (left_ns := end_ns - clock.now_ns()) > 0:
-            sock.settimeout(min(SILENCE_TIMEOUT_S, left_ns / NS_PER_S))
-            with contextlib.suppress(ReadCancelledError):
-                if not (data := sock.recv(BLOCK_BYTES)):
-                    break
-                remaining_bytes -= len(data)
+    while remaining_bytes > 0 and (left_ns := end_ns - clock.now_ns()) > 0:
+        sock.settimeout(min(SILENCE_TIMEOUT_S, left_ns / NS_PER_S))
+        with contextlib.suppress(ReadCancelledError):
+            if not (data := sock.recv(BLOCK_BYTES)):
+                return
+            remaining_bytes -= len(data)
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -1,7 +1,10 @@
 """Helper functions for TCP sockets."""
 
 import contextlib
+import fcntl
 import select
+import sys
+import termios
 
 from gevent import socket
 
@@ -19,6 +22,7 @@
     "send_all",
     "set_options",
     "shut_down",
+    "unacknowledged_bytes",
 ]
 
 MAX_PORT = 65_535
@@ -144,3 +148,15 @@
     # An error means that the connection is closed, which wakes blocked greenlets as well.
     with contextlib.suppress(OSError):
         sock.shutdown(how)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Returns how many sent bytes the peer's system has not acknowledged, 0 on a closed socket.
+
+    The end of the own direction counts as one byte.
+    """
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(count, sys.byteorder)
