--- a/tests/test_start_signals.py
+++ b/tests/test_start_signals.py
@@ -1,9 +1,10 @@
-"""Signals to a node on the users' platform whose process has only just started."""
+"""Signals to a node whose process has only just started."""
 
 import signal
 import subprocess
 import sys
 import time
+import tomllib
 import unittest
 from pathlib import Path
 
@@ -19,12 +20,28 @@
     return False
 
 
+def built_in_program() -> list[str]:
+    """Returns the command of `auburnsail-node` as its installed script runs it."""
+    project = tomllib.loads((ROOT / "pyproject.toml").read_text())["project"]
+    module, _, function = project["scripts"]["auburnsail-node"].partition(":")
+    return [
+        sys.executable,
+        "-c",
+        f"import sys; from {module} import {function}; sys.exit({function}())",
+    ]
+
+
 class StartSignalsTest(unittest.TestCase):
-    """The program that the platform starts on each VM."""
+    """The programs that run a node: that of the users' platform and the built-in one."""
 
     def test_a_sighup_during_the_imports_does_not_end_the_process(self):
         """Guards against a settings change that ends a node which is still starting."""
-        command = [sys.executable, "deploy/node.py", "--version"]
+        for program in ([sys.executable, "deploy/node.py"], built_in_program()):
+            with self.subTest(program=program):
+                self.send_sighup([*program, "--version"])
+
+    def send_sighup(self, command: list[str]) -> None:
+        """Starts a program, sends SIGHUP as soon as it is ignored and checks the exit code."""
         with subprocess.Popen(command, cwd=ROOT, stdout=subprocess.PIPE) as process:
             end_s = time.monotonic() + START_TIMEOUT_S
             while not ignores_sighup(process.pid) and time.monotonic() < end_s:
