--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -1,8 +1,11 @@
 """Helper functions for TCP sockets."""
 
 import contextlib
+import fcntl
 import select
 import struct
+import sys
+import termios
 
 from gevent import socket
 
@@ -21,6 +24,7 @@
     "send_all",
     "set_options",
     "shut_down",
+    "unacknowledged_bytes",
 ]
 
 MAX_PORT = 65_535
@@ -161,3 +165,15 @@
     # An error means that the connection is closed, which wakes blocked greenlets as well.
     with contextlib.suppress(OSError):
         sock.shutdown(how)
+
+
+def unacknowledged_bytes(sock: socket.socket) -> int:
+    """Returns how many sent bytes the peer's system has not acknowledged, 0 on a closed socket.
+
+    The end of the own direction counts as one byte.
+    """
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(4))
+    except (OSError, ValueError):
+        return 0
+    return int.from_bytes(count, sys.byteorder)
