Read the log past rows whose key names no position, and log each foreign row once

Cause: read_after ended its result at a row whose key names no position. Such a key sorts between two positions, so each read behind it returned nothing. Records copied to other positions were passed over without a log line.

Change: rows whose key names no position are passed over, also if a whole scan consists of them. A row that is no record of its position is logged, and each unusable row once for its version.

Measured: the two new tests of test_odd_entries fail before (no record after version 1, no line) and pass after, with 3 and 1,100 odd rows.

--- a/src/auburnsail/_versioned_log.py
+++ b/src/auburnsail/_versioned_log.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from ._checked_input import decode_msgpack
+from ._checked_input import decode_msgpack, reject
 from ._store import Check, Committed, Put, Row, TableStore, Transaction
 from .exceptions import ConflictError, InvalidInputError
 
@@ -10,6 +10,8 @@
 
 
 POSITION_DIGITS = 16
+# Unusable rows that are remembered, so that each has one log line.
+MAX_REJECTED_ROWS = 5_000
 
 
 class LogRecord(msgspec.Struct, frozen=True):
@@ -54,6 +56,7 @@
     def __init__(self, store: TableStore, name: str) -> None:
         self._store = store
         self._name = name
+        self._rejected_rows: dict[str, int] = {}
 
     def head(self) -> int:
         """Returns the version of the newest record, 0 for an empty log."""
@@ -64,16 +67,15 @@
         """Returns records that follow a version, as many as one scan returns; empty at the end.
 
         The records are contiguous. A row that is not a record of this log is returned with an empty
-        id if it takes the next position, and ends the result otherwise.
+        id if it takes the next position, and ends the result otherwise. Rows whose key names no
+        position are passed over.
         """
-        rows = self._store.scan(f"{self._name}/log/", self._record_key(version))
         records: list[LogRecord] = []
-        for row in rows:
-            record = self._to_record(row)
+        for row, position in self._rows_after(version):
+            record = self._to_record(row, position)
             expected = records[-1].version + 1 if records else version + 1
             # Records may start later than expected, since old ones are removed.
-            is_gap = record is None or record.version != expected
-            if is_gap and (records or record is None or not record.id):
+            if position != expected and (records or not record.id):
                 break
             records.append(record)
         return records
@@ -81,7 +83,7 @@
     def read(self, version: int) -> LogRecord | None:
         """Returns one record, or None if it does not exist."""
         row = self._store.read(self._record_key(version))
-        return self._to_record(row) if row else None
+        return self._to_record(row, version) if row else None
 
     def append(
         self, expected: int, append_id: str, data: bytes, checks: tuple[Check, ...] = ()
@@ -118,24 +120,53 @@
             return version
         stated = (row for row in result.rows if row.key == self._record_key(version))
         row = next(stated, None)
-        existing = self._to_record(row) if row is not None else self.read(version)
+        existing = self._to_record(row, version) if row is not None else self.read(version)
         if existing is not None and existing.id == append_id:
             return version
         raise PositionTakenError(existing, version=version, name=self._name)
 
-    def _to_record(self, row: Row) -> LogRecord | None:
-        """Decodes a row; returns None if its key names no position."""
+    def _rows_after(self, version: int) -> list[tuple[Row, int]]:
+        """Returns the rows of the first scan that finds records, each with its position."""
+        after = self._record_key(version)
+        while rows := self._store.scan(f"{self._name}/log/", after):
+            positions = [(row, self._position(row)) for row in rows]
+            if found := [item for item in positions if item[1]]:
+                return found
+            after = rows[-1].key
+        return []
+
+    def _position(self, row: Row) -> int:
+        """Returns the position that a row's key names, 0 for none."""
         position = row.key.rpartition("/")[2]
-        if len(position) != POSITION_DIGITS or not (position.isascii() and position.isdecimal()):
-            return None
-        version = int(position)
+        if len(position) == POSITION_DIGITS and position.isascii() and position.isdecimal():
+            return int(position)
+        self._reject(row, f"the key {row.key!r} names no position")
+        return 0
+
+    def _to_record(self, row: Row, position: int) -> LogRecord:
+        """Decodes a row; the result has an empty id if the row is no record of its position."""
+        foreign = LogRecord(position, "", b"")
+        if self._rejected_rows.get(row.key) == row.version:
+            return foreign
         try:
             record = decode_msgpack(row.value, LogRecord, f"{self._name}-log")
         except InvalidInputError:
-            record = None
-        if record is None or record.version != version or not record.id:
-            return LogRecord(version, "", b"")
+            self._remember(row)
+            return foreign
+        if record.version != position or not record.id:
+            self._reject(row, f"the row is no record of position {position}")
+            return foreign
         return record
 
+    def _reject(self, row: Row, detail: str) -> None:
+        if self._rejected_rows.get(row.key) != row.version:
+            self._remember(row)
+            reject(f"{self._name}-log", detail, row.value)
+
+    def _remember(self, row: Row) -> None:
+        if len(self._rejected_rows) >= MAX_REJECTED_ROWS:
+            self._rejected_rows.clear()
+        self._rejected_rows[row.key] = row.version
+
     def _record_key(self, version: int) -> str:
         return f"{self._name}/log/{version:0{POSITION_DIGITS}d}"
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -9,6 +9,7 @@
 import msgspec
 from hypothesis import given, settings
 from hypothesis import strategies as st
+from structlog.testing import capture_logs
 
 from auburnsail._adapter import LogSettings
 from auburnsail._checkpoint import checkpoint_key, dump_fleet
@@ -195,6 +196,36 @@
         self.assertEqual(self.nodes[0].version, 2)
         self.assertEqual(self.followers[0].fetcher.newest, 0)
 
+    def test_the_log_goes_past_keys_that_name_no_position(self):
+        """Guards against followers that never read on behind a key between two positions.
+
+        A scan returns at most 1,000 rows. Each row has one log line, also if it is read again.
+        """
+        for count in (3, 1_100):
+            for number in range(count):
+                key = f"fleet/log/{self.nodes[0].version:016d}-{number:04d}"
+                self.table.rows[key] = Row(key, 1, b"")
+            with self.subTest(count=count), capture_logs() as lines:
+                self.follow()
+                for _ in range(2):
+                    self.append(f"n{self.nodes[0].version}")
+                    self.follow()
+                self.assertEqual(self.nodes[0].version, self.nodes[1].version)
+                self.assertEqual(len(lines), count)
+        self.assertEqual(self.nodes[0].version, 5)
+
+    def test_a_copied_row_has_one_log_line(self):
+        """Guards against rows that are passed over without a trace."""
+        copy = self.table.rows[f"fleet/log/{1:016d}"].value
+        for version in (2, 10**15):
+            put_foreign(self.table, version, copy)
+        with capture_logs() as lines:
+            for _ in range(3):
+                self.follow()
+        self.assertEqual(self.nodes[0].version, 2)
+        reasons = [line["reason"] for line in lines if line["source"] == "fleet-log"]
+        self.assertEqual(len(reasons), 2, reasons)
+
     def test_a_recorder_gets_past_a_foreign_row(self):
         """Guards against a recorder that waits forever for its append at a taken position."""
         put_foreign(self.table, 2, DEEP_MSGPACK)
