Refuse malformed requests to the control server with a log line

What operators saw: a request line that ends in HTTP/1 made gevent's handler raise IndexError; its trace went to the process's output, past the log and its limits. Other malformed requests were refused without a line.

Change: the handler answers 400 to what it cannot parse, counts it and logs it like any other input that cannot be used.

Measured: the new test of test_control_server fails before for four request lines ("IndexError: tuple index out of range", and no line) and passes after.

--- a/src/auburnsail/_control_server.py
+++ b/src/auburnsail/_control_server.py
@@ -2,14 +2,30 @@
 
 import structlog
 from gevent import socket
-from gevent.pywsgi import WSGIServer
+from gevent.pywsgi import WSGIHandler, WSGIServer
+
+from ._checked_input import reject
 
 __all__ = ["ControlServer"]
 
 
+class _Handler(WSGIHandler):
+    """gevent's handler, for which a malformed request is no error of the server."""
+
+    def read_request(self, raw_requestline: str) -> bool:
+        """Returns whether the head of a request is valid; False is answered with status 400."""
+        try:
+            return super().read_request(raw_requestline)
+        # gevent raises IndexError for a version without a dot.
+        except (ValueError, IndexError):
+            reject("control", "the request is malformed", raw_requestline.encode("latin-1"))
+            return False
+
+
 class ControlServer(WSGIServer):
     """gevent's WSGI server with TCP_NODELAY and without an access log."""
 
+    handler_class = _Handler
     # With a higher value gevent calls accept again after each connection, usually in vain.
     max_accept = 1
 
--- a/tests/test_control_server.py
+++ b/tests/test_control_server.py
@@ -4,6 +4,7 @@
 from unittest import mock
 
 from gevent import socket
+from structlog.testing import capture_logs
 
 from auburnsail._control_server import ControlServer
 
@@ -31,6 +32,18 @@
             accepted.close()
         sendall.assert_called_once()
 
+    def test_a_malformed_request_is_refused_with_a_log_line(self):
+        """Guards against an unexpected error in the server for what any client can send."""
+        server = ControlServer(("127.0.0.1", 0), lambda environ, start_response: [])
+        server.start()
+        self.addCleanup(server.stop, timeout=0)
+        for line in (b"GET /status HTTP/1", b"GET /status HTTP/x.1", b"\xff \xff", b"a b c d"):
+            with self.subTest(line=line), capture_logs() as lines:
+                with socket.create_connection(("127.0.0.1", server.server_port)) as client:
+                    client.sendall(line + b"\r\n\r\n")
+                    self.assertTrue(client.recv(4096).startswith(b"HTTP/1.1 400 "))
+                self.assertEqual([entry["source"] for entry in lines], ["control"])
+
 
 if __name__ == "__main__":
     unittest.main()
