--- /dev/null
+++ b/tools/fuzz_platform_entries.py
@@ -0,0 +1,268 @@
+"""Writes odd entries to the store and the nodes of a fleet on the users' platform."""
+
+from __future__ import annotations
+
+import base64
+import random
+from collections import Counter
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+import gevent
+import msgspec
+from gevent import socket
+from structlog.testing import capture_logs
+
+from auburnsail._checked_input import Count
+from auburnsail._checkpoint import CHECKPOINT_PREFIX
+from auburnsail._messages import Codec, Versions
+from auburnsail.exceptions import SettingsError
+from auburnsail.platform._boot_file import FLEET_SECRET
+from auburnsail.platform._desired_state import RetryLimits, decode_desired_state
+from tools.fuzz import REQUEST_HEAD, mutate_bytes, mutate_value
+from tools.fuzz_platform_load import HOST, TIMEOUT_MS
+from tools.fuzz_platform_logs import Line, line_of
+from tools.fuzz_platform_upstream import build_report
+
+if TYPE_CHECKING:
+    from tools.fuzz_platform import PlatformFleet, Vm
+
+__all__ = ["EntryWriter"]
+
+PAUSE_S = (0.0, 0.2)
+# Between an odd desired state and the regular one that replaces it.
+SETTINGS_PAUSE_S = (0.3, 1.5)
+LOG_KEY = "log/{:016d}"
+FAR_POSITION = 10**15
+DEEP_ROW = b"\x91" * 200_000
+SOCKET_TIMEOUT_S = 0.5
+MAX_DATAGRAM_BYTES = 60_000
+LIMITS = {
+    "max-header-bytes": 16_384,
+    "max-body-bytes": 1_000_000,
+    "header-timeout-ms": 3_000,
+    "idle-timeout-ms": 60_000,
+}
+FLEET_LOG = "fleet-log"
+
+
+class EntryWriter:
+    """Writes entries of each kind in a greenlet of its own, with its own source.
+
+    Args:
+        fleet: The fleet.
+        seed: Seed of the entries.
+
+    Attributes:
+        counts: Number of entries by kind.
+    """
+
+    def __init__(self, fleet: PlatformFleet, seed: int) -> None:
+        self._fleet = fleet
+        self._seed = seed
+        self._version = 0
+        self._codec = Codec(FLEET_SECRET, 1)
+        self._refused_reports: Counter[str] = Counter()
+        self._expected: list[tuple[str, set[Line]]] = []
+        self._last_foreign_position = 0
+        self._foreign: set[bytes] = set()
+        self._entries: list[bytes] = []
+        self.counts: Counter[str] = Counter()
+
+    def start(self) -> list[gevent.Greenlet]:
+        """Starts to write entries; returns the greenlets, which run until they are killed."""
+        writes: dict[str, Callable[[random.Random], None]] = {
+            "log rows": self._write_log_row,
+            "other rows": self._write_other_row,
+            "objects": self._write_object,
+            "reports": self._send_report,
+            "datagrams": self._send_datagram,
+            "bytes": self._send_bytes,
+        }
+        tasks = [gevent.spawn(self._write_forever, *item, PAUSE_S) for item in writes.items()]
+        write = self._write_settings
+        return [*tasks, gevent.spawn(self._write_forever, "settings", write, SETTINGS_PAUSE_S)]
+
+    def settings(self) -> bytes:
+        """Returns the next regular desired state, with a route for a path that no other has."""
+        return msgspec.json.encode(self._next_settings())
+
+    def change_settings(self) -> str:
+        """Writes the next regular desired state; returns the path that only it has a route for."""
+        settings = self.settings()
+        self._fleet.put("op", "config", settings)
+        return f"/v{self._version}/"
+
+    def findings(self) -> list[str]:
+        """Returns what is wrong with the log lines of the entries, and with the followed log."""
+        findings, lines, dropped = [], set(), 0
+        for vm in self._fleet.vms:
+            refused, node_dropped = self._fleet.logs.refused(vm.name)
+            lines |= refused.keys()
+            dropped += node_dropped
+            reports = sum(count for line, count in refused.items() if line[0] == "report")
+            refusals = self._refused_reports[vm.name]
+            if not reports <= refusals <= reports + node_dropped:
+                findings.append(f"{vm.name}: {refusals} refused reports, {reports} log lines")
+            if (version := self._fleet.status(vm).get("fleet_version", 0)) < (
+                self._last_foreign_position
+            ):
+                findings.append(f"{vm.name} is at {version}, before an odd row of the fleet log")
+        missing = [text for text, expected in self._expected if not expected & lines]
+        self.counts["expected lines"] = len(self._expected)
+        self.counts["dropped lines"] = dropped
+        if len(missing) > dropped:
+            findings += [f"without a log line: {text}" for text in missing[:10]]
+            findings.append(f"{len(missing)} refused entries without a log line")
+        return findings
+
+    def _write_forever(
+        self, name: str, write: Callable[[random.Random], None], pause_s: tuple[float, float]
+    ) -> None:
+        rng = random.Random(f"{name}-{self._seed}")
+        while True:
+            gevent.sleep(rng.uniform(*pause_s))
+            write(rng)
+            self.counts[name] += 1
+
+    def _next_settings(self) -> dict:
+        self._version += 1
+        route = {"host": HOST, "timeout-ms": TIMEOUT_MS, "target-latency-ms": 400}
+        routes = {
+            "/k/": {"kind": "safe", "service": "s1", "max-attempts": 2},
+            "/p/": {"kind": "unsafe", "service": "s1"},
+            "/u/": {"kind": "safe", "weighted-split": [{"service": "s2", "weight": 10}]},
+            f"/v{self._version}/": {"kind": "safe", "service": "s2"},
+        }
+        resources = [
+            ("routes", prefix, route | {"path-prefix": prefix} | spec)
+            for prefix, spec in routes.items()
+        ]
+        resources += [
+            ("services", "s1", {"max-connections": 200, "sharded": True}),
+            ("services", "s2", {"max-connections": 200}),
+            ("limits", "", LIMITS),
+        ]
+        return {
+            "version": self._version,
+            "resources": [
+                {"resource-type": kind, "metadata": {"name": name}, "spec": spec}
+                for kind, name, spec in resources
+            ],
+        }
+
+    def _write_settings(self, rng: random.Random) -> None:
+        """Writes an odd desired state, and a regular one after a pause."""
+        settings = self._next_settings()
+        data = msgspec.json.encode(mutate_value(rng, settings))
+        if rng.random() < 0.4:
+            data = mutate_bytes(rng, data)
+        if rng.random() < 0.1:
+            data = msgspec.json.encode(settings | {"version": rng.randrange(self._version)})
+        version = _version_of(data)
+        lines: set[Line] = set()
+        with capture_logs() as events:
+            try:
+                decode_desired_state(data, RetryLimits(0.2, 56))
+            except SettingsError:
+                lines = {(e["source"], e["size"], e["excerpt"]) for e in events}
+        is_newer = version is None or version >= self._version
+        self._version = max(self._version, version or 0)
+        if self._fleet.put("op", "config", data) and lines and is_newer:
+            self._expected.append((f"desired state {data[:200]!r}", lines))
+        gevent.sleep(rng.uniform(*SETTINGS_PAUSE_S))
+        self.change_settings()
+
+    def _write_log_row(self, rng: random.Random) -> None:
+        """Takes the next position of the fleet log."""
+        rows = self._log_rows(max(0, self._last_foreign_position - 1))
+        if not rows:
+            return
+        position = max(rows) + 1
+        self._entries += [data for data in rows.values() if data not in self._foreign]
+        entry = rng.choice(self._entries)
+        odd_values = (b"", b"\xc1", DEEP_ROW, rng.randbytes(50), mutate_bytes(rng, entry))
+        value = rng.choice((*odd_values, entry, rows[position - 1]))
+        if self._fleet.put("fleet", LOG_KEY.format(position), value, expected=0):
+            self._last_foreign_position = position
+            self._foreign.add(value)
+            expected = {line_of(FLEET_LOG, value)}
+            self._expected.append((f"row {position} {len(value)} bytes {value[:60]!r}", expected))
+
+    def _log_rows(self, after: int) -> dict[int, bytes]:
+        target = f"/rows-get?table=fleet&part=&from={LOG_KEY.format(after)}&target=log/~&limit=500"
+        _, body = self._fleet.call(self._fleet.store, "GET", target)
+        try:
+            rows = msgspec.json.decode(body)["rows"]
+            keys = {row["key"]: base64.b64decode(row["value"]) for row in rows}
+        except (msgspec.DecodeError, ValueError, KeyError, TypeError):
+            return {}
+        positions = {key[4:]: value for key, value in keys.items() if len(str(key)) == 20}
+        return {
+            int(name): value
+            for name, value in positions.items()
+            if name.isdecimal() and int(name) < FAR_POSITION
+        }
+
+    def _write_other_row(self, rng: random.Random) -> None:
+        """Writes a row that no node expects, or one whose content no node reads."""
+        between = f"{LOG_KEY.format(self._last_foreign_position)}x"
+        far = LOG_KEY.format(FAR_POSITION)
+        key = rng.choice((between, far, "log/x", "log/", "head", "\u00e9", "k" * 200))
+        value = rng.choice((b"", DEEP_ROW, rng.randbytes(100)))
+        self._fleet.put(rng.choice(("fleet", "op", "other")), key, value)
+
+    def _write_object(self, rng: random.Random) -> None:
+        name = f"{CHECKPOINT_PREFIX}{rng.choice((1, 2, FAR_POSITION)):016d}".replace("/", ".")
+        name = rng.choice((name, name, f"{CHECKPOINT_PREFIX}x".replace("/", ".")))
+        body = rng.choice((b"", DEEP_ROW, rng.randbytes(100)))
+        self._fleet.call(self._fleet.store, "PUT", f"/blob-put/{name}", body)
+
+    def _send_report(self, rng: random.Random) -> None:
+        vm = rng.choice(self._fleet.vms)
+        report = build_report(vm.service, vm.upstream, 1_700_000_000_000, rng.randrange(1_000))
+        report["holds"], report["freed"] = [[0, 4_095, 7]], [[4_096, 8_191, "5c0e"]]
+        body = msgspec.json.encode(mutate_value(rng, report))
+        if rng.random() < 0.4:
+            body = mutate_bytes(rng, body)
+        instance = rng.choice((f"{vm.name}-up", "other", "", "i" * 5_000, "%00%ff"))
+        path = rng.choice(("Heartbeat", "Heartbeat", "Heartbeat", "Deregister"))
+        if path == "Deregister" and instance == f"{vm.name}-up":
+            instance = "another"
+        status, _ = self._fleet.call(vm.report, "POST", f"/Instances.{path}/{instance}", body)
+        self.counts[f"reports answered {status}"] += 1
+        self._refused_reports[vm.name] += status == 400
+
+    def _send_datagram(self, rng: random.Random) -> None:
+        vm = rng.choice(self._fleet.vms)
+        body = mutate_bytes(rng, self._codec.encode(Versions(3, 4))[16:])
+        host, _, port = vm.control.rpartition(":")
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.sendto(self._codec.sign(body)[:MAX_DATAGRAM_BYTES], (host, int(port)))
+
+    def _send_bytes(self, rng: random.Random) -> None:
+        host, _, port = rng.choice(_all_addresses(self._fleet.vms, rng)).rpartition(":")
+        data = mutate_bytes(rng, REQUEST_HEAD) + b"\r\n\r\nabc"
+        try:
+            with socket.create_connection((host, int(port)), timeout=SOCKET_TIMEOUT_S) as sock:
+                sock.sendall(data)
+                sock.recv(4_096)
+        except OSError:
+            # A node may refuse the bytes by closing the connection, or wait for more.
+            return
+
+
+def _all_addresses(vms: list[Vm], rng: random.Random) -> tuple[str, ...]:
+    return rng.choice(vms).addresses
+
+
+def _version_of(data: bytes) -> int | None:
+    """Returns the version that a desired state states, None if no node can read it."""
+
+    class _Stated(msgspec.Struct):
+        version: Count
+
+    try:
+        return msgspec.json.decode(data, type=_Stated).version
+    except (msgspec.MsgspecError, ValueError, RecursionError, OverflowError):
+        return None
--- /dev/null
+++ b/tools/fuzz_platform_store.py
@@ -0,0 +1,127 @@
+"""Stand-in for the platform's store that writes odd answers to a share of the calls."""
+
+import random
+from collections import Counter
+
+import click
+import gevent
+import msgspec
+from gevent.pywsgi import WSGIHandler
+
+from standins.platform_store import StoreStandIn
+from tools.fuzz import mutate_bytes, mutate_value
+
+__all__ = ["REGULAR_HEADER", "OddStore"]
+
+# A call with this header gets no odd answer.
+REGULAR_HEADER = "x-fuzz-regular"
+
+SOCKET_KEY = "fuzz.socket"
+ADMIN_PATH = "/admin/odd"
+COMMIT_PATH = "/rows-tx"
+# Longer than a node waits for the answer to a call.
+LATE_S = 2.0
+KINDS = ("value", "bytes", "doubled", "earlier", "status", "head", "late")
+# Statuses that the store's documentation does not list. They state nothing about a commit.
+ODD_STATUSES = (201, 204, 302, 404, 418, 500, 999)
+
+
+class _Handler(WSGIHandler):
+    """Handler whose application can write to the connection."""
+
+    def get_environ(self) -> dict:
+        """Returns the environ of a request, with the socket of its connection."""
+        return super().get_environ() | {SOCKET_KEY: self.socket}
+
+
+class OddStore(StoreStandIn):
+    """Store whose answers are odd for a share of the calls, set by ``POST /admin/odd``.
+
+    An odd answer is a changed one, an earlier answer to a call with the same path, one that lists
+    everything twice, one with another status, one that is late, or bytes that are no HTTP. The call
+    itself takes effect as usual.
+
+    Args:
+        address: IP address and port to listen on.
+        rng: Source of the answers.
+
+    Attributes:
+        share: Share of the calls.
+        counts: Number of odd answers by path and kind.
+    """
+
+    def __init__(self, address: tuple[str, int], rng: random.Random) -> None:
+        self._rng = rng
+        self._earlier: dict[str, list[bytes]] = {}
+        self.share = 0.0
+        self.counts: Counter[str] = Counter()
+        super().__init__(address)
+        self._server.handler_class = _Handler
+
+    def _serve(self, environ, start_response):
+        if environ["PATH_INFO"] == ADMIN_PATH:
+            return self._serve_admin(environ, start_response)
+        heads: list[tuple[str, list]] = []
+        (body,) = super()._serve(environ, lambda *head: heads.append(head))
+        ((status, headers),) = heads
+        step = environ["PATH_INFO"].split("/")[1]
+        earlier = self._earlier.setdefault(step, [])
+        earlier.append(body)
+        del earlier[:-100]
+        if "HTTP_X_FUZZ_REGULAR" not in environ and self._rng.random() < self.share:
+            kind = self._rng.choice(KINDS)
+            self.counts[f"{step} {kind}"] += 1
+            status, body = self._odd_answer(kind, step, status, body)
+            headers = [("content-length", str(len(body)))]
+            if kind == "head":
+                head = f"HTTP/1.1 {status}\r\ncontent-length: {len(body)}\r\n\r\n".encode()
+                environ[SOCKET_KEY].sendall(mutate_bytes(self._rng, head + body))
+                headers.append(("connection", "close"))
+            if status.startswith("204"):
+                headers, body = [], b""
+        start_response(status, headers)
+        return [body]
+
+    def _odd_answer(self, kind: str, step: str, status: str, body: bytes) -> tuple[str, bytes]:
+        rng = self._rng
+        if kind == "late":
+            gevent.sleep(LATE_S)
+        elif kind == "status":
+            return f"{rng.choice(ODD_STATUSES)} X", body
+        elif kind == "earlier":
+            return status, rng.choice(self._earlier[step])
+        elif kind == "bytes":
+            return status, mutate_bytes(rng, body)
+        elif kind in ("value", "doubled"):
+            try:
+                content = msgspec.json.decode(body)
+            except msgspec.DecodeError:
+                return status, mutate_bytes(rng, body)
+            if kind == "value":
+                return status, msgspec.json.encode(mutate_value(rng, content))
+            for name in ("rows", "names"):
+                if name in content:
+                    content[name] = content[name] * 2
+            return status, msgspec.json.encode(content)
+        return status, body
+
+    def _serve_admin(self, environ, start_response):
+        if body := environ["wsgi.input"].read():
+            self.share = msgspec.json.decode(body)["share"]
+        answer = msgspec.json.encode(self.counts)
+        start_response("200 OK", [("content-length", str(len(answer)))])
+        return [answer]
+
+
+@click.command()
+@click.option("--listen", required=True, help="ip:port to listen on.")
+@click.option("--seed", default=1, show_default=True, help="Seed of the odd answers.")
+def main(listen: str, seed: int) -> None:
+    """Runs the store."""
+    host, _, port = listen.rpartition(":")
+    OddStore((host, int(port)), random.Random(seed))
+    gevent.wait()
+
+
+if __name__ == "__main__":
+    main()
