Compare the log lines of odd entries with the nodes' own count of unusable inputs

What callers saw: the run with odd entries forgave as many missing log lines as nodes stated to have dropped lines of any kind, which hid rows without a line. Cause: the check knew how many lines were dropped, but not which. Change: for nodes that are not killed, the gauge inputs_rejected must equal the number of "input not usable" lines, so none may be dropped, and each entry must have a line without allowance. A node may log each row of the fleet log once. Rows differ, so that one line no longer stands for several. The gauge unexpected_errors must be 0, and a node that states no status or no gauges is a finding. Rows are also records of their position whose content is no entry of it. Requests are sent at due times, so that the rate that is asked for is nearly reached.

--- a/tools/fuzz_platform.py
+++ b/tools/fuzz_platform.py
@@ -7,6 +7,7 @@
 """
 
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -61,11 +62,15 @@
     upstream: str
     control: str
 
+    @property
+    def metrics(self) -> str:
+        """Address of the metrics."""
+        return f"{self.host}:{METRICS_PORT}"
+
     @property
     def addresses(self) -> tuple[str, ...]:
         """Addresses on which the node listens."""
-        metrics = f"{self.host}:{METRICS_PORT}"
-        return (self.inbound, self.outbound, self.ready, self.report, self.control, metrics)
+        return (self.inbound, self.outbound, self.ready, self.report, self.control, self.metrics)
 
 
 class PlatformFleet:
@@ -175,6 +180,12 @@
         status, body = self.call(vm.control, "GET", "/v1/status")
         return msgspec.json.decode(body) if status == 200 else {}
 
+    def gauges(self, vm: Vm) -> dict[str, float]:
+        """Returns the gauges of a node, empty if it does not answer."""
+        status, body = self.call(vm.metrics, "GET", "/metrics")
+        rows = re.findall(r"^auburnsail_(\w+) (\S+)$", body.decode(), re.MULTILINE)
+        return {name: float(value) for name, value in rows} if status == 200 else {}
+
     def unserved(self, path: str = "") -> list[str]:
         """Returns the requests by node that are not answered with 200.
 
@@ -206,8 +217,9 @@
         ended = [name for name in names if not self._processes.is_running(name)]
         findings = [f"the process {name} has ended" for name in ended]
         for vm in self.vms:
-            if violation := self.status(vm).get("violation"):
-                findings.append(f"{vm.name}: {violation}")
+            status = self.status(vm)
+            if status.get("violation", not status):
+                findings.append(f"{vm.name}: {status.get('violation', 'no answer to a status')}")
             findings += self.logs.errors(vm.name)
         return findings
 
--- a/tools/fuzz_platform_entries.py
+++ b/tools/fuzz_platform_entries.py
@@ -16,12 +16,13 @@
 from auburnsail._checked_input import Count
 from auburnsail._checkpoint import CHECKPOINT_PREFIX
 from auburnsail._messages import Codec, Versions
+from auburnsail._versioned_log import LogRecord
 from auburnsail.exceptions import SettingsError
 from auburnsail.platform._boot_file import FLEET_SECRET
 from auburnsail.platform._desired_state import RetryLimits, decode_desired_state
 from tools.fuzz import REQUEST_HEAD, mutate_bytes, mutate_value
 from tools.fuzz_platform_load import HOST, TIMEOUT_MS
-from tools.fuzz_platform_logs import Line, line_of
+from tools.fuzz_platform_logs import ExpectedLines, Line, line_of
 from tools.fuzz_platform_upstream import build_report
 
 if TYPE_CHECKING:
@@ -44,6 +45,8 @@
     "idle-timeout-ms": 60_000,
 }
 FLEET_LOG = "fleet-log"
+FLEET_ENTRY = "fleet-entry"
+RECORD_SHARE = 0.3
 
 
 class EntryWriter:
@@ -62,8 +65,7 @@
         self._seed = seed
         self._version = 0
         self._codec = Codec(FLEET_SECRET, 1)
-        self._refused_reports: Counter[str] = Counter()
-        self._expected: list[tuple[str, set[Line]]] = []
+        self._expected = ExpectedLines()
         self._last_foreign_position = 0
         self._foreign: set[bytes] = set()
         self._entries: list[bytes] = []
@@ -95,26 +97,19 @@
 
     def findings(self) -> list[str]:
         """Returns what is wrong with the log lines of the entries, and with the followed log."""
-        findings, lines, dropped = [], set(), 0
-        for vm in self._fleet.vms:
-            refused, node_dropped = self._fleet.logs.refused(vm.name)
-            lines |= refused.keys()
-            dropped += node_dropped
-            reports = sum(count for line, count in refused.items() if line[0] == "report")
-            refusals = self._refused_reports[vm.name]
-            if not reports <= refusals <= reports + node_dropped:
-                findings.append(f"{vm.name}: {refusals} refused reports, {reports} log lines")
-            if (version := self._fleet.status(vm).get("fleet_version", 0)) < (
-                self._last_foreign_position
-            ):
-                findings.append(f"{vm.name} is at {version}, before an odd row of the fleet log")
-        missing = [text for text, expected in self._expected if not expected & lines]
-        self.counts["expected lines"] = len(self._expected)
-        self.counts["dropped lines"] = dropped
-        if len(missing) > dropped:
-            findings += [f"without a log line: {text}" for text in missing[:10]]
-            findings.append(f"{len(missing)} refused entries without a log line")
-        return findings
+        fleet, findings, counted = self._fleet, [], {}
+        for vm in fleet.vms:
+            gauges = fleet.gauges(vm)
+            if gauges.get("unexpected_errors") != 0:
+                findings.append(f"{vm.name}: unexpected errors {gauges.get('unexpected_errors')}")
+            if gauges.get("fleet_version", 0) < self._last_foreign_position:
+                findings.append(f"{vm.name} has not read row {self._last_foreign_position}")
+            if vm is not fleet.vms[-1]:
+                counted[vm.name] = int(gauges.get("inputs_rejected", -1))
+        refused = {vm.name: fleet.logs.refused(vm.name) for vm in fleet.vms}
+        self.counts["expected lines"] = len(self._expected.entries)
+        self.counts["dropped lines"] = sum(fleet.logs.dropped(vm.name) for vm in fleet.vms)
+        return findings + self._expected.findings(refused, counted)
 
     def _write_forever(
         self, name: str, write: Callable[[random.Random], None], pause_s: tuple[float, float]
@@ -169,7 +164,7 @@
         is_newer = version is None or version >= self._version
         self._version = max(self._version, version or 0)
         if self._fleet.put("op", "config", data) and lines and is_newer:
-            self._expected.append((f"desired state {data[:200]!r}", lines))
+            self._expected.entries.append((f"desired state {data[:200]!r}", lines))
         gevent.sleep(rng.uniform(*SETTINGS_PAUSE_S))
         self.change_settings()
 
@@ -180,14 +175,29 @@
             return
         position = max(rows) + 1
         self._entries += [data for data in rows.values() if data not in self._foreign]
-        entry = rng.choice(self._entries)
-        odd_values = (b"", b"\xc1", DEEP_ROW, rng.randbytes(50), mutate_bytes(rng, entry))
-        value = rng.choice((*odd_values, entry, rows[position - 1]))
+        value, line = self._odd_row(rng, position)
+        self._expected.rows[line] += 1
         if self._fleet.put("fleet", LOG_KEY.format(position), value, expected=0):
             self._last_foreign_position = position
             self._foreign.add(value)
-            expected = {line_of(FLEET_LOG, value)}
-            self._expected.append((f"row {position} {len(value)} bytes {value[:60]!r}", expected))
+            text = f"row {position} {len(value)} bytes {value[:60]!r}"
+            self._expected.entries.append((text, {line}))
+
+    def _odd_row(self, rng: random.Random, position: int) -> tuple[bytes, Line]:
+        """Returns a row that is no entry of a position, and the line that stands for it."""
+        if rng.random() < RECORD_SHARE:
+            # A record of its position, whose content is no entry of that position.
+            data = msgspec.msgpack.decode(rng.choice(self._entries), type=LogRecord).data
+            odd_data = (b"\xc1%d" % position, b"\x91" * (200_000 + position), b"", data, data)
+            data = rng.choice(odd_data)
+            record = LogRecord(position, f"odd-{position}", data)
+            value = msgspec.msgpack.encode(record)
+            return value, line_of(FLEET_ENTRY, data) if data else line_of(FLEET_LOG, value)
+        entry = rng.choice(self._entries)
+        deep = b"\x91" * (200_000 + position)
+        odd_values = (b"", b"\xc1%d" % position, deep, rng.randbytes(50), mutate_bytes(rng, entry))
+        value = rng.choice((*odd_values, entry))
+        return value, line_of(FLEET_LOG, value)
 
     def _log_rows(self, after: int) -> dict[int, bytes]:
         target = f"/rows-get?table=fleet&part=&from={LOG_KEY.format(after)}&target=log/~&limit=500"
@@ -210,6 +220,7 @@
         far = LOG_KEY.format(FAR_POSITION)
         key = rng.choice((between, far, "log/x", "log/", "head", "\u00e9", "k" * 200))
         value = rng.choice((b"", DEEP_ROW, rng.randbytes(100)))
+        self._expected.rows[line_of(FLEET_LOG, value)] += 1
         self._fleet.put(rng.choice(("fleet", "op", "other")), key, value)
 
     def _write_object(self, rng: random.Random) -> None:
@@ -231,7 +242,8 @@
             instance = "another"
         status, _ = self._fleet.call(vm.report, "POST", f"/Instances.{path}/{instance}", body)
         self.counts[f"reports answered {status}"] += 1
-        self._refused_reports[vm.name] += status == 400
+        self._expected.reports[vm.name] += status == 400
+        self._expected.unanswered[vm.name] += status == 0
 
     def _send_datagram(self, rng: random.Random) -> None:
         vm = rng.choice(self._fleet.vms)
--- a/tools/fuzz_platform_load.py
+++ b/tools/fuzz_platform_load.py
@@ -1,6 +1,7 @@
 """Callers of nodes on the users' platform, who must get an answer to every request."""
 
 import random
+import time
 from collections import Counter
 
 import gevent
@@ -48,12 +49,13 @@
 
     def run(self) -> None:
         """Sends requests until `stop`."""
-        number = 0
+        number, due_s = 0, time.monotonic()
         while not self._is_stopping:
             number += 1
             # If all may be in flight, this waits, and the rate that is reached is lower.
             self._pool.spawn(self._send, number)
-            gevent.sleep(self._rng.expovariate(self._rate))
+            due_s += self._rng.expovariate(self._rate)
+            gevent.sleep(max(0.0, due_s - time.monotonic()))
 
     def stop(self) -> None:
         """Ends the requests; returns when the last one has its answer or timed out."""
