A test of the checker of odd entries, and a short run of whole nodes

What callers saw: nothing showed that the run with odd entries can fail, and the suite ran whole nodes with the built-in protocol only. Change: tests/test_fuzz_platform.py gives the checker an ended process, a node without a status, an error line, missing, dropped and repeated lines, and missing, cut and wrong answers, and runs three nodes for 4 s.

--- /dev/null
+++ b/tests/test_fuzz_platform.py
@@ -0,0 +1,146 @@
+"""A short run of whole nodes of the platform beside odd entries; `make fuzz` runs longer ones."""
+
+import random
+import tempfile
+import unittest
+from collections import Counter
+from pathlib import Path
+from types import SimpleNamespace
+
+import gevent
+import msgspec
+from gevent.server import StreamServer
+
+from tools.fuzz_platform import PlatformFleet, run_platform
+from tools.fuzz_platform_load import PlatformLoad, judge
+from tools.fuzz_platform_logs import ExpectedLines, NodeLogs, line_of
+from tools.ports import LOOPBACK, reserve_port
+
+SEED = 1
+NODES = 3
+REQUESTS_PER_S = 60.0
+DURATION_S = 4.0
+# Records of their position without an entry of it leave no line, or two (KNOWN-RED 15).
+RECORD_SHARE = 0.0
+ROW = b"\xc1 a row"
+LINE = line_of("fleet-log", ROW)
+
+
+class Folder(unittest.TestCase):
+    """Base class with a directory for the output of nodes."""
+
+    def setUp(self):
+        """Creates the directory."""
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.logs = NodeLogs(self.folder)
+
+    def write_lines(self, node: str, *events: dict) -> None:
+        """Writes the output of a node."""
+        lines = [msgspec.json.encode(event) + b"\n" for event in events]
+        (self.folder / f"{node}.out").write_bytes(b"".join(lines))
+
+
+class LinesTest(Folder):
+    """Which lines the entries must leave."""
+
+    def findings(self, lines: list[int], counted: int, **expected) -> list[str]:
+        """Returns the findings for a row with so many lines at each node.
+
+        Args:
+            lines: Number of lines by node.
+            counted: Number of inputs that n0, the only node that is not killed, counted.
+            **expected: Fields of `ExpectedLines` that differ from those of one row.
+        """
+        refused = {}
+        for number, count in enumerate(lines):
+            source, size, excerpt = LINE
+            event = {"event": "input not usable", "source": source, "size": size}
+            self.write_lines(f"n{number}", *[event | {"excerpt": excerpt}] * count)
+            refused[f"n{number}"] = self.logs.refused(f"n{number}")
+        fields = {"entries": [("a row", {LINE})], "rows": Counter({LINE: 1})} | expected
+        return ExpectedLines(**fields).findings(refused, {"n0": counted})
+
+    def test_a_missing_or_repeated_line_is_found(self):
+        """Guards against a run that cannot fail."""
+        cases = {
+            "a row without a line": self.findings([0, 0], 0),
+            "a dropped line": self.findings([0, 1], 1),
+            "two lines for a row": self.findings([2, 1], 2),
+            "no gauges": self.findings([1, 1], -1),
+            "a report without a line": self.findings([1, 1], 1, reports=Counter(n1=1)),
+        }
+        for name, findings in cases.items():
+            with self.subTest(name):
+                self.assertGreater(len(findings), 0)
+
+    def test_what_nodes_may_do_is_no_finding(self):
+        """Guards against findings that no node can avoid, which would hide the others."""
+        self.assertEqual(self.findings([1, 0], 1), [])
+        self.assertEqual(self.findings([0, 1], 0), [])
+        self.assertEqual(self.findings([1, 3], 1), [])
+
+
+class ProcessesTest(Folder):
+    """What is found at the processes."""
+
+    def test_an_ended_or_silent_process_and_an_error_line_are_found(self):
+        """Guards against a run that does not see that a node has gone."""
+        processes = SimpleNamespace(is_running=lambda name: name != "n1")
+        fleet = PlatformFleet(processes, self.folder, SEED, NODES)
+        for vm in fleet.vms:
+            self.write_lines(vm.name, {"event": "node started"})
+        self.write_lines("n2", {"event": "unexpected error"})
+        fleet.status = lambda vm: {} if vm.name == "n0" else {"violation": ""}
+        findings = fleet.findings()
+        self.assertEqual([finding[:2] for finding in findings], ["th", "n0", "n2"], findings)
+        fleet.status = lambda vm: {"violation": "two entries" * (vm.name == "n0")}
+        self.assertIn("n0: two entries", fleet.findings())
+
+
+class LoadTest(unittest.TestCase):
+    """What callers must not see."""
+
+    def test_a_missing_answer_is_found(self):
+        """Guards against a run that does not see that requests are lost."""
+        ends = {b"": "no answer", b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\nr-1": "cut"}
+        ends[b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nr-x"] = "wrong answer"
+        for answer, outcome in ends.items():
+            server = StreamServer(
+                (LOOPBACK, reserve_port()),
+                lambda sock, address, answer=answer: (sock.recv(4_096), sock.sendall(answer)),
+            )
+            server.start()
+            load = PlatformLoad([f"{LOOPBACK}:{server.server_port}"], random.Random(1), 100.0)
+            task = gevent.spawn(load.run)
+            gevent.sleep(0.2)
+            load.stop()
+            task.join()
+            server.stop()
+            with self.subTest(outcome):
+                self.assertGreater(load.counts[outcome], 0)
+                self.assertIn(outcome, " ".join(load.findings))
+
+    def test_only_odd_answers_may_be_cut(self):
+        """Guards against a cut or changed answer to a regular request that passes."""
+        self.assertEqual([judge(text, is_odd=True) for text in ("cut", "503")], ["", ""])
+        self.assertEqual(judge("no answer", is_odd=True), "no answer")
+        self.assertEqual(judge("cut", is_odd=False), "cut")
+
+
+class WholeRunTest(Folder):
+    """Nodes, upstreams and the store as processes."""
+
+    def test_nodes_go_on_beside_odd_entries(self):
+        """Guards against odd entries that end a process, lose a request or leave no log line."""
+        counts, findings = run_platform(
+            SEED, DURATION_S, NODES, REQUESTS_PER_S, RECORD_SHARE, self.folder
+        )
+        self.assertEqual(findings, [])
+        for name in ("log rows", "other rows", "objects", "reports", "datagrams", "bytes", "200"):
+            self.assertGreater(counts[name], 0, name)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tools/fuzz_platform_load.py
+++ b/tools/fuzz_platform_load.py
@@ -61,6 +61,8 @@
         """Ends the requests; returns when the last one has its answer or timed out."""
         self._is_stopping = True
         self._pool.join()
+        for peer in self._peers:
+            peer.drop_idle()
 
     def _send(self, number: int) -> None:
         rng = self._rng
