make fuzz runs whole nodes of the platform; a row after an earlier version of it

The trace shows an odd answer of the store as the cause: n2 logged version X at 268.81 s, its successor Y at 271.42 s, X again at 275.1132 s, 0.3 ms after the store had shown it once more ("rows-get shows"), and Y again at 276.12 s.

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,7 @@
 fuzz: .venv
 	$(PY) -m tools.fuzz --seed $(SEED) --duration-s $(DURATION_S)
 	$(PY) -m tools.fuzz_nodes --seed $(SEED) --duration-s $(NODES_DURATION_S)
+	$(PY) -m tools.fuzz_platform --seed $(SEED) --duration-s $(DURATION_S)
 
 soak-mutations: .venv
 	$(PY) -m tools.soak_mutations
