--- a/src/auburnsail/_admission_queue.py
+++ b/src/auburnsail/_admission_queue.py
@@ -216,7 +216,7 @@
             return self._refuse("deadline", 0)
         is_free = self.in_flight < self._limits.max_in_flight and not self._heap
         if is_free and not self._link_usage.transfer_ns(request.kind, now_ns):
-            self._start(request.kind, now_ns)
+            self._start(request.kind)
             return ADMIT
         if len(self._heap) >= self._limits.queue_requests:
             wait_ns = self._expected_duration_ns(
@@ -239,7 +239,7 @@
         if lateness_ns > 0:
             return self._refuse("deadline", lateness_ns)
         if is_free:
-            self._start(request.kind, now_ns)
+            self._start(request.kind)
             return ADMIT
         waiter = self._create_waiter(request, bound_ns, now_ns)
         heapq.heappush(self._heap, (rank, due_ns, next(self._sequence), waiter))
@@ -312,7 +312,7 @@
             if now_ns + self._service_bound_ns(waiter.request.kind) > waiter.request.deadline_ns:
                 waiter.decision = self._refuse("deadline", 0)
             else:
-                self._start(waiter.request.kind, now_ns)
+                self._start(waiter.request.kind)
                 waiter.decision = ADMIT
             decided.append(waiter)
         return decided
@@ -334,9 +334,9 @@
         heapq.heapify(self._heap)
         return expired
 
-    def _start(self, kind: str, now_ns: int) -> None:
+    def _start(self, kind: str) -> None:
         self.in_flight += 1
-        self._link_usage.begin(kind, now_ns)
+        self._link_usage.begin(kind)
         if self.in_flight > self._limits.max_in_flight:
             raise InvariantViolation(
                 "more requests are in flight than the limits allow", step="limits.start"
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -248,7 +248,7 @@
         soft_deadline_ms = context.soft_remaining_ms(self._clock.now_ns(), margin_ms)
         hop = context.next_hop(request_id, remaining_ms, soft_deadline_ms, self._router.map_version)
         owner = f"{_headers.OWNER}: {address}\r\n" if target.shard >= 0 else ""
-        with self._link_usage.relaying(destination.kind, self._clock.now_ns()):
+        with self._link_usage.relaying(destination.kind):
             try:
                 self._exchange(context, address, self._hop_header(head, hop, address), None, owner)
             except RequestFailedError as error:
@@ -284,8 +284,6 @@
                 context.silence_deadline_ns = 0
                 self._check_answer(context, exchange, answer, local, address)
                 context.attempts.on_possibly_run()
-                service_ns = self._clock.now_ns() - exchange.started_ns
-                self._link_usage.on_answer_ready(context.destination.kind, service_ns)
                 context.status, context.answer_bytes = answer.status, answer.length or 0
                 relay_answer(context, exchange, answer, owner, self._clock)
             except OutcomeUnknownError as error:
--- a/src/auburnsail/_link_usage.py
+++ b/src/auburnsail/_link_usage.py
@@ -4,7 +4,7 @@
 local upstream and some that the node relays from other nodes to its callers, mixed with requests
 whose short answers share the link. Waiting for the link must not occupy a slot of the upstream that
 another request could use, and a request whose answer cannot cross the link in time must not be sent
-to any upstream. After a pause the link stays idle until the first upstream has answered.
+to any upstream.
 """
 
 import contextlib
@@ -19,8 +19,8 @@
 # Reason token of a refusal by the node that received the request: the answer crosses this node's
 # link whichever upstream serves it.
 LINK_FULL = "link-full"
-# Weight of a new sample in the moving averages of answer sizes and service times.
-SAMPLE_GAIN = 0.1
+# Weight of a new sample in the moving average of the answer size.
+SIZE_GAIN = 0.1
 
 
 class LinkUsage:
@@ -33,24 +33,12 @@
     def __init__(self, pacer: LinkPacer | None = None) -> None:
         self._pacer = pacer or LinkPacer()
         self._mean_bytes: dict[str, float] = {}
-        self._mean_service_ns: dict[str, float] = {}
         self._unsent_answers: Counter[str] = Counter()
-        # When the first large answer since the link was last idle is expected, or 0 if it is ready.
-        self._first_ready_ns = 0.0
 
-    def begin(self, kind: str, now_ns: int) -> None:
+    def begin(self, kind: str) -> None:
         """Records that an upstream starts to run a request whose answer will cross the link."""
-        if self._large_bytes(kind) and not self._unsent_bytes():
-            self._first_ready_ns = now_ns + self._mean_service_ns.get(kind, 0.0)
         self._unsent_answers[kind] += 1
 
-    def on_answer_ready(self, kind: str, service_ns: int) -> None:
-        """Records that an upstream has answered, and the service time in nanoseconds."""
-        if self._large_bytes(kind):
-            mean = self._mean_service_ns.get(kind, float(service_ns))
-            self._mean_service_ns[kind] = mean + SAMPLE_GAIN * (service_ns - mean)
-            self._first_ready_ns = 0.0
-
     def on_answer_sent(self, kind: str) -> None:
         """Records that the answer has been sent, or that there is none."""
         self._unsent_answers[kind] -= 1
@@ -59,9 +47,9 @@
             del self._unsent_answers[kind]
 
     @contextlib.contextmanager
-    def relaying(self, kind: str, now_ns: int) -> Iterator[None]:
+    def relaying(self, kind: str) -> Iterator[None]:
         """Accounts for an answer of another node's upstream while it is relayed to a caller."""
-        self.begin(kind, now_ns)
+        self.begin(kind)
         try:
             yield
         finally:
@@ -70,14 +58,14 @@
     def add_sample(self, kind: str, answer_bytes: int) -> None:
         """Records the size of an answer in bytes."""
         mean = self._mean_bytes.get(kind, float(answer_bytes))
-        self._mean_bytes[kind] = mean + SAMPLE_GAIN * (answer_bytes - mean)
+        self._mean_bytes[kind] = mean + SIZE_GAIN * (answer_bytes - mean)
 
     def transfer_ns(self, kind: str, now_ns: int) -> float:
         """Returns the transmission time of an answer in nanoseconds, 0 for a small answer."""
         return self._busy_ns(self._large_bytes(kind), now_ns)
 
     def queue_delay_ns(self, kind: str, queued_ahead: int, now_ns: int) -> float:
-        """Returns the time in nanoseconds until large answers ahead of a new one have been sent.
+        """Returns the time in nanoseconds that large answers occupy the link before a new answer.
 
         Args:
             kind: Kind of the new request; the result is 0 if its answers are small.
@@ -87,21 +75,18 @@
         size = self._large_bytes(kind)
         if not size:
             return 0.0
-        unsent = self._unsent_bytes()
-        idle_ns = max(0.0, self._first_ready_ns - now_ns) if unsent else 0.0
-        return idle_ns + self._busy_ns(unsent + queued_ahead * size, now_ns)
+        unsent = sum(
+            count * self._large_bytes(unsent_kind)
+            for unsent_kind, count in self._unsent_answers.items()
+        )
+        return self._busy_ns(unsent + queued_ahead * size, now_ns)
 
     def lateness_ns(self, kind: str, due_ns: int, now_ns: int) -> float:
         """Returns the expected lateness in nanoseconds; 0 or negative if the answer is in time."""
         transfer_ns = self.transfer_ns(kind, now_ns)
         if not transfer_ns:
             return 0.0
-        service_ns = self._mean_service_ns.get(kind, 0.0)
-        wait_ns = max(service_ns, self.queue_delay_ns(kind, 0, now_ns))
-        return now_ns + wait_ns + transfer_ns - due_ns
-
-    def _unsent_bytes(self) -> float:
-        return sum(count * self._large_bytes(kind) for kind, count in self._unsent_answers.items())
+        return now_ns + self.queue_delay_ns(kind, 0, now_ns) + transfer_ns - due_ns
 
     def _large_bytes(self, kind: str) -> float:
         mean = self._mean_bytes.get(kind, 0.0)
