--- a/tests/test_link_load.py
+++ b/tests/test_link_load.py
@@ -72,6 +72,33 @@
             self.counts[f"{kind} in time"] += 1
 
 
+class DownloadBurst:
+    """Downloads that a node relays from fast upstreams and that arrive while its link is idle.
+
+    Attributes:
+        lateness_ns: Lateness of each forwarded download at its deadline, negative if in time.
+    """
+
+    def __init__(self) -> None:
+        self._usage = LinkUsage(LinkPacer(LINK_BYTES_PER_S))
+        self._usage.add_sample("download", DOWNLOAD_BYTES)
+        self.lateness_ns: list[float] = []
+
+    def run(self, count: int, now_ns: int) -> None:
+        """Offers `count` downloads and sends the answers of those that are forwarded."""
+        due_ns = now_ns + DOWNLOAD_DEADLINE_MS * NS_PER_MS
+        end_ns, forwarded = now_ns, 0
+        for _ in range(count):
+            if self._usage.lateness_ns("download", due_ns, now_ns) > 0:
+                continue
+            self._usage.begin("download")
+            forwarded += 1
+            end_ns += TRANSFER_NS
+            self.lateness_ns.append(end_ns - due_ns)
+        for _ in range(forwarded):
+            self._usage.on_answer_sent("download")
+
+
 class LinkLoadTest(unittest.TestCase):
     """Downloads at about twice the capacity of the link; calls use a third of the slots."""
 
@@ -92,6 +119,15 @@
             )
             self.assertGreater(known.counts["call in time"], 0.95 * known.counts["call"])
 
+    def test_no_download_is_forwarded_that_the_link_cannot_carry_in_time(self):
+        """Guards against forwarded requests whose answers end after their deadline."""
+        burst = DownloadBurst()
+        for second in range(3):
+            burst.run(40, second * 10 * NS_PER_S)
+        self.assertLessEqual(max(burst.lateness_ns), 0)
+        # The link is used until a transmission before the deadline at the latest.
+        self.assertGreater(max(burst.lateness_ns), -2 * TRANSFER_NS / PAYLOAD_FRACTION)
+
     def test_small_answers_and_wide_links_cause_no_delay(self):
         """Guards against refusals where the link is not the bottleneck."""
         transmission_ms = TRANSFER_NS / PAYLOAD_FRACTION / NS_PER_MS
