An answer whose caller reads a few bytes now and then is stalled

Change: 16 KiB within the stall time-out are progress, less is not. A caller of 0.6 KB/s still gets its answer.

Its time-out is 1.5 s now, and the caller reads more slowly, so an answer still takes longer than the time-out.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -34,6 +34,9 @@
 
 # Longest time that an answer may be relayed without progress.
 STALL_TIMEOUT_NS = 30_000 * NS_PER_MS
+# A caller that acknowledges a few bytes now and then would hold its answer, and with a streamed one
+# a slot of the upstream, for hours.
+MIN_PROGRESS_BYTES = 16 * 1024
 
 
 class RequestContext:
@@ -71,7 +74,7 @@
         local_service: Service of the request if the local upstream admitted it.
         silence_deadline_ns: When the current attempt ends if the peer is silent, 0 for never.
         progress_ns: When the answer last advanced, 0 before relaying began and after a stop.
-        acknowledged_bytes: Bytes that the caller's kernel had acknowledged at the last sweep.
+        acknowledged_bytes: Bytes that the caller's kernel had acknowledged at the last progress.
         stop_reason: Why the request was stopped, or an empty string.
         is_overdue: Whether a sweep has found the deadline passed.
         is_stalled: Whether the last sweep found the answer stalled.
@@ -330,15 +333,15 @@
 def _is_stalled(context: RequestContext, now_ns: int) -> bool:
     """Returns whether the answer has not advanced for the stall time-out; records its progress.
 
-    While a part is being written, the bytes that the caller acknowledges are progress. The wait for
-    the VM's link is not the caller's.
+    While a part is being written, `MIN_PROGRESS_BYTES` that the caller acknowledges are progress.
+    The wait for the VM's link is not the caller's.
     """
     request = context.request
     if not context.progress_ns or request.is_waiting_for_link:
         context.progress_ns = now_ns
     elif request.is_writing:
         acknowledged = request.acknowledged_bytes()
-        if acknowledged != context.acknowledged_bytes:
+        if acknowledged - context.acknowledged_bytes >= MIN_PROGRESS_BYTES:
             context.acknowledged_bytes = acknowledged
             context.progress_ns = now_ns
     return now_ns - context.progress_ns >= STALL_TIMEOUT_NS
--- a/tests/test_unanswered_requests.py
+++ b/tests/test_unanswered_requests.py
@@ -85,6 +85,7 @@
 
     def test_a_caller_that_reads_slowly_gets_the_whole_answer(self):
         """Guards against a reset in the middle of an answer that its caller is reading."""
+        self.enterContext(mock.patch(STALL_TIMEOUT, 1_500 * NS_PER_MS))
         node = self.start()
         for head, end in self.HEADS:
             answer = head + bytes(60_000) + end
@@ -94,10 +95,21 @@
             size = 0
             while part := sock.recv(4096):
                 size += len(part)
-                gevent.sleep(0.06)
+                gevent.sleep(0.15)
             self.assertGreater(size, 60_000)
             self.assertTrue(wait_for(lambda: not node.server.connections))
 
+    def test_a_caller_that_reads_too_little_is_reset(self):
+        """Guards against a caller that holds its answer, and the upstream's slot, for hours."""
+        self.enterContext(mock.patch("auburnsail._active_requests.MIN_PROGRESS_BYTES", 1 << 20))
+        node = self.start()
+        self.upstream.script = lambda sock, run: self.HEADS[0][0] + bytes(60_000)
+        sock = self.connect_slow_caller(node)
+        sock.sendall(request())
+        with self.assertRaises(ConnectionResetError):
+            while sock.recv(4096):
+                gevent.sleep(0.06)
+
     def test_a_caller_that_reads_nothing_is_reset(self):
         """Guards against an answer that is kept for good because its caller does not read it."""
         node = self.start()
