A drain does not wait for callers that read no refusal

Cause: the connection counted as in flight while the node waited for the receipt of the refusal. After a request that was routed it doesn't.

Change: it is idle once the refusal is sent. OPERATIONS.md says that a caller that resets its connection right after the answer may be logged as "answer not received".

Measured: the new test of test_linger fails without the change (False is not true) and passes with it.

--- a/src/auburnsail/_http_server.py
+++ b/src/auburnsail/_http_server.py
@@ -193,6 +193,7 @@
         except RequestFailedError as error:
             self.head_deadline_ns = 0
             self.send(error.refusal.encode(close=True, dialect=server.dialect))
+            self.is_idle = True
             self._linger()
             return False
         try:
--- a/tests/test_linger.py
+++ b/tests/test_linger.py
@@ -90,6 +90,19 @@
             [line["step"] for line in lines if line["event"] == "answer not received"], ["linger"]
         )
 
+    def test_a_drain_does_not_wait_for_a_caller_that_reads_no_refusal(self):
+        """Guards against one malformed head that holds a stop to the end of its grace time."""
+        head = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % ANSWER_BYTES
+        self.upstream.script = lambda sock, run: head + bytes(ANSWER_BYTES)
+        with socket.socket() as sock:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+            sock.connect(("127.0.0.1", int(self.node.address.partition(":")[2])))
+            sock.sendall(b"GET /catalogue/k1 HTTP/1.1\r\nhost: a\r\n\r\n")
+            self.assertTrue(wait_for(lambda: self.upstream.runs and not self.node.server.in_flight))
+            sock.sendall(b"no head\r\n\r\n")
+            gevent.sleep(0.2)
+            self.assertTrue(self.node.server.drain(idle_grace_s=0.0, timeout_s=1.0))
+
     def test_a_caller_that_left_before_its_refusal_has_a_log_line(self):
         """Guards against refusals that reach nobody and leave no trace in the logs.
 
