A key that only ends in a position is no position of the log

What callers could see: after a row such as fleet/log/x/ in the store, nodes took it for position 2 and went past it, while the next append still wrote its entry at the true key: nodes that had read the odd row and nodes that had not differ at that version and stop serving (`violation`).

Cause: the position was read from the part of the key behind its last slash.

Change: it is the whole key behind the log's prefix.

Measured: the new test of test_odd_entries fails before (2 != 1: the node is at version 2 without an entry there) and passes after. Found by reading; the fuzz runs write no such key.

--- a/src/auburnsail/_versioned_log.py
+++ b/src/auburnsail/_versioned_log.py
@@ -137,7 +137,7 @@
 
     def _position(self, row: Row) -> int:
         """Returns the position that a row's key names, 0 for none."""
-        position = row.key.rpartition("/")[2]
+        position = row.key.removeprefix(f"{self._name}/log/")
         if len(position) == POSITION_DIGITS and position.isascii() and position.isdecimal():
             return int(position)
         self._reject(row, f"the key {row.key!r} names no position")
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -214,6 +214,17 @@
                 self.assertEqual(len(lines), count)
         self.assertEqual(self.nodes[0].version, 5)
 
+    def test_a_key_that_only_ends_in_a_position_takes_none(self):
+        """Guards against nodes that go past a position which the next append still takes."""
+        copy = self.table.rows[f"fleet/log/{1:016d}"].value
+        for key in (f"fleet/log/{1:016d}/{2:016d}", f"fleet/log/x/{2:016d}"):
+            self.table.rows[key] = Row(key, 1, copy)
+        self.follow(0)
+        self.assertEqual(self.nodes[0].version, 1)
+        self.append("b")
+        self.follow()
+        self.assertEqual([len(node.sessions) for node in self.nodes], [2, 2])
+
     def test_a_copied_row_has_one_log_line(self):
         """Guards against rows that are passed over without a trace."""
         copy = self.table.rows[f"fleet/log/{1:016d}"].value
