--- a/tests/path_fakes.py
+++ b/tests/path_fakes.py
@@ -1,5 +1,6 @@
 """Test doubles for the request path: scripted upstreams, and nodes without membership."""
 
+import unittest
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -265,3 +266,22 @@
             gevent.sleep(0.005)
         return True
     return False
+
+
+class PathTestCase(unittest.TestCase):
+    """Base of tests of two nodes: `owner` owns all keys and `other` forwards requests to it."""
+
+    def setUp(self):
+        self.upstream = FakeUpstream()
+        self.other_upstream = FakeUpstream()
+        self.owner = PathNode("a", self.upstream, "catalogue")
+        self.other = PathNode("b", self.other_upstream, "catalogue")
+        connect(self.owner, self.other, owner=self.owner)
+        for component in (self.upstream, self.other_upstream, self.owner, self.other):
+            self.addCleanup(component.stop)
+
+    def entry_nodes(self):
+        """Yields the nodes at which a request can enter, the owner first, with `runs` cleared."""
+        for node in (self.owner, self.other):
+            self.upstream.runs.clear()
+            yield node
