Soak: faults of a session's watchers, late requests and busy keys

Cause: the mutations "a restarted watcher counts" and "grants outlive the lease" were caught only at some states of the code, because runs rarely built the case. For the first: a watcher that does not hear a session seals it and restarts; its successor acknowledges the session's renewals, or the session chooses it as a watcher again; then a second watcher seals the session before it has replaced that one, and the seal of before the restart still counts (traced on sub-seed 2000: the close of n3 names the ended session of n6). For the second: a request must be late at its upstream, its shard must have been taken over, and the new owner must have run a request of the same shard.

Change: three of eight sub-seeds (0, 1 and 6 modulo 8) have series of faults of the watchers of one session (tools/soak_watchers.py), more pauses between the last check of a request and its first byte, and five further callers of three keys.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 from tools.soak_nodes import KEYED_SERVICE
 
 # In the last two, a peer's answer is late, which must not block all further fetches of a node.
-SUB_SEEDS = (2, 3, 5, 7, 1542588269, 4031118404)
+SUB_SEEDS = (1, 2, 3, 5, 7, 1542588269, 4031118404)
 # Mutations that the first run detects within the first second of virtual time.
 QUICK_MUTATIONS = ("a lost answer counts as written", "settings appended where a record exists")
 # Sub-seeds with upstreams that write answers once more and with rows of another writer in the fleet
@@ -20,6 +20,8 @@
     "not run counts without the id of the request": "P4",
     "a request uses a connection again on which it was refused": "P4",
 }
+# A sub-seed with faults of the watchers of one session and requests that are late at an upstream.
+OWNERSHIP_SUB_SEED = 1
 
 
 class SoakTest(unittest.TestCase):
@@ -49,6 +51,13 @@
                     result, _ = find_violation(mutation, sub_seeds=1)
                     self.assertEqual(result.guarantee, mutation.guarantee)
 
+    def test_watchers_are_disturbed_and_requests_arrive_after_their_grant(self):
+        """Guards against runs in which no watcher restarts and no grant meets an upstream late."""
+        result = self.results[OWNERSHIP_SUB_SEED]
+        for name in ("watcher-cut", "watcher-restart"):
+            self.assertGreater(result.faults[name], 0, name)
+        self.assertGreater(result.counts["fenced"], 0)
+
     def test_detects_odd_entries_and_repeated_answers_that_count(self):
         """Guards against runs in which no copy of an answer and no foreign row meets a node.
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -23,6 +23,7 @@
 from tools.soak_patches import patched_request_path
 from tools.soak_requests import RequestSimulation
 from tools.soak_settings import Operators
+from tools.soak_watchers import WatcherFaults
 
 __all__ = ["RunResult", "run_seed"]
 
@@ -43,9 +44,14 @@
     (3, 4, 1, 2, 1, 10, 8),
 )
 MOVES_PROFILE_INDEX = 2
-# Every eighth sub-seed has upstreams that write answers once more, and another writer in the store.
-RUNS_PER_ODD_RUN = 8
+# Some runs have further faults, by the remainder of the sub-seed divided by `RUN_KINDS`.
+RUN_KINDS = 8
+# Upstreams that write answers once more, and another writer in the store.
 ODD_RUN_INDEX = 7
+# Series of faults of a session's watchers, more pauses between the last check of a request and its
+# first byte, and further callers of a few keys.
+OWNERSHIP_RUN_INDICES = (0, 1, 6)
+OWNERSHIP_PAUSE_PROBABILITY = 0.015
 STOP_PROBABILITY = 0.08
 SILENCE_PROBABILITY = 0.08
 FOREIGN_ROW_PROBABILITY = 0.2
@@ -104,8 +110,13 @@
         self.sim.lost_answer_share = 0.2
         self.sim.table.lost_answer_share = 0.1
         self._net = FakeNetwork(self.sim)
-        self._is_odd = sub_seed % RUNS_PER_ODD_RUN == ODD_RUN_INDEX
+        self._is_odd = sub_seed % RUN_KINDS == ODD_RUN_INDEX
         self._odd_rng = random.Random(f"odd {sub_seed}")
+        self._tests_ownership = sub_seed % RUN_KINDS in OWNERSHIP_RUN_INDICES
+        watcher_rng = random.Random(f"watchers {sub_seed}")
+        self._watcher_faults = WatcherFaults(self.sim, watcher_rng, NODES - UNKEYED_NODES)
+        if self._tests_ownership:
+            self._net.request_pause_probability = OWNERSHIP_PAUSE_PROBABILITY
         self.requests: RequestSimulation | None = None
 
     def run(self) -> RunResult:
@@ -113,7 +124,11 @@
         result = RunResult(self._sub_seed)
         with patched_request_path(self._net):
             try:
-                self.requests = RequestSimulation(self._net, repeats_answers=self._is_odd)
+                self.requests = RequestSimulation(
+                    self._net,
+                    repeats_answers=self._is_odd,
+                    has_busy_keys=self._tests_ownership,
+                )
                 self.sim.observer = self.requests
                 self._run_phases()
             except GuaranteeError as error:
@@ -142,8 +157,11 @@
                 net.silence_connections()
             if self._is_odd and self._odd_rng.random() < FOREIGN_ROW_PROBABILITY:
                 sim.write_foreign_row(self._odd_rng)
+            if self._tests_ownership:
+                self._watcher_faults.inject()
             sim.run(sim.rng.uniform(50, 800))
         net.is_fault_free = True
+        self._watcher_faults.end()
         sim.set_store_outage(False)
         sim.lost_answer_share = sim.table.lost_answer_share = sim.loss = 0.0
         sim.run(RECOVERY_MS)
--- a/tools/soak_net.py
+++ b/tools/soak_net.py
@@ -15,10 +15,11 @@
 from auburnsail._clock import NS_PER_MS
 from auburnsail._sockets import ReadCancelledError
 from auburnsail.exceptions import NotRunError
+from tools.ordered_set import OrderedSet
 from tools.soak_fleet import FleetSimulation
 from tools.soak_nodes import FakeNode
 
-__all__ = ["FakeNetwork", "FakeSocket", "OrderedSet", "Task"]
+__all__ = ["FakeNetwork", "FakeSocket", "Task"]
 
 LATENCY_MS = (0.1, 20.0)
 # Interval at which bytes on a cut link are sent again.
@@ -26,21 +27,6 @@
 PAUSE_AT_SEND_PROBABILITY = 0.004
 
 
-class OrderedSet(dict):
-    """A set that iterates in insertion order.
-
-    A built-in set of objects iterates in the order of their addresses, which differs between runs.
-    """
-
-    def add(self, item: object) -> None:
-        """Adds an item to the end, if it is not in the set."""
-        self[item] = None
-
-    def discard(self, item: object) -> None:
-        """Removes an item if it is in the set."""
-        self.pop(item, None)
-
-
 @dataclass(eq=False)
 class Task:
     """A greenlet of a node, an upstream or a caller.
@@ -106,7 +92,7 @@
         Raises:
             ConnectionResetError: This end is closed or the peer has reset the connection.
         """
-        self._net.maybe_pause_sender()
+        self._net.maybe_pause_sender(self._link)
         if self.is_closed or self._end_state == "reset":
             raise ConnectionResetError("the connection was reset")
         self._send(bytes(data))
@@ -244,6 +230,8 @@
             function that serves an accepted connection.
         is_fault_free: Whether no nodes are paused before they send and upstreams inject no faults
             other than slow answers.
+        request_pause_probability: Probability that a node is paused after its last check of a
+            request and before it sends the request to the local upstream.
         current: The task that runs now.
     """
 
@@ -252,6 +240,7 @@
         default_factory=dict
     )
     is_fault_free: bool = True
+    request_pause_probability: float = PAUSE_AT_SEND_PROBABILITY
     current: Task | None = None
 
     def __post_init__(self) -> None:
@@ -329,15 +318,17 @@
                 task.handle.throw(greenlet.GreenletExit)
                 self.current = previous
 
-    def maybe_pause_sender(self) -> None:
-        """Pauses the node of the current task at random before it sends.
+    def maybe_pause_sender(self, link: tuple[int, int]) -> None:
+        """Pauses the node of the current task at random before it sends over a link.
 
         The pause falls between the last check of a request and the sending of its bytes.
         """
         task = self.current
         if self.is_fault_free or task is None or task.node is None or task.is_upstream:
             return
-        if self._rng.random() < PAUSE_AT_SEND_PROBABILITY:
+        is_local = link[0] == link[1]
+        probability = self.request_pause_probability if is_local else PAUSE_AT_SEND_PROBABILITY
+        if self._rng.random() < probability:
             self.sim.fault_counts["pause-at-send"] += 1
             self.sim.pause_node(task.node.number, self._rng.uniform(100, 2500))
             self.sleep(0)
--- a/tools/soak_requests.py
+++ b/tools/soak_requests.py
@@ -18,8 +18,9 @@
 from auburnsail._settings import TreeSettings
 from auburnsail._settings_log import decode_tree
 from auburnsail.exceptions import InvariantViolation, NotRunError
+from tools.ordered_set import OrderedSet
 from tools.soak_ledger import CheckedLedger
-from tools.soak_net import FakeNetwork, FakeSocket, OrderedSet
+from tools.soak_net import FakeNetwork, FakeSocket
 from tools.soak_nodes import (
     KEYED_SERVICE,
     NODE_LOCATIONS,
@@ -47,6 +48,9 @@
 DEADLINE_MS = 400
 SWEEP_INTERVAL_MS = 20
 KEYS = 40
+# Further callers of a few keys, so that a new owner runs requests soon after a takeover.
+BUSY_KEY_CALLERS = 5
+BUSY_KEYS = 3
 
 
 class _Clock:
@@ -102,13 +106,16 @@
         net: Fake network of the run.
         repeats_answers: Whether upstreams write some answers once more; requests then have ids that
             the nodes know.
+        has_busy_keys: Whether there are further callers that send requests for a few keys only.
 
     Attributes:
         ledger: Records executions and the outcomes that callers receive.
         completed_stops: Number of nodes that have completed a shutdown.
     """
 
-    def __init__(self, net: FakeNetwork, *, repeats_answers: bool = False) -> None:
+    def __init__(
+        self, net: FakeNetwork, *, repeats_answers: bool = False, has_busy_keys: bool = False
+    ) -> None:
         self._net = net
         self._sim = net.sim
         self._rng = random.Random(net.sim.rng.getrandbits(64))
@@ -124,6 +131,8 @@
         services = SERVICES_WITH_RETRIES if repeats_answers else SERVICES
         for _ in range(CALLERS):
             net.spawn(None, lambda: self._call_forever(services, PAUSE_MS))
+        for _ in range(BUSY_KEY_CALLERS if has_busy_keys else 0):
+            net.spawn(None, lambda: self._call_forever((KEYED_SERVICE,), PAUSE_MS, BUSY_KEYS))
 
     def on_start(self, node: FakeNode) -> None:
         """Implements `NodeObserver.on_start`."""
@@ -244,15 +253,17 @@
 
     # Callers.
 
-    def _call_forever(self, services: tuple[str, ...], pause_ms: tuple[float, float]) -> None:
+    def _call_forever(
+        self, services: tuple[str, ...], pause_ms: tuple[float, float], keys: int = KEYS
+    ) -> None:
         while True:
             self._net.sleep(self._rng.uniform(*pause_ms))
             self._last_request_number += 1
-            self._call(self._last_request_number, self._rng.choice(services))
+            self._call(self._last_request_number, self._rng.choice(services), keys)
 
-    def _call(self, number: int, service: str) -> None:
+    def _call(self, number: int, service: str, keys: int) -> None:
         method = self._rng.choice(("GET", "POST", "POST"))
-        target = f"/{service}/k{self._rng.randrange(KEYS)}"
+        target = f"/{service}/k{self._rng.randrange(keys)}"
         for attempt in range(3):
             node = self._sim.nodes[self._rng.randrange(len(self._sim.nodes))]
             outcome = self._send_attempt(node, method, target, f"{number}.{attempt}")
