--- a/tools/fuzz_platform_entries.py
+++ b/tools/fuzz_platform_entries.py
@@ -259,7 +259,8 @@
         """Writes a row that no node expects, or one whose content no node reads."""
         between = f"{LOG_KEY.format(self._last_foreign_position)}x"
         far = LOG_KEY.format(FAR_POSITION)
-        key = rng.choice((between, far, "log/x", "log/", "head", "\u00e9", "k" * 200))
+        inside = f"log/x/{self._last_foreign_position + 1:016d}"
+        key = rng.choice((between, inside, far, "log/x", "log/", "head", "\u00e9", "k" * 200))
         value = rng.choice((b"", DEEP_ROW, rng.randbytes(100)))
         self._expected.rows[line_of(FLEET_LOG, value)] += 1
         self._fleet.put(rng.choice(("fleet", "op", "other")), key, value)
