Refuse a request to the control server whose body ends early with a log line

Change: both applications read bodies by one function, which counts and logs what can't be read; the answer is 400.

Measured: the new test of test_control_server fails before for reports and control calls, cut and malformed, and passes after.

--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ._checked_input import Count, Name, check_address, decode_json, decode_msgpack
+from ._control_server import read_body
 from ._holds import HeldRange
 from ._io import LogRecords
 from ._link_pacer import LinkRank
@@ -179,9 +180,8 @@
             status, body = (405 if path in self._paths else 404), b"no such operation"
         else:
             query = {name: values[0] for name, values in parse_qs(environ["QUERY_STRING"]).items()}
-            content = environ["wsgi.input"].read()
             try:
-                status, body = route(query, content)
+                status, body = route(query, read_body(environ, "control"))
             except (msgspec.DecodeError, KeyError, ValueError) as error:
                 status, body = 400, str(error).encode(errors="replace")
         start_response(STATUS_LINES[status], [("content-length", str(len(body)))])
--- a/src/auburnsail/_control_server.py
+++ b/src/auburnsail/_control_server.py
@@ -1,12 +1,26 @@
 """WSGI server for a node's control, report, readiness and metrics addresses."""
 
+from typing import Any
+
 import structlog
 from gevent import socket
 from gevent.pywsgi import WSGIHandler, WSGIServer
 
 from ._checked_input import reject
 
-__all__ = ["ControlServer"]
+__all__ = ["ControlServer", "read_body"]
+
+
+def read_body(environ: dict[str, Any], source: str, limit: int = -1) -> bytes:
+    """Returns the body of a request, at most `limit` bytes of it if that is not negative.
+
+    Raises:
+        InvalidInputError: The body ended early or is malformed; it was counted and logged.
+    """
+    try:
+        return environ["wsgi.input"].read(limit)
+    except (OSError, ValueError) as error:
+        raise reject(source, f"the body cannot be read: {error}", b"") from None
 
 
 class _Handler(WSGIHandler):
--- a/src/auburnsail/platform/_reports.py
+++ b/src/auburnsail/platform/_reports.py
@@ -8,6 +8,7 @@
 
 from .._checked_input import MAX_INTEGER, Count, Name, check_address, decode_json, reject
 from .._control import Announcement
+from .._control_server import read_body
 from .._holds import HeldRange, HoldGrant
 from .._model import Handover
 from .._node_control import NodeControl
@@ -146,7 +147,10 @@
     def __call__(self, environ: dict[str, Any], start_response) -> list[bytes]:
         """Handles one heartbeat or deregistration."""
         method, path = environ["REQUEST_METHOD"], unquote(environ["PATH_INFO"])
-        body = environ["wsgi.input"].read(MAX_BODY_BYTES)
+        try:
+            body = read_body(environ, SOURCE, MAX_BODY_BYTES)
+        except InvalidInputError:
+            return _respond(start_response, "400 Bad Request", b"{}")
         if method == "POST" and path.startswith(HEARTBEAT_PATH):
             return _respond(start_response, *self._handle_report(path[len(HEARTBEAT_PATH) :], body))
         if method == "POST" and path.startswith(DEREGISTER_PATH):
--- a/tests/test_control_server.py
+++ b/tests/test_control_server.py
@@ -1,12 +1,21 @@
 """Connections to the control server that their clients close early."""
 
 import unittest
+from types import SimpleNamespace
 from unittest import mock
 
 from gevent import socket
 from structlog.testing import capture_logs
 
+from auburnsail._clock import BootClock
+from auburnsail._control import ControlApplication
 from auburnsail._control_server import ControlServer
+from auburnsail._link_pacer import LinkPacer
+from auburnsail._link_sender import LinkSender
+from auburnsail._messages import Codec
+from auburnsail.platform._reports import ReportApplication
+from tests.path_fakes import SECRET
+from tests.test_platform_formats import FakeControl
 
 
 class ControlServerTest(unittest.TestCase):
@@ -44,6 +53,24 @@
                     self.assertTrue(client.recv(4096).startswith(b"HTTP/1.1 400 "))
                 self.assertEqual([entry["source"] for entry in lines], ["control"])
 
+    def test_a_body_that_ends_early_is_refused_with_a_log_line(self):
+        """Guards against a trace in the output for a client that leaves inside its request."""
+        node = SimpleNamespace(on_message=lambda body, address: self.fail("was used"))
+        control = ControlApplication(node, Codec(SECRET, 1), LinkSender(LinkPacer(), BootClock()))
+        reports = ReportApplication(FakeControl(), "s1")
+        paths = ((control, b"/v1/message"), (reports, b"/Instances.Heartbeat/i-1"))
+        for application, path in paths:
+            server = ControlServer(("127.0.0.1", 0), application)
+            server.start()
+            self.addCleanup(server.stop, timeout=0)
+            for body in (b"content-length: 9\r\n\r\nabc", b"transfer-encoding: chunked\r\n\r\nx"):
+                with self.subTest(path=path, body=body), capture_logs() as lines:
+                    with socket.create_connection(("127.0.0.1", server.server_port)) as client:
+                        client.sendall(b"POST %b HTTP/1.1\r\nhost: a\r\n%b" % (path, body))
+                        client.shutdown(socket.SHUT_WR)
+                        self.assertTrue(client.recv(4096).startswith(b"HTTP/1.1 400 "))
+                    self.assertEqual([line["event"] for line in lines], ["input not usable"])
+
 
 if __name__ == "__main__":
     unittest.main()
