make fuzz: a line that a node writes between two reads is no finding

Cause: the checker read the gauges of all nodes first and then their logs. A node that has read the last odd row of the fleet log fetches again at once and may find further rows between the two reads; it counts and logs them as it should. Change: gauges and logs are read again until no gauge has changed meanwhile, at most 50 times. The check is as strict: both numbers must be equal, and a line that is never written is still found. Measured: the two tests of LateLinesTest fail before.

--- a/tests/test_fuzz_platform.py
+++ b/tests/test_fuzz_platform.py
@@ -12,6 +12,7 @@
 from gevent.server import StreamServer
 
 from tools.fuzz_platform import PlatformFleet, run_platform
+from tools.fuzz_platform_entries import EntryWriter
 from tools.fuzz_platform_load import PlatformLoad, judge
 from tools.fuzz_platform_logs import ExpectedLines, NodeLogs, line_of
 from tools.ports import LOOPBACK, reserve_port
@@ -81,6 +82,50 @@
         self.assertEqual(self.findings([1, 3], 1), [])
 
 
+class LateLinesTest(Folder):
+    """Lines that nodes write while the checker reads."""
+
+    def findings(self, inputs: int, lines: int) -> list[str]:
+        """Returns the findings for a node that refuses inputs until its log is read.
+
+        Args:
+            inputs: Number of refused inputs. The node counts the first one before its gauges are
+                read, and one more at each read of its log.
+            lines: Number of log lines that it writes for them, in the same order.
+        """
+        source, size, excerpt = LINE
+        event = {"event": "input not usable", "source": source, "size": size, "excerpt": excerpt}
+        counted = 1
+
+        def refused(node: str) -> Counter:
+            nonlocal counted
+            if node == "n0":
+                counted = min(counted + 1, inputs)
+            self.write_lines(node, *[event] * min(counted, lines))
+            return self.logs.refused(node)
+
+        def gauges(vm: SimpleNamespace) -> dict[str, float]:
+            return {"inputs_rejected": float(counted), "unexpected_errors": 0.0}
+
+        logs = SimpleNamespace(refused=refused, dropped=lambda node: 0)
+        vms = [SimpleNamespace(name="n0"), SimpleNamespace(name="n1")]
+        fleet = SimpleNamespace(vms=vms, gauges=gauges, logs=logs)
+        writer = EntryWriter(fleet, SEED, RECORD_SHARE)
+        writer._expected = ExpectedLines(rows=Counter({LINE: inputs}))
+        return writer.findings()
+
+    def test_a_line_written_between_two_reads_is_no_finding(self):
+        """Guards against a finding about a node that refuses an input after its gauges were read.
+
+        A node goes on reading rows while the checker reads first the gauges and then the logs.
+        """
+        self.assertEqual(self.findings(inputs=4, lines=4), [])
+
+    def test_a_line_that_is_never_written_is_found(self):
+        """Guards against reads that are repeated until a dropped line no longer shows."""
+        self.assertEqual(self.findings(4, 3), ["n0: 4 unusable inputs, 3 log lines"])
+
+
 class ProcessesTest(Folder):
     """What is found at the processes."""
 
--- a/tools/fuzz_platform_entries.py
+++ b/tools/fuzz_platform_entries.py
@@ -39,6 +39,8 @@
 # A settings change is in force everywhere so long after its acceptance or the last outage (P8).
 SETTINGS_BOUND_S = 7.0
 LOG_INTERVAL_S = 0.5
+# Bounds the reads of the logs while nodes still refuse inputs.
+MAX_LOG_READS = 50
 LOG_KEY = "log/{:016d}"
 FAR_POSITION = 10**15
 DEEP_ROW = b"\x91" * 200_000
@@ -130,18 +132,35 @@
 
     def findings(self) -> list[str]:
         """Returns what is wrong with the log lines of the entries."""
-        fleet, findings, counted = self._fleet, [], {}
+        fleet, findings = self._fleet, []
         for vm in fleet.vms:
-            gauges = fleet.gauges(vm)
-            if gauges.get("unexpected_errors") != 0:
-                findings.append(f"{vm.name}: unexpected errors {gauges.get('unexpected_errors')}")
-            if vm is not fleet.vms[-1]:
-                counted[vm.name] = int(gauges.get("inputs_rejected", -1))
-        refused = {vm.name: fleet.logs.refused(vm.name) for vm in fleet.vms}
+            errors = fleet.gauges(vm).get("unexpected_errors")
+            if errors != 0:
+                findings.append(f"{vm.name}: unexpected errors {errors}")
+        refused, counted = self._refused_inputs()
         self.counts["expected lines"] = len(self._expected.entries)
         self.counts["dropped lines"] = sum(fleet.logs.dropped(vm.name) for vm in fleet.vms)
         return findings + self._expected.findings(refused, counted)
 
+    def _refused_inputs(self) -> tuple[dict[str, Counter[Line]], dict[str, int]]:
+        """Returns the refused inputs by node, as logged and as counted.
+
+        A node may refuse an input between the read of its gauges and that of its log, so both are
+        read again until no number has changed meanwhile.
+        """
+        fleet, counted = self._fleet, self._counted_inputs()
+        for _ in range(MAX_LOG_READS):
+            refused = {vm.name: fleet.logs.refused(vm.name) for vm in fleet.vms}
+            before, counted = counted, self._counted_inputs()
+            if counted == before:
+                break
+        return refused, counted
+
+    def _counted_inputs(self) -> dict[str, int]:
+        """Returns the number of refused inputs of each node that is not killed."""
+        gauges = {vm.name: self._fleet.gauges(vm) for vm in self._fleet.vms[:-1]}
+        return {name: int(values.get("inputs_rejected", -1)) for name, values in gauges.items()}
+
     def _write_forever(
         self, name: str, write: Callable[[random.Random], None], pause_s: tuple[float, float]
     ) -> None:
