make fuzz: the line of a row may be that of the content that an odd answer showed

Cause: the checker. The log of the stand-in store has "rows-get shows" for row 26 at 109.8765 s, with changed bytes; n2 logged a row of 200,041 bytes at 109.8856 s between the rows of 25 and 27 and passed the position over. n0 and n1 got the entry without commands from n2, so that no node saw the row itself. Change: the store also records the keys of the rows that its odd answers change, and such a content's line stands for the row of that key. A row without any of these lines is still found, also with the line of a third content.

--- a/tests/test_fuzz_platform.py
+++ b/tests/test_fuzz_platform.py
@@ -1,5 +1,6 @@
 """A short run of whole nodes of the platform beside odd entries; `make fuzz` runs longer ones."""
 
+import base64
 import random
 import tempfile
 import unittest
@@ -11,10 +12,11 @@
 import msgspec
 from gevent.server import StreamServer
 
+from auburnsail._versioned_log import LogRecord
 from tools.fuzz_platform import PlatformFleet, run_platform
 from tools.fuzz_platform_entries import EntryWriter
 from tools.fuzz_platform_load import PlatformLoad, judge
-from tools.fuzz_platform_logs import ExpectedLines, NodeLogs, line_of
+from tools.fuzz_platform_logs import ExpectedLines, Line, NodeLogs, line_of
 from tools.ports import LOOPBACK, reserve_port
 
 SEED = 1
@@ -126,6 +128,60 @@
         self.assertEqual(self.findings(4, 3), ["n0: 4 unusable inputs, 3 log lines"])
 
 
+class ShownRowsTest(Folder):
+    """Rows that the store showed with another content."""
+
+    def findings(self, row: bytes, shown: bytes, logged: list[Line]) -> list[str]:
+        """Returns the findings for a row at the first position of the fleet log.
+
+        Args:
+            row: The row.
+            shown: Content of the row in an odd answer.
+            logged: Lines of the only node that read the row from the store.
+        """
+        fields = ("source", "size", "excerpt")
+        events = [
+            {"event": "input not usable"} | dict(zip(fields, line, strict=True)) for line in logged
+        ]
+        self.write_lines("n0", *events)
+        self.write_lines("n1")
+        gauges = {"inputs_rejected": float(len(logged)), "unexpected_errors": 0.0}
+        entry = {"key": "log/0000000000000001", "value": base64.b64encode(b"entry").decode()}
+        fleet = SimpleNamespace(
+            vms=[SimpleNamespace(name="n0"), SimpleNamespace(name="n1")],
+            store="",
+            gauges=lambda vm: gauges,
+            logs=self.logs,
+            call=lambda *request: (200, msgspec.json.encode({"rows": [entry]})),
+            put=lambda *item, expected: True,
+        )
+        writer = EntryWriter(fleet, SEED, RECORD_SHARE)
+        writer._odd_row = lambda rng, position: (row, line_of("fleet-log", row))
+        writer._write_log_row(random.Random(SEED))
+        texts = [base64.b64encode(value).decode() for value in (shown, row)]
+        changed = [["log/0000000000000002", *texts]]
+        writer.record_odd_answers({"changed-rows": changed})
+        return writer.findings()
+
+    def test_the_line_of_the_shown_content_stands_for_the_row(self):
+        """Guards against a finding about a row that no node could see.
+
+        The only node that read the position from the store was shown another content; the others
+        received an entry without commands from it.
+        """
+        shown = b"\xc1 another content"
+        self.assertEqual(self.findings(ROW, shown, [line_of("fleet-log", shown)]), [])
+        record = msgspec.msgpack.encode(LogRecord(2, "id", b"\xc1"))
+        self.assertEqual(self.findings(ROW, record, [line_of("fleet-entry", b"\xc1")]), [])
+
+    def test_a_row_without_any_line_is_found(self):
+        """Guards against a check that odd answers of the store switch off."""
+        other = line_of("fleet-log", b"\xc1 a third content")
+        for logged in ([], [other]):
+            with self.subTest(logged):
+                self.assertIn("without a log line", " ".join(self.findings(ROW, b"x", logged)))
+
+
 class ProcessesTest(Folder):
     """What is found at the processes."""
 
--- a/tools/fuzz_platform_store.py
+++ b/tools/fuzz_platform_store.py
@@ -53,8 +53,8 @@
     Attributes:
         share: Share of the calls.
         counts: Number of odd answers by path and kind.
-        changed_rows: Values of rows that an odd answer showed with another key, version or value,
-            and of the current rows with these keys.
+        changed_rows: Key, shown value and current value of each row that an odd answer showed
+            with another key, version or value.
     """
 
     def __init__(self, address: tuple[str, int], rng: random.Random) -> None:
@@ -62,7 +62,7 @@
         self._earlier: dict[str, list[bytes]] = {}
         self.share = 0.0
         self.counts: Counter[str] = Counter()
-        self.changed_rows: list[str] = []
+        self.changed_rows: list[tuple[str, str, str]] = []
         super().__init__(address)
         self._server.handler_class = _Handler
 
@@ -126,7 +126,8 @@
             current = self.rows.get((row.get("table"), row.get("key")), {})
             if row != current:
                 # A node that has seen another version of the row may log the current one again.
-                self.changed_rows += [str(row.get("value")), str(current.get("value"))]
+                texts = (row.get("key"), row.get("value"), current.get("value"))
+                self.changed_rows.append(tuple(map(str, texts)))
                 click.echo(f"{time.time():.4f} {step} shows {str(row)[:300]}")
 
     def _serve_admin(self, environ, start_response):
