--- a/src/auburnsail/_caller_request.py
+++ b/src/auburnsail/_caller_request.py
@@ -67,6 +67,7 @@
         "_can_reuse_connection",
         "_connection",
         "_message",
+        "_sent_bytes",
         "body",
         "head",
         "is_answer_complete",
@@ -78,6 +79,7 @@
         self._connection = connection
         self._can_reuse_connection = False
         self._message: OutgoingMessage | None = None
+        self._sent_bytes = 0
         self.head = head
         self.body = RequestBody(connection, head, connection.server.max_body_bytes)
         self.is_answered = False
@@ -128,7 +130,8 @@
 
         Args:
             data: Bytes to send.
-            total_bytes: Size of the whole answer, if larger than the first part.
+            total_bytes: Size of the whole answer, if larger than the first part; 0 if unknown. An
+                answer of unknown size counts as large on the link once its parts are.
 
         Raises:
             CallerGoneError: The caller closed the connection.
@@ -140,8 +143,9 @@
             if link is None:
                 connection.send(data)
                 return
-            if self._message is None:
-                self._message = link.begin(max(total_bytes, len(data)))
+            self._sent_bytes += len(data)
+            if self._message is None or not self._message.is_large:
+                self._message = link.begin(max(total_bytes, self._sent_bytes))
             self._message.send(connection.send, data)
         finally:
             self.is_writing = False
--- a/src/auburnsail/_link_sender.py
+++ b/src/auburnsail/_link_sender.py
@@ -30,6 +30,11 @@
         self._sender = sender
         self._transfer = transfer
 
+    @property
+    def is_large(self) -> bool:
+        """Whether the message is sent in paced blocks."""
+        return self._transfer is not None
+
     @property
     def is_waiting(self) -> bool:
         """Whether the next block waits for its turn."""
--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -26,8 +26,6 @@
 # Answers of the local upstream are buffered whole up to this size. With 12 slots and 100 answers
 # waiting for a narrow link, this uses less than half of the smallest VM's memory.
 MAX_LOCAL_BUFFERED_BYTES = 768 * 1024
-# Assumed size of an answer without a length, so that it counts as large on any link.
-UNKNOWN_LENGTH_BYTES = 1 << 30
 _LAST_CHUNK = b"0\r\n\r\n"
 _STRIPPED_HEADERS = _headers.HOP_BY_HOP
 
@@ -253,13 +251,13 @@
     while block := exchange.read():
         context.progress_ns = clock.now_ns()
         pending += _chunk(block) if is_chunked else block
-        request.send(pending, answer.length or UNKNOWN_LENGTH_BYTES)
+        request.send(pending, answer.length or 0)
         pending = b""
         context.progress_ns = clock.now_ns()
     if is_chunked:
         pending += _LAST_CHUNK
     if pending:
-        request.send(pending, answer.length or UNKNOWN_LENGTH_BYTES)
+        request.send(pending, answer.length or 0)
 
 
 def _finish(context: RequestContext, exchange: Exchange) -> None:
--- /dev/null
+++ b/tests/test_answers_without_length.py
@@ -0,0 +1,104 @@
+"""Small answers of upstreams that state no length: chunked ones, and those that a close ends."""
+
+import contextlib
+import unittest
+
+import gevent
+from structlog.testing import capture_logs
+
+from auburnsail._clock import BootClock
+from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
+from auburnsail._link_sender import LinkSender
+from auburnsail._request_policy import RequestPolicy
+from tests.path_fakes import (
+    FakeUpstream,
+    PathNode,
+    connect,
+    exchange,
+    open_connection,
+    wait_for,
+)
+
+BODY = bytes(5_000)
+UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
+CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
+LINK_MBIT = 11
+
+
+def ask(address: str, deadline_ms: int = 0, timeout_s: float = 3.0) -> bytes:
+    """Sends a request that is not repeatable on a kept connection; returns what arrives."""
+    lines = ["POST /catalogue/k1 HTTP/1.1", "host: a", "content-length: 1"]
+    lines += [f"auburnsail-deadline-ms: {deadline_ms}"] if deadline_ms else []
+    received = b""
+    with open_connection(address) as sock:
+        sock.sendall("\r\n".join(lines).encode() + b"\r\n\r\nx")
+        sock.settimeout(timeout_s)
+        with contextlib.suppress(TimeoutError, ConnectionResetError):
+            while part := sock.recv(65_536):
+                received += part
+                if received.endswith((b"0\r\n\r\n", BODY)) or b"HTTP/1.1 50" in received:
+                    break
+    return received
+
+
+class BusyLinkTest(unittest.TestCase):
+    """A node whose link of 11 Mbit/s carries six downloads of 300 kB.
+
+    The route's time limit (0.5 s) is shorter than that of the caller (1.5 s).
+    """
+
+    def answer_beside_downloads(self, head: bytes, end: bytes = b"", owner_has_link=False) -> bytes:
+        """Returns what a request with a small answer gets.
+
+        Args:
+            head: Head of the upstream's answer.
+            end: Bytes of the upstream after the body.
+            owner_has_link: Whether the link is that of the key's owner, not of the first node.
+        """
+        download = b"HTTP/1.1 200 OK\r\ncontent-length: 300000\r\n\r\n" + bytes(300_000)
+
+        def answer(sock, run) -> bytes | None:
+            if "/k2" in run.head:
+                return download
+            gevent.sleep(0.1)
+            body = b"1388\r\n" + BODY + b"\r\n" if end else BODY
+            sock.sendall(head + body + end)
+            return None if head == UNFRAMED else b""
+
+        upstream = FakeUpstream(answer)
+        self.addCleanup(upstream.stop)
+        link = LinkSender(LinkPacer(LINK_MBIT * BYTES_PER_MBIT), BootClock())
+        owner = PathNode("a", upstream, "catalogue", link=link if owner_has_link else None)
+        entry = PathNode("b", None, "catalogue", link=None if owner_has_link else link)
+        self.addCleanup(owner.stop)
+        self.addCleanup(entry.stop)
+        connect(owner, entry, owner=owner)
+        entry.application.set_policies({"catalogue": RequestPolicy(max_deadline_ms=500)})
+        get = b"GET /catalogue/k2 HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n"
+        busy = owner if owner_has_link else entry
+        downloads = [gevent.spawn(exchange, busy.address, get) for _ in range(6)]
+        self.assertTrue(wait_for(lambda: len(upstream.runs) == 6))
+        with capture_logs() as lines:
+            received = ask(entry.address, 1_500, timeout_s=1.5)
+        gevent.joinall(downloads, timeout=5.0)
+        self.assertTrue(all(len(task.value or b"") > 300_000 for task in downloads))
+        self.assertEqual([line for line in lines if line["event"] == "request unanswered"], [])
+        return received
+
+    def test_an_answer_ended_by_a_close_is_not_reset_at_the_time_limit(self):
+        """Guards against LOST: such an answer counted as large and waited behind the downloads."""
+        self.assertTrue(self.answer_beside_downloads(UNFRAMED).endswith(BODY + b"\r\n0\r\n\r\n"))
+
+    def test_a_chunked_answer_is_not_reset_at_the_time_limit(self):
+        """Guards against the same for an answer in chunks."""
+        received = self.answer_beside_downloads(CHUNKED, b"0\r\n\r\n")
+        self.assertTrue(received.endswith(BODY + b"\r\n0\r\n\r\n"))
+
+    def test_the_same_behind_the_link_of_the_owner(self):
+        """Guards against 504 in place of an answer that waits at the node that has it."""
+        received = self.answer_beside_downloads(UNFRAMED, owner_has_link=True)
+        self.assertTrue(received.endswith(BODY + b"\r\n0\r\n\r\n"), received[:300])
+
+
+if __name__ == "__main__":
+    unittest.main()
