Read a small answer without a length whole before its first byte is relayed

What callers saw: LOST or a partial answer. An upstream sends a small answer without a length and ends it after the caller's deadline, or its node ends inside it; the caller's connection was reset after a part of the answer, where one with a length gives 504 or 502. An answer that was complete at the node, and waited for the link or the caller at the deadline, was reset too. Cause: an answer without a length was relayed from its first byte, whatever its size, and the deadline that the caller set covers the body. Change: if the caller's deadline covers the body, the node reads such an answer as it reads one with a length: whole up to the same limits, after which the deadline no longer ends it. For other callers it may be a stream of events and is relayed as before; that a node's end inside it means a reset there stays. Tests: test_cut_answers, test_killed_node and test_endless_answers demanded a reset for such answers; nothing is sent now, so that they demand the 502 or 504 instead, and the reset for callers without a deadline, each exactly (before, a reset or no whole answer was enough).

--- a/src/auburnsail/_relay.py
+++ b/src/auburnsail/_relay.py
@@ -192,9 +192,10 @@
     A small answer is read completely before it is sent. The limit is higher for the local
     upstream, because its slot is released before sending. A larger answer is relayed block by
     block; if it is cut short, the caller's connection is reset, so that a truncated answer never
-    looks complete. An answer without a length is sent in chunks, because a reset may be missing: if
-    this process is killed, the kernel closes its connections. Only HTTP/1.0 callers get it ended by
-    the close of the connection.
+    looks complete. An answer without a length is relayed block by block from its first byte if the
+    deadline does not cover its body. It is sent in chunks, because a reset may be missing: if this
+    process is killed, the kernel closes its connections. Only HTTP/1.0 callers get it ended by the
+    close of the connection.
 
     Args:
         context: The request.
@@ -213,23 +214,22 @@
     is_chunked = answer.length is None and not is_http_10
     keep_alive = request.can_keep_alive and (answer.length is not None or is_chunked)
     head = _answer_head(answer, extra_headers, keep_alive, is_http_10, is_chunked)
-    buffer_limit_bytes = MAX_LOCAL_BUFFERED_BYTES if context.ticket is not None else BUFFERED_BYTES
-    if answer.length is not None and answer.length <= buffer_limit_bytes:
-        body = exchange.read()
-        if len(body) < answer.length:
-            body += read_body(exchange, buffer_limit_bytes)
+    body, is_whole = _read_beginning(context, exchange, answer)
+    if is_whole:
         _finish(context, exchange)
         context.release(Result.ANSWERED)
         # The answer is complete, so the deadline no longer ends the request. A caller that reads
         # nothing for the stall time-out does.
         context.covers_body = False
         context.progress_ns = clock.now_ns()
+        if is_chunked:
+            body = _chunk(body) + _LAST_CHUNK
         request.send(head + body if body else head)
         request.end(keep_alive=keep_alive)
         return
     context.progress_ns = clock.now_ns()
     try:
-        _stream(context, exchange, answer, head, is_chunked, clock)
+        _stream(context, exchange, answer, head, body, is_chunked, clock)
     except OutcomeUnknownError:
         if request.is_answered:
             request.reset_connection()
@@ -238,26 +238,60 @@
     request.end(keep_alive=keep_alive)
 
 
+def _read_beginning(
+    context: RequestContext, exchange: Exchange, answer: AnswerParser
+) -> tuple[bytes, bool]:
+    """Reads what must have arrived of an answer's body before its first byte is relayed.
+
+    Returns:
+        The bytes, and whether they are the whole body.
+
+    Raises:
+        OutcomeUnknownError: The body was cut short.
+    """
+    limit_bytes = MAX_LOCAL_BUFFERED_BYTES if context.ticket is not None else BUFFERED_BYTES
+    if answer.length is not None:
+        if answer.length > limit_bytes:
+            return b"", False
+        body = exchange.read()
+        if len(body) < answer.length:
+            body += read_body(exchange, limit_bytes)
+        return body, True
+    parts, size = [], 0
+    # A caller whose deadline does not cover the body may wait for each event of a stream.
+    while context.covers_body and size <= limit_bytes:
+        if not (part := exchange.read()):
+            return b"".join(parts), True
+        parts.append(part)
+        size += len(part)
+    return b"".join(parts), False
+
+
 def _stream(
     context: RequestContext,
     exchange: Exchange,
     answer: AnswerParser,
     head: bytes,
+    beginning: bytes,
     is_chunked: bool,
     clock: Clock,
 ) -> None:
-    request = context.request
-    pending = head
+    request, total_bytes = context.request, answer.length or 0
+    pending = head + (_chunk(beginning) if is_chunked else beginning)
+    if beginning:
+        request.send(pending, total_bytes)
+        pending = b""
+        context.progress_ns = clock.now_ns()
     while block := exchange.read():
         context.progress_ns = clock.now_ns()
         pending += _chunk(block) if is_chunked else block
-        request.send(pending, answer.length or 0)
+        request.send(pending, total_bytes)
         pending = b""
         context.progress_ns = clock.now_ns()
     if is_chunked:
         pending += _LAST_CHUNK
     if pending:
-        request.send(pending, answer.length or 0)
+        request.send(pending, total_bytes)
 
 
 def _finish(context: RequestContext, exchange: Exchange) -> None:
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -13,6 +13,7 @@
 from tests.path_fakes import (
     FakeUpstream,
     PathNode,
+    PathTestCase,
     connect,
     exchange,
     open_connection,
@@ -100,5 +101,68 @@
         self.assertTrue(received.endswith(BODY + b"\r\n0\r\n\r\n"), received[:300])
 
 
+class LateEndTest(PathTestCase):
+    """An upstream that sends its answer and ends it 0.3 s later."""
+
+    def setUp(self):
+        """Lets the upstream end its answers late."""
+        super().setUp()
+
+        def answer(sock, run) -> None:
+            sock.sendall(UNFRAMED + BODY)
+            gevent.sleep(0.3)
+
+        self.upstream.script = answer
+
+    def test_a_deadline_before_the_end_gives_a_failure(self):
+        """Guards against a reset where the node can still say that the time is over."""
+        for node in self.entry_nodes():
+            with self.subTest(node.address):
+                self.assertEqual(ask(node.address, 150)[:12], b"HTTP/1.1 504")
+
+    def test_an_answer_within_the_deadline_is_whole(self):
+        """Guards against an answer that is held back for good."""
+        for node in self.entry_nodes():
+            with self.subTest(node.address):
+                received = ask(node.address, 2_000)
+                end = b"%x\r\n%b\r\n0\r\n\r\n" % (len(BODY), BODY)
+                self.assertTrue(received.endswith(end), received[:200])
+
+    def test_a_large_answer_is_whole(self):
+        """Guards against bytes that are lost where the node begins to relay."""
+        body = bytes(range(250)) * 4_000
+
+        def answer(sock, run) -> None:
+            sock.sendall(UNFRAMED + body)
+
+        self.upstream.script = answer
+        for node in self.entry_nodes():
+            request = (
+                b"GET /catalogue/k1 HTTP/1.0\r\nhost: a\r\nauburnsail-deadline-ms: 3000\r\n\r\n"
+            )
+            with self.subTest(node.address), open_connection(node.address) as sock:
+                sock.sendall(request)
+                received = b""
+                while part := sock.recv(65_536):
+                    received += part
+                self.assertEqual(received.partition(b"\r\n\r\n")[2], body)
+
+    def test_a_stream_without_a_deadline_of_the_caller_flows_at_once(self):
+        """Guards against events of a stream that are held back until its end."""
+
+        def answer(sock, run) -> None:
+            sock.sendall(UNFRAMED + b"event")
+            gevent.sleep(1.0)
+
+        self.upstream.script = answer
+        for node in self.entry_nodes():
+            with self.subTest(node.address), open_connection(node.address) as sock:
+                sock.sendall(b"GET /catalogue/k1 HTTP/1.1\r\nhost: a\r\n\r\n")
+                sock.settimeout(0.5)
+                received = b""
+                while b"event" not in received:
+                    received += sock.recv(65_536)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_cut_answers.py
+++ b/tests/test_cut_answers.py
@@ -5,6 +5,7 @@
 import unittest
 from collections.abc import Iterable
 from http.client import HTTPException, HTTPResponse
+from itertools import product
 
 import gevent
 from gevent import socket
@@ -99,9 +100,11 @@
         for server in (self.upstream, self.owner, self.entry):
             self.addCleanup(server.stop)
 
-    def send(self, node: PathNode, request_id: str, method: str = "POST") -> Whole | None:
+    def send(
+        self, node: PathNode, request_id: str, method: str = "POST", *, has_deadline: bool = True
+    ) -> Whole | None:
         """Sends a request; returns the answer, or None if the caller sees that it is not whole."""
-        lines = (f"{ATTEMPT_ID}: {request_id}", f"{DIALECT.deadline_ms}: 2000")
+        lines = [f"{ATTEMPT_ID}: {request_id}"] + [f"{DIALECT.deadline_ms}: 2000"] * has_deadline
         body = b"x" if method == "POST" else b""
         try:
             return whole_answer(
@@ -330,7 +333,7 @@
 class CutBetweenNodesTest(CutAnswerCase):
     """The process of the node beside the upstream ends while it relays an answer."""
 
-    def cut_relay(self, line: str, data: bytes) -> Whole | None:
+    def cut_relay(self, line: str, data: bytes, has_deadline: bool) -> Whole | None:
         """Returns what the caller gets if the node ends after it relayed `data`."""
 
         def script(sock, run):
@@ -338,7 +341,7 @@
             gevent.sleep(2.0)
 
         self.upstream.script = script
-        caller = gevent.spawn(self.send, self.entry, "mine")
+        caller = gevent.spawn(self.send, self.entry, "mine", has_deadline=has_deadline)
         self.assertTrue(wait_for(lambda: self.upstream.runs))
         gevent.sleep(PAUSE_S)
         # The kernel ends the connections of a process that is killed with a FIN.
@@ -349,12 +352,13 @@
 
     def test_an_answer_does_not_look_whole_when_its_node_ends(self):
         """Guards against a short body that the next node and the caller take for the whole one."""
-        for framing, (line, body) in FRAMINGS.items():
-            with self.subTest(framing):
-                result = self.cut_relay(line, body[:-6])
-                if result is not None:
-                    # A short answer is relayed only once it is complete.
-                    self.assertEqual((framing, result[0]), ("length", 502))
+        for (framing, (line, body)), has_deadline in product(FRAMINGS.items(), (True, False)):
+            with self.subTest(framing, has_deadline=has_deadline):
+                result = self.cut_relay(line, body[:-6], has_deadline)
+                # A short answer is relayed only once it is complete, but for one that may be a
+                # stream of events.
+                is_relayed = framing != "length" and not has_deadline
+                self.assertEqual(result and result[0], None if is_relayed else 502)
 
     def test_an_answer_without_a_length_keeps_the_caller_s_connection(self):
         """Guards against a new connection for each request whose answer has no length."""
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -1,6 +1,7 @@
 """Upstreams and peers that send endless answers."""
 
 import unittest
+from itertools import product
 
 import gevent
 from gevent import socket
@@ -40,7 +41,7 @@
     "a chunk size": (CHUNKED, b"0" * 16_384),
     "a chunk extension": (CHUNKED + b"5;x=", BLOCK),
 }
-# The same for answers of which the caller receives a part of the body.
+# The same for answers of which a caller without a deadline receives a part of the body.
 ABORTED_BODIES = {
     "trailers": (CHUNKED + b"2\r\nok\r\n0\r\n", b"x-more: 1\r\n" * 1_000),
     "a trailer": (CHUNKED + b"2\r\nok\r\n0\r\nx-long: ", BLOCK),
@@ -68,9 +69,11 @@
 
         self.upstream.script = script
 
-    def _send_request(self, node: PathNode, method: str = "GET") -> bytes:
-        data = request(method, "/catalogue/k1", f"auburnsail-deadline-ms: {DEADLINE_MS}")
-        return exchange(node.address, data)
+    def _send_request(
+        self, node: PathNode, method: str = "GET", *, has_deadline: bool = True
+    ) -> bytes:
+        lines = (f"auburnsail-deadline-ms: {DEADLINE_MS}",) * has_deadline
+        return exchange(node.address, request(method, "/catalogue/k1", *lines))
 
     def _assert_closed_after(self, closed: int) -> None:
         """Asserts that the node closes a connection to the upstream within `MAX_DETECTION_S`.
@@ -80,44 +83,41 @@
         """
         self.assertTrue(wait_for(lambda: self.upstream.closed_by_peer > closed, MAX_DETECTION_S))
 
-    def _result_of(self, node: PathNode, method: str = "GET") -> tuple[int, str, str]:
+    def _result_of(
+        self, node: PathNode, method: str = "GET", *, has_deadline: bool = True
+    ) -> tuple[int, str, str]:
         """Returns status, outcome and reason of the answer, or `RESET` after a connection reset."""
         try:
-            return reason_of(self._send_request(node, method))
+            return reason_of(self._send_request(node, method, has_deadline=has_deadline))
         except ConnectionResetError:
             return RESET
 
     def test_malformed_endless_answers_end_early_and_use_little_memory(self):
         """Guards against reading until memory is exhausted or the caller disconnects."""
-        for node in (self.node, self.other):
-            for name, (begin, block) in (MALFORMED_ANSWERS | ABORTED_BODIES).items():
-                with self.subTest(name, node=node.session.id.node):
+        answers = (MALFORMED_ANSWERS | ABORTED_BODIES).items()
+        for node, has_deadline in product((self.node, self.other), (True, False)):
+            for name, (begin, block) in answers:
+                with self.subTest(name, node=node.session.id.node, has_deadline=has_deadline):
                     closed, self.sent_bytes = self.upstream.closed_by_peer, 0
                     self._answer_endlessly(begin, block)
                     with gevent.Timeout(DEADLINE_MS / 1000 / 2):
-                        result = self._result_of(node, "POST")
-                    self.assertEqual(
-                        result,
-                        (502, "unknown", "no-answer") if name in MALFORMED_ANSWERS else RESET,
-                    )
+                        result = self._result_of(node, "POST", has_deadline=has_deadline)
+                    is_relayed = name in ABORTED_BODIES and not has_deadline
+                    failed = (502, "unknown", "no-answer")
+                    self.assertEqual(result, RESET if is_relayed else failed)
                     self._assert_closed_after(closed)
                     self.assertLess(self.sent_bytes, MAX_SOCKET_BUFFER_BYTES)
 
     def test_slow_endless_answers_end_at_the_deadline(self):
         """Guards against an upstream that holds a slot by sending a few bytes at a time."""
-        timed_out = (504, "unknown", "deadline")
-        for name, expected in (
-            ("a header", timed_out),
-            ("a chunk extension", timed_out),
-            ("trailers", RESET),
-        ):
+        for name in ("a header", "a chunk extension", "trailers"):
             with self.subTest(name):
                 closed = self.upstream.closed_by_peer
                 begin, block = (MALFORMED_ANSWERS | ABORTED_BODIES)[name]
                 self._answer_endlessly(begin, block[:11], 0.02)
                 with gevent.Timeout(DEADLINE_MS / 1000 + MAX_DETECTION_S):
                     result = self._result_of(self.node)
-                self.assertEqual(result, expected)
+                self.assertEqual(result, (504, "unknown", "deadline"))
                 self._assert_closed_after(closed)
 
     def test_an_endless_body_never_looks_complete_and_ends_at_the_deadline(self):
--- a/tests/test_killed_node.py
+++ b/tests/test_killed_node.py
@@ -44,8 +44,12 @@
         owner = SimpleNamespace(session=session)
         connect(self.entry, owner=owner, others=(owner, self.entry))
 
-    def cut_by_kill(self, framing: str) -> None:
-        """Asserts that the caller doesn't get a success if the owner is killed in the answer."""
+    def cut_by_kill(self, framing: str, *, has_deadline: bool = True) -> None:
+        """Asserts that the caller doesn't get a success if the owner is killed in the answer.
+
+        An answer of which nothing was relayed becomes a 502. An answer without a length is relayed
+        from its first byte to a caller without a deadline, and then isn't whole.
+        """
         line, body = FRAMINGS[framing]
 
         def script(sock: socket.socket, run: Run) -> None:
@@ -56,10 +60,10 @@
             self.process.wait()
 
         self.upstream.script = script
-        result = self.send(self.entry, "mine")
+        result = self.send(self.entry, "mine", has_deadline=has_deadline)
         self.assertEqual(len(self.upstream.runs), 1)
-        if result is not None:
-            self.assertEqual((framing, result[0]), ("length", 502))
+        is_relayed = framing != "length" and not has_deadline
+        self.assertEqual(result and result[0], None if is_relayed else 502)
 
     def test_an_answer_with_a_length(self):
         """Guards against a short answer from a node that was killed while it read the body."""
@@ -73,6 +77,14 @@
         """Guards against the end of the process as the end of the answer, with a short body."""
         self.cut_by_kill("close")
 
+    def test_chunks_that_are_relayed_from_the_first_byte(self):
+        """Guards against the same for a caller without a deadline."""
+        self.cut_by_kill("chunks", has_deadline=False)
+
+    def test_an_answer_without_a_length_that_is_relayed_from_the_first_byte(self):
+        """Guards against the same for a caller without a deadline."""
+        self.cut_by_kill("close", has_deadline=False)
+
 
 if __name__ == "__main__":
     unittest.main()
