Log why the node itself ended a request whose connection it resets

What operators saw: a reset at the deadline had the cause "[Errno 9] Bad file descriptor" or "Connection reset by peer", and the line of an answer that was cut short had no age, peer or time left, so that the next report of LOST could not be told apart by the logs. Cause: the line named the error of the call that the reset made fail, not the reason of the stop. Change: `cause` is the reason for which the node stopped the request, if it did; both lines have the same facts.

--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -4,11 +4,11 @@
 
 import structlog
 
-from ._active_requests import STALLED, RequestContext
+from ._active_requests import RequestContext
 from ._clock import NS_PER_MS, Clock
 from ._outcome import Refusal, RequestFailedError
 from ._routing import Router
-from .exceptions import CallerGoneError
+from .exceptions import AuburnsailError, CallerGoneError
 
 __all__ = ["RequestLog"]
 
@@ -85,29 +85,34 @@
 
     def unanswered(self, context: RequestContext, error: CallerGoneError) -> None:
         """Logs a request whose connection ends without a complete answer of this node."""
-        now_ns = self._clock.now_ns()
         write = self._log.info if context.caller_end else self._log.warning
-        write(
-            "request unanswered",
-            id=context.request_id,
-            service=context.destination.service,
-            kind=context.destination.kind,
-            cause=STALLED if context.stop_reason == STALLED else error.detail,
-            step=error.step,
-            caller_end=context.caller_end,
-            attempts=context.attempts.count,
-            outcome=context.attempts.outcome.value,
-            answer_begun=context.request.is_answered,
-            peer=context.peer,
-            hop=context.hop is not None,
-            age_ms=(now_ns - context.started_ns) // NS_PER_MS,
-            left_ms=(context.deadline_ns - now_ns) // NS_PER_MS,
-            **context.request.connection_facts(now_ns),
-        )
+        cause = context.stop_reason or error.detail
+        write("request unanswered", cause=cause, step=error.step, **self._end_facts(context))
 
-    def cut_short(self, context: RequestContext, error: Exception) -> None:
+    def cut_short(self, context: RequestContext, error: AuburnsailError) -> None:
         """Logs an answer that ended early after a part of it was relayed."""
-        self._log.warning("answer cut short", id=context.request_id, error=str(error))
+        cause = context.stop_reason or str(error)
+        self._log.warning(
+            "answer cut short", cause=cause, error=str(error), **self._end_facts(context)
+        )
+
+    def _end_facts(self, context: RequestContext) -> dict[str, object]:
+        """Returns what log lines state of a request whose connection ends without its answer."""
+        now_ns = self._clock.now_ns()
+        return {
+            "id": context.request_id,
+            "service": context.destination.service,
+            "kind": context.destination.kind,
+            "caller_end": context.caller_end,
+            "attempts": context.attempts.count,
+            "outcome": context.attempts.outcome.value,
+            "answer_begun": context.request.is_answered,
+            "peer": context.peer,
+            "hop": context.hop is not None,
+            "age_ms": (now_ns - context.started_ns) // NS_PER_MS,
+            "left_ms": (context.deadline_ns - now_ns) // NS_PER_MS,
+            **context.request.connection_facts(now_ns),
+        }
 
     def ended_with_process(self, context: RequestContext, state: str) -> None:
         """Logs a request that was still in flight when the process ended.
--- a/tests/test_answers_without_length.py
+++ b/tests/test_answers_without_length.py
@@ -24,6 +24,7 @@
 UNFRAMED = b"HTTP/1.1 200 OK\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n"
 LINK_MBIT = 11
+RESET_EVENTS = ("request unanswered", "answer cut short")
 
 
 def ask(address: str, deadline_ms: int = 0, timeout_s: float = 3.0) -> bytes:
@@ -147,6 +148,30 @@
                     received += part
                 self.assertEqual(received.partition(b"\r\n\r\n")[2], body)
 
+    def test_the_line_of_a_reset_at_the_deadline_names_it(self):
+        """Guards against a reset whose log line tells only that a socket was closed."""
+
+        def answer(sock, run) -> None:
+            sock.sendall(UNFRAMED)
+            with contextlib.suppress(OSError):
+                while True:
+                    sock.sendall(BODY)
+                    gevent.sleep(0.001)
+
+        self.upstream.script = answer
+        with capture_logs() as lines:
+            head = "GET /catalogue/k1 HTTP/1.1", "host: a", "auburnsail-deadline-ms: 600"
+            with open_connection(self.owner.address) as sock:
+                sock.sendall("\r\n".join(head).encode() + b"\r\n\r\n")
+                with self.assertRaises(ConnectionResetError):
+                    while sock.recv(65_536):
+                        pass
+            gevent.sleep(0.1)
+        own_lines = [line for line in lines if line.get("address") == self.owner.address]
+        (line,) = [line for line in own_lines if line["event"] in RESET_EVENTS]
+        facts = (line["cause"], line["caller_end"], line["answer_begun"], line["hop"])
+        self.assertEqual(facts, ("deadline", "", True, False))
+
     def test_a_stream_without_a_deadline_of_the_caller_flows_at_once(self):
         """Guards against events of a stream that are held back until its end."""
 
