Keep sending an upload while no final answer has arrived

What callers saw: an upload of more than 64 KiB ended with 502 (outcome unknown) after the upstream had sent `100 Continue`, or once more its answer to an earlier request. The upstream got 100,000 of 200,000 bytes. The exchange then skipped these bytes and waited for an answer that could not come. It stops sending if the head of this request's final answer is complete, the bytes are invalid, or the peer has ended its direction or the connection.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -58,6 +58,7 @@
         tried_addresses: Addresses of upstreams of an unkeyed service at which attempts failed.
         ticket: Admission to the local upstream while it runs the request.
         utilisation: Utilisation that the other node reported for its upstream, or None.
+        echo: Name and value of the header by which an answer shows whose it is, see `AnswerParser`.
         exchange: Current exchange with a peer, or None.
         connecting: Socket that is being connected to a peer, or None.
         started_ns: When the request's head had been received.
@@ -94,6 +95,7 @@
         "covers_body",
         "deadline_ns",
         "destination",
+        "echo",
         "exchange",
         "failures",
         "hop",
@@ -144,6 +146,7 @@
         self.is_sending = False
         self.owner_hint = ""
         self.tried_addresses: set[str] = set()
+        self.echo = ("", "")
         self.exchange: Exchange | None = None
         self.connecting: socket.socket | None = None
         self.silence_deadline_ns = 0
@@ -365,6 +368,6 @@
 def _check_early_answer(context: RequestContext) -> None:
     """Stops sending a request body if the peer has already answered or closed the connection."""
     exchange = context.exchange
-    if exchange is not None and exchange.has_early_answer:
+    if exchange is not None and exchange.ends_upload(context.request.head.method, context.echo):
         exchange.stop_sending()
         context.request.interrupt_read()
--- a/src/auburnsail/_answer_parser.py
+++ b/src/auburnsail/_answer_parser.py
@@ -86,6 +86,11 @@
         if self._framing_budget < 0 and not self.is_complete:
             raise HTTPParseError("the answer has more framing than body")
 
+    @property
+    def has_skipped(self) -> bool:
+        """Whether the bytes so far hold at least a part of an answer to another request."""
+        return self._is_for_other_request or self.skipped_answers > 0
+
     def field(self, name: str) -> str:
         """Returns the value of a header by its lower-case name, empty if the answer lacks it."""
         return next((value for field, value in self.fields if field.lower() == name), "")
--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -276,11 +276,11 @@
             self._check_stopped(context)
             self._watch_silence(context, exchange, address, local)
             head = request_head(context, address, extra, self._dialect)
+            context.echo = (self._dialect.request_id, context.request_id)
             context.attempts.begin(address)
             try:
                 send_recorded(context, exchange, head)
-                echo = (self._dialect.request_id, context.request_id)
-                answer = exchange.receive_head(context.request.head.method, echo)
+                answer = exchange.receive_head(context.request.head.method, context.echo)
                 context.silence_deadline_ns = 0
                 self._check_answer(context, exchange, answer, local, address)
                 context.attempts.on_possibly_run()
--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -8,6 +8,7 @@
 
 from ._answer_parser import AnswerParser, HTTPParseError
 from ._clock import NS_PER_MS
+from ._early_answer import EarlyAnswerCheck
 from ._link_sender import LinkSender, OutgoingMessage
 from ._sockets import USER_TIMEOUT_MS, is_open_and_idle, send_all, shut_down
 from .exceptions import OutcomeUnknownError
@@ -80,6 +81,7 @@
     __slots__ = (
         "_body_bytes_left",
         "_connection",
+        "_early_check",
         "_message",
         "_parser",
         "_peer",
@@ -96,6 +98,7 @@
         self._parser: AnswerParser | None = None
         self._body_bytes_left = 0
         self._message: OutgoingMessage | None = None
+        self._early_check: EarlyAnswerCheck | None = None
         self.started_ns = now_ns
         self.bytes_written = 0
         self.answered = False
@@ -117,6 +120,18 @@
         """Whether the peer has sent bytes or closed the connection that were not read yet."""
         return self._connection is not None and not is_open_and_idle(self._connection.sock)
 
+    def ends_upload(self, method: str, echo: tuple[str, str]) -> bool:
+        """Returns whether the rest of the request is of no use to the peer; does not block.
+
+        That is so if it has sent the head of its final answer or invalid bytes, or has ended the
+        connection. See `receive_head` for the arguments.
+        """
+        if not self.has_early_answer or self._connection is None:
+            return False
+        if self._early_check is None:
+            self._early_check = EarlyAnswerCheck()
+        return self._early_check.is_due(self._connection.sock, method, echo)
+
     def send(self, data: bytes) -> None:
         """Sends raw bytes of the request.
 
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -19,8 +19,10 @@
     "cancel_read",
     "enable_keepalive",
     "endpoint",
+    "has_ended",
     "is_open_and_idle",
     "keeps_connections",
+    "peek",
     "send_all",
     "set_options",
     "shut_down",
@@ -160,6 +162,31 @@
     return not poll.poll(0)
 
 
+def has_ended(sock: socket.socket) -> bool:
+    """Returns whether the peer has ended its direction, or the connection is broken or closed."""
+    poll = select.poll()
+    try:
+        poll.register(sock.fileno(), select.POLLRDHUP)
+    except (OSError, ValueError):
+        return True
+    return bool(poll.poll(0))
+
+
+def peek(sock: socket.socket, size: int) -> bytes:
+    """Returns up to `size` bytes that have arrived, and leaves them to be read; does not block.
+
+    The result is empty if none have arrived, or if the connection is closed or broken.
+    """
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return sock.recv(size, socket.MSG_PEEK)
+    except OSError:
+        return b""
+    finally:
+        sock.settimeout(timeout_s)
+
+
 def shut_down(sock: socket.socket, how: int) -> None:
     """Shuts down one or both directions and wakes greenlets that are blocked on them."""
     # An error means that the connection is closed, which wakes blocked greenlets as well.
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,15 +1,18 @@
-"""Requests that follow one whose answer came before the whole body was sent."""
+"""Answers that come before the whole body was sent, and requests that follow on the connections."""
 
 import unittest
+from unittest import mock
 
 import gevent
 from gevent.server import StreamServer
 
 from auburnsail._clock import BootClock
+from auburnsail._dialect import Dialect
+from auburnsail._early_answer import MAX_VISIBLE_HEAD_BYTES, ends_upload
 from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
 from auburnsail._link_sender import LinkSender
 from auburnsail._relay import BUFFERED_BYTES
-from tests.path_fakes import OK, SHED, PathNode, connect, open_connection
+from tests.path_fakes import OK, SHED, PathNode, connect, open_connection, wait_for
 
 POST_HEAD = b"POST /catalogue/k1 HTTP/1.1\r\nhost: a\r\ncontent-length: %d\r\n\r\n"
 REST_BYTES = 30_000
@@ -112,5 +115,109 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
 
 
+class UploadTest(unittest.TestCase):
+    """An upload of which the caller sends one half 0.2 s after the other.
+
+    The upstream sends some bytes when the head has arrived, and its answer after the whole body.
+    """
+
+    HALF_BYTES = 100_000
+
+    def upload(self, early: bytes) -> tuple[bytes, int]:
+        """Returns what the caller receives, and how many bytes of the body the upstream gets."""
+        size, received_sizes = 2 * self.HALF_BYTES, []
+
+        def handle(sock, _address) -> None:
+            data = b""
+            while b"\r\n\r\n" not in data:
+                if not (part := sock.recv(4096)):
+                    return
+                data += part
+            received = len(data.partition(b"\r\n\r\n")[2])
+            sock.sendall(early)
+            while received < size and (part := sock.recv(65536)):
+                received += len(part)
+            received_sizes.append(received)
+            if received == size:
+                sock.sendall(b"HTTP/1.1 200 OK\r\nx-id: own\r\ncontent-length: 2\r\n\r\nok")
+
+        server = StreamServer(("127.0.0.1", 0), handle)
+        server.start()
+        self.addCleanup(server.stop, 0)
+        upstream = mock.Mock(address=f"127.0.0.1:{server.server_port}")
+        node = PathNode("n", upstream, "catalogue", dialect=Dialect(request_id="x-id"))
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        with open_connection(node.address) as sock:
+            head = POST_HEAD.replace(b"host: a", b"host: a\r\nx-id: own") % size
+            sock.sendall(head + bytes(self.HALF_BYTES))
+            gevent.sleep(0.2)
+            sock.sendall(bytes(self.HALF_BYTES))
+            answer = sock.recv(65536)
+        self.assertTrue(wait_for(lambda: received_sizes))
+        return answer, received_sizes[0]
+
+    def check_whole(self, early: bytes) -> None:
+        """Checks that the upstream gets the whole body, and the caller the upstream's answer."""
+        answer, size = self.upload(early)
+        self.assertEqual(size, 2 * self.HALF_BYTES, answer)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
+
+    def test_an_interim_answer_does_not_end_an_upload(self):
+        """Guards against 100 Continue being taken for an early answer (502 for the caller)."""
+        self.check_whole(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def test_an_answer_to_another_request_does_not_end_an_upload(self):
+        """Guards against a repeated answer being taken for an early answer (502)."""
+        self.check_whole(b"HTTP/1.1 200 OK\r\nx-id: earlier\r\ncontent-length: 2\r\n\r\nok")
+
+    def test_a_final_answer_after_an_interim_one_ends_an_upload(self):
+        """Guards against an early answer being missed because of what came before it."""
+        final = b"HTTP/1.1 403 Forbidden\r\nx-id: own\r\ncontent-length: 2\r\n\r\nno"
+        answer, size = self.upload(b"HTTP/1.1 100 Continue\r\n\r\n" + final)
+        self.assertTrue(answer.startswith(b"HTTP/1.1 403 Forbidden\r\n"), answer)
+        self.assertEqual(size, self.HALF_BYTES)
+
+
+class EndsUploadTest(unittest.TestCase):
+    """What `ends_upload` makes of received bytes."""
+
+    OTHER = b"HTTP/1.1 200 OK\r\nx-id: earlier\r\ncontent-length: 100000\r\n\r\n"
+
+    def ends(self, data: bytes) -> bool:
+        """Returns whether the bytes end an upload with the id ``own``."""
+        return ends_upload(data, "POST", ("x-id", "own"))
+
+    def test_a_complete_head_ends_an_upload(self):
+        """Guards against an early answer being missed while its body is incomplete."""
+        self.assertTrue(self.ends(b"HTTP/1.1 200 OK\r\ncontent-length: 9\r\n\r\n"))
+        self.assertTrue(self.ends(b"HTTP/1.1 200 OK\r\nx-id: own\r\n\r\n"))
+
+    def test_an_incomplete_head_does_not_end_an_upload(self):
+        """Guards against the first part of an interim answer being taken for the final one."""
+        for data in (b"HTTP/1.1 1", b"HTTP/1.1 100 Continue\r\n", b"HTTP/1.1 200 OK\r\nx-id: o"):
+            with self.subTest(data):
+                self.assertFalse(self.ends(data))
+
+    def test_a_final_answer_after_a_skipped_one_ends_an_upload(self):
+        """Guards against only the first answer being looked at."""
+        skipped = self.OTHER + bytes(100_000)
+        self.assertFalse(self.ends(skipped))
+        self.assertTrue(self.ends(skipped + b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\n"))
+
+    def test_invalid_bytes_end_an_upload(self):
+        """Guards against a body being sent to a peer whose answer can no longer be received."""
+        huge = b"HTTP/1.1 200 OK\r\ncontent-length: " + b"9" * 5_000 + b"\r\n\r\n"
+        for data in (b"\x00", b"SSH-2.0\r\n", b"HTTP/1.1 101 Switching\r\n\r\n", huge):
+            with self.subTest(data[:40]):
+                self.assertTrue(self.ends(data))
+
+    def test_a_head_too_long_to_be_seen_whole_ends_an_upload(self):
+        """Guards against waiting for the end of a head that does not fit into the buffer."""
+        data = b"HTTP/1.1 200 OK\r\nx: " + b"a" * MAX_VISIBLE_HEAD_BYTES
+        self.assertTrue(self.ends(data))
+        self.assertFalse(self.ends(self.OTHER + bytes(MAX_VISIBLE_HEAD_BYTES)))
+
+
 if __name__ == "__main__":
     unittest.main()
