Keep the connection open for sending after an early answer

What callers saw: an upstream answered an upload before its end with a stream, or with an answer that waited for the owner's link, and the caller's connection was reset inside the answer over two hops (a stream) or the caller got no more than a failure (60 kB waiting for the link). Over one hop the same happened with an upstream that drops requests whose connection ends. Cause: to stop sending, the node shut down its sending side. Change: a blocked write is cancelled (`cancel_write`), and the connection is left as it is. Each later write sees `sending_stopped` first and drops its bytes, so a cancellation that comes late cannot hit one and nothing follows a body of which a part is missing; `send` reports neither as a broken connection. The exchange is not clean, so its connection is closed after the answer, as before. An upstream that drops requests at the end of sending and pauses for longer inside an early answer still cuts it, as before.

--- a/src/auburnsail/_active_requests.py
+++ b/src/auburnsail/_active_requests.py
@@ -294,6 +294,9 @@
             self._check_time(context, now_ns)
             if context.is_sending:
                 _check_early_answer(context)
+            elif context.ticket is not None and context.exchange is not None:
+                # Only an upstream: another node does not wait for the rest of a request.
+                context.exchange.end_request(now_ns)
             # Most requests end between two sweeps, so callers are polled from the second sweep on.
             if context.is_caller_polled and (descriptor := context.request.fileno()) >= 0:
                 callers[descriptor] = context
--- a/src/auburnsail/_early_answer.py
+++ b/src/auburnsail/_early_answer.py
@@ -1,16 +1,20 @@
-"""Recognises an answer that arrives before the whole request body was sent."""
+"""Recognises an answer that arrives before the whole request body was sent, and pauses in it."""
 
 from gevent import socket
 
 from ._answer_parser import AnswerParser, HTTPParseError
+from ._clock import NS_PER_MS
 from ._sockets import has_ended, peek
 
-__all__ = ["EarlyAnswerCheck", "ends_upload"]
+__all__ = ["MAX_PAUSE_NS", "EarlyAnswerCheck", "PauseTimer", "ends_upload"]
 
 PEEK_BYTES = 128 * 1024
 # The kernel's buffer may not hold the whole of a longer head, so its end may never be seen.
 MAX_VISIBLE_HEAD_BYTES = 32 * 1024
 
+# Longest pause in an early answer before the upstream is told that the request has ended.
+MAX_PAUSE_NS = 500 * NS_PER_MS
+
 
 class EarlyAnswerCheck:
     """Looks for the answer to one request whose body is being sent; reads nothing.
@@ -40,6 +44,27 @@
         return ends_upload(data, method, echo)
 
 
+class PauseTimer:
+    """Measures how long a peer has sent nothing."""
+
+    __slots__ = ("_received_bytes", "_since_ns")
+
+    def __init__(self) -> None:
+        self._received_bytes = -1
+        self._since_ns = 0
+
+    def is_over(self, received_bytes: int, now_ns: int) -> bool:
+        """Returns whether the pause has lasted for `MAX_PAUSE_NS`.
+
+        Args:
+            received_bytes: Bytes received from the peer so far.
+            now_ns: The current time in nanoseconds.
+        """
+        if received_bytes != self._received_bytes:
+            self._received_bytes, self._since_ns = received_bytes, now_ns
+        return now_ns - self._since_ns >= MAX_PAUSE_NS
+
+
 def ends_upload(data: bytes, method: str, echo: tuple[str, str]) -> bool:
     """Returns whether received bytes hold the head of the final answer, or no valid answer.
 
--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -8,9 +8,16 @@
 
 from ._answer_parser import AnswerParser, HTTPParseError
 from ._clock import NS_PER_MS
-from ._early_answer import EarlyAnswerCheck
+from ._early_answer import EarlyAnswerCheck, PauseTimer
 from ._link_sender import LinkSender, OutgoingMessage
-from ._sockets import USER_TIMEOUT_MS, is_open_and_idle, send_all, shut_down
+from ._sockets import (
+    USER_TIMEOUT_MS,
+    WriteCancelledError,
+    cancel_write,
+    is_open_and_idle,
+    send_all,
+    shut_down,
+)
 from .exceptions import OutcomeUnknownError
 
 __all__ = ["Connection", "Exchange"]
@@ -84,7 +91,9 @@
         "_early_check",
         "_message",
         "_parser",
+        "_pause",
         "_peer",
+        "_received_bytes",
         "answered",
         "bytes_written",
         "interrupt_reason",
@@ -99,6 +108,8 @@
         self._body_bytes_left = 0
         self._message: OutgoingMessage | None = None
         self._early_check: EarlyAnswerCheck | None = None
+        self._pause: PauseTimer | None = None
+        self._received_bytes = 0
         self.started_ns = now_ns
         self.bytes_written = 0
         self.answered = False
@@ -156,6 +167,9 @@
         def write(block: bytes | memoryview) -> None:
             if self.interrupt_reason:
                 raise OSError("interrupted while waiting for the link")
+            if self.sending_stopped:
+                # A part of an earlier block may be missing, and a cancellation may be due.
+                raise WriteCancelledError("the peer needs no more of the request")
             self.bytes_written += len(block)
             send_all(sock, block)
 
@@ -228,13 +242,31 @@
             connection.sock.close()
 
     def stop_sending(self) -> None:
-        """Stops sending the request and ends a blocked `send`; the answer can still be read."""
+        """Stops sending the request and ends a blocked `send`; the answer can still be read.
+
+        The own direction stays open, since a peer may take its end for that of the caller.
+        """
         if self._connection is None or self.sending_stopped:
             return
         self.sending_stopped = True
-        shut_down(self._connection.sock, socket.SHUT_WR)
+        self._pause = PauseTimer()
+        cancel_write(self._connection.sock)
         self._cancel_link_wait()
 
+    def end_request(self, now_ns: int) -> None:
+        """Ends the own direction if the peer pauses after `stop_sending`.
+
+        An upstream may wait for the rest of the request before it goes on with its answer.
+
+        Args:
+            now_ns: The current time in nanoseconds.
+        """
+        if self._pause is None or self._connection is None or self.has_early_answer:
+            return
+        if self._pause.is_over(self._received_bytes, now_ns):
+            self._pause = None
+            shut_down(self._connection.sock, socket.SHUT_WR)
+
     def interrupt(self, reason: str) -> None:
         """Shuts the connection down, so that another greenlet's blocked call on it fails.
 
@@ -290,6 +322,7 @@
             raise self._failure("interrupted", "http.receive")
         if data:
             self.answered = True
+            self._received_bytes += len(data)
             self._peer.on_received()
         elif not end_allowed:
             raise self._failure("the connection ended inside the body", "http.receive")
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -14,9 +14,11 @@
 __all__ = [
     "USER_TIMEOUT_MS",
     "ReadCancelledError",
+    "WriteCancelledError",
     "accepts_connections",
     "acknowledged_bytes",
     "cancel_read",
+    "cancel_write",
     "enable_keepalive",
     "endpoint",
     "has_ended",
@@ -49,6 +51,10 @@
     """A blocked read was ended by `cancel_read`."""
 
 
+class WriteCancelledError(OSError):
+    """A blocked write was ended by `cancel_write`."""
+
+
 def cancel_read(sock: socket.socket) -> None:
     """Ends a blocked read with `ReadCancelledError`; both directions of the connection stay open.
 
@@ -60,6 +66,16 @@
     socket.cancel_wait(sock._read_event, ReadCancelledError)
 
 
+def cancel_write(sock: socket.socket) -> None:
+    """Ends a blocked write with `WriteCancelledError`; both directions of the connection stay open.
+
+    A part of the bytes may have been sent. If the socket has room in the same turn of the event
+    loop, the write goes on, and a later one may be cancelled in its place; so the caller makes sure
+    that there is none.
+    """
+    socket.cancel_wait(sock._write_event, WriteCancelledError)
+
+
 def set_options(sock: socket.socket) -> None:
     """Disables Nagle's algorithm and limits the time that sent bytes stay unacknowledged."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -1,5 +1,6 @@
 """Answers that come before the whole body was sent, and requests that follow on the connections."""
 
+import contextlib
 import unittest
 from unittest import mock
 
@@ -90,7 +91,7 @@
         self.assertTrue(answer.startswith(b"HTTP/1.1 200 OK\r\n"), answer)
 
     def test_the_upstream_s_connection_is_not_used_again(self):
-        """Guards against a request on a connection that the node has shut down for sending (502).
+        """Guards against a request on a connection that lacks the rest of the last body (502).
 
         The upstream has not closed it yet, so it looks idle.
         """
@@ -219,5 +220,105 @@
         self.assertFalse(self.ends(self.OTHER + bytes(MAX_VISIBLE_HEAD_BYTES)))
 
 
+class EarlyStreamUpstream:
+    """Answers at the head with several parts, 0.1 s apart, and reads the body meanwhile.
+
+    Args:
+        parts: Parts of the answer.
+        drops_at_end: Whether the connection is closed when the node's sending side ends.
+    """
+
+    def __init__(self, parts: tuple[bytes, ...], drops_at_end: bool) -> None:
+        self._parts = parts
+        self._drops_at_end = drops_at_end
+        self._server = StreamServer(("127.0.0.1", 0), self._handle)
+        self._server.start()
+        self.address = f"127.0.0.1:{self._server.server_port}"
+
+    def stop(self) -> None:
+        """Stops listening for connections."""
+        self._server.stop(timeout=0)
+
+    def _handle(self, sock, _address) -> None:
+        data = b""
+        while b"\r\n\r\n" not in data:
+            if not (part := sock.recv(4096)):
+                return
+            data += part
+        gevent.spawn(self._discard, sock)
+        with contextlib.suppress(OSError):
+            for part in self._parts:
+                sock.sendall(part)
+                gevent.sleep(0.1)
+            gevent.sleep(UPSTREAM_PAUSE_S)
+
+    def _discard(self, sock) -> None:
+        with contextlib.suppress(OSError):
+            while sock.recv(65536):
+                pass
+            if self._drops_at_end:
+                sock.close()
+
+
+class EarlyStreamedAnswerTest(unittest.TestCase):
+    """An upload of 200 kB, of which the caller has sent 100 kB when the upstream answers."""
+
+    PARTS = (
+        b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\nab\r\n",
+        b"2\r\ncd\r\n",
+        b"2\r\nef\r\n",
+        b"0\r\n\r\n",
+    )
+
+    def upload(
+        self,
+        hops: int,
+        parts: tuple[bytes, ...] = PARTS,
+        link: LinkSender | None = None,
+        drops_at_end: bool = False,
+    ) -> bytes:
+        """Returns what the caller receives; `link` is that of the owner."""
+        upstream = EarlyStreamUpstream(parts, drops_at_end)
+        self.addCleanup(upstream.stop)
+        owner = PathNode("a", upstream, "catalogue", link=link)
+        other = PathNode("b", None, "catalogue")
+        self.addCleanup(owner.stop)
+        self.addCleanup(other.stop)
+        connect(owner, other, owner=owner)
+        entry = owner if hops == 1 else other
+        with open_connection(entry.address) as sock:
+            sock.sendall(POST_HEAD % 200_000 + bytes(100_000))
+            received = b""
+            while part := sock.recv(65536):
+                received += part
+            return received
+
+    def test_an_early_streamed_answer_is_whole_over_one_hop(self):
+        """Guards against an early answer being cut by the node that stops sending."""
+        self.assertTrue(self.upload(1).endswith(b"0\r\n\r\n"))
+
+    def test_an_early_streamed_answer_is_whole_over_two_hops(self):
+        """Guards against a node's end of sending that the next node takes for a caller's leaving."""
+        self.assertTrue(self.upload(2).endswith(b"0\r\n\r\n"))
+
+    def test_an_upstream_that_drops_requests_of_closed_connections_can_end_its_answer(self):
+        """Guards against an end of sending that the upstream takes for a caller's leaving."""
+        self.assertTrue(self.upload(1, drops_at_end=True).endswith(b"0\r\n\r\n"))
+
+    def test_an_upstream_that_ends_its_answer_after_the_request_learns_of_the_end(self):
+        """Guards against a hang: the answer ends with the connection, which stays open till then."""
+        for hops in (1, 2):
+            with self.subTest(hops=hops), gevent.Timeout(UPSTREAM_PAUSE_S / 2):
+                received = self.upload(hops, (b"HTTP/1.1 200 OK\r\n\r\nab",), drops_at_end=True)
+                self.assertTrue(received.endswith(b"2\r\nab\r\n0\r\n\r\n"), received)
+
+    def test_an_early_answer_that_waits_for_the_owner_s_link_is_whole_over_two_hops(self):
+        """Guards against the same for an answer of 60 kB that is complete at the owner."""
+        answer = b"HTTP/1.1 200 OK\r\ncontent-length: 60000\r\n\r\n" + bytes(60_000)
+        link = LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock())
+        received = self.upload(2, (answer,), link)
+        self.assertEqual(len(received.partition(b"\r\n\r\n")[2]), 60_000)
+
+
 if __name__ == "__main__":
     unittest.main()
