--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -8,8 +8,16 @@
 
 from ._answer_parser import AnswerParser, HTTPParseError
 from ._clock import NS_PER_MS
+from ._early_answer import EarlyAnswerCheck, PauseTimer
 from ._link_sender import LinkSender, OutgoingMessage
-from ._sockets import USER_TIMEOUT_MS, is_open_and_idle, send_all, shut_down
+from ._sockets import (
+    USER_TIMEOUT_MS,
+    WriteCancelledError,
+    cancel_write,
+    is_open_and_idle,
+    send_all,
+    shut_down,
+)
 from .exceptions import OutcomeUnknownError
 
 __all__ = ["Connection", "Exchange"]
@@ -80,9 +88,12 @@
     __slots__ = (
         "_body_bytes_left",
         "_connection",
+        "_early_check",
         "_message",
         "_parser",
+        "_pause",
         "_peer",
+        "_received_bytes",
         "answered",
         "bytes_written",
         "interrupt_reason",
@@ -96,6 +107,9 @@
         self._parser: AnswerParser | None = None
         self._body_bytes_left = 0
         self._message: OutgoingMessage | None = None
+        self._early_check: EarlyAnswerCheck | None = None
+        self._pause: PauseTimer | None = None
+        self._received_bytes = 0
         self.started_ns = now_ns
         self.bytes_written = 0
         self.answered = False
@@ -117,6 +131,18 @@
         """Whether the peer has sent bytes or closed the connection that were not read yet."""
         return self._connection is not None and not is_open_and_idle(self._connection.sock)
 
+    def ends_upload(self, method: str, echo: tuple[str, str]) -> bool:
+        """Returns whether the rest of the request is of no use to the peer; does not block.
+
+        That is so if it has sent the head of its final answer or invalid bytes, or has ended the
+        connection. See `receive_head` for the arguments.
+        """
+        if not self.has_early_answer or self._connection is None:
+            return False
+        if self._early_check is None:
+            self._early_check = EarlyAnswerCheck()
+        return self._early_check.is_due(self._connection.sock, method, echo)
+
     def send(self, data: bytes) -> None:
         """Sends raw bytes of the request.
 
@@ -141,6 +167,9 @@
         def write(block: bytes | memoryview) -> None:
             if self.interrupt_reason:
                 raise OSError("interrupted while waiting for the link")
+            if self.sending_stopped:
+                # A part of an earlier block may be missing, and a cancellation may be due.
+                raise WriteCancelledError("the peer needs no more of the request")
             self.bytes_written += len(block)
             send_all(sock, block)
 
@@ -213,13 +242,31 @@
             connection.sock.close()
 
     def stop_sending(self) -> None:
-        """Stops sending the request and ends a blocked `send`; the answer can still be read."""
+        """Stops sending the request and ends a blocked `send`; the answer can still be read.
+
+        The own direction stays open, since a peer may take its end for that of the caller.
+        """
         if self._connection is None or self.sending_stopped:
             return
         self.sending_stopped = True
-        shut_down(self._connection.sock, socket.SHUT_WR)
+        self._pause = PauseTimer()
+        cancel_write(self._connection.sock)
         self._cancel_link_wait()
 
+    def end_request(self, now_ns: int) -> None:
+        """Ends the own direction if the peer pauses after `stop_sending`.
+
+        An upstream may wait for the rest of the request before it goes on with its answer.
+
+        Args:
+            now_ns: The current time in nanoseconds.
+        """
+        if self._pause is None or self._connection is None or self.has_early_answer:
+            return
+        if self._pause.is_over(self._received_bytes, now_ns):
+            self._pause = None
+            shut_down(self._connection.sock, socket.SHUT_WR)
+
     def interrupt(self, reason: str) -> None:
         """Shuts the connection down, so that another greenlet's blocked call on it fails.
 
@@ -275,6 +322,7 @@
             raise self._failure("interrupted", "http.receive")
         if data:
             self.answered = True
+            self._received_bytes += len(data)
             self._peer.on_received()
         elif not end_allowed:
             raise self._failure("the connection ended inside the body", "http.receive")
--- a/src/auburnsail/_sockets.py
+++ b/src/auburnsail/_sockets.py
@@ -14,13 +14,17 @@
 __all__ = [
     "USER_TIMEOUT_MS",
     "ReadCancelledError",
+    "WriteCancelledError",
     "accepts_connections",
     "acknowledged_bytes",
     "cancel_read",
+    "cancel_write",
     "enable_keepalive",
     "endpoint",
+    "has_ended",
     "is_open_and_idle",
     "keeps_connections",
+    "peek",
     "send_all",
     "set_options",
     "shut_down",
@@ -47,6 +51,10 @@
     """A blocked read was ended by `cancel_read`."""
 
 
+class WriteCancelledError(OSError):
+    """A blocked write was ended by `cancel_write`."""
+
+
 def cancel_read(sock: socket.socket) -> None:
     """Ends a blocked read with `ReadCancelledError`; both directions of the connection stay open.
 
@@ -58,6 +66,16 @@
     socket.cancel_wait(sock._read_event, ReadCancelledError)
 
 
+def cancel_write(sock: socket.socket) -> None:
+    """Ends a blocked write with `WriteCancelledError`; both directions of the connection stay open.
+
+    A part of the bytes may have been sent. If the socket has room in the same turn of the event
+    loop, the write goes on, and a later one may be cancelled in its place; so the caller makes sure
+    that there is none.
+    """
+    socket.cancel_wait(sock._write_event, WriteCancelledError)
+
+
 def set_options(sock: socket.socket) -> None:
     """Disables Nagle's algorithm and limits the time that sent bytes stay unacknowledged."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -160,6 +178,31 @@
     return not poll.poll(0)
 
 
+def has_ended(sock: socket.socket) -> bool:
+    """Returns whether the peer has ended its direction, or the connection is broken or closed."""
+    poll = select.poll()
+    try:
+        poll.register(sock.fileno(), select.POLLRDHUP)
+    except (OSError, ValueError):
+        return True
+    return bool(poll.poll(0))
+
+
+def peek(sock: socket.socket, size: int) -> bytes:
+    """Returns up to `size` bytes that have arrived, and leaves them to be read; does not block.
+
+    The result is empty if none have arrived, or if the connection is closed or broken.
+    """
+    timeout_s = sock.gettimeout()
+    sock.settimeout(0.0)
+    try:
+        return sock.recv(size, socket.MSG_PEEK)
+    except OSError:
+        return b""
+    finally:
+        sock.settimeout(timeout_s)
+
+
 def shut_down(sock: socket.socket, how: int) -> None:
     """Shuts down one or both directions and wakes greenlets that are blocked on them."""
     # An error means that the connection is closed, which wakes blocked greenlets as well.
