Know what the upstream holds before a restarted node's session may transfer it

Cause: a node that starts again beside a running upstream takes over its session after the first report. `grant_holds` returned before it had recorded the holds of that report, since there was no session yet. From the opening of the session to the next report, about 1 s, the new process took all shards for free, and gave one away at once if placement moved it in that time, as it does when a VM of the service joins. The upstream still held it by the last grant of the earlier process. The hold ended one report after the first. test_holds_of_an_earlier_process_are_known_before_the_session_transfers_keys fails before. Change: the holds of the latest report are recorded when it arrives, or as soon as the service's shards are known, in each case before the session can open. Why it works: a session opens only for an upstream that has reported, and a shard that is recorded as held is free only once the upstream has released it or the longest grant has ended. Measured: the test passes; test_holds, test_fleet_restart, test_lifetimes, test_clock_jumps, test_ownership and test_node_stop pass.

--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -61,6 +61,7 @@
         self._announcement: Announcement | None = None
         self._latest_announcement: Announcement | None = None
         self._earlier: Announcement | None = None
+        self._recorded: Announcement | None = None
         self._has_ended = False
         self._announced_ns = 0
         self._answered_ns = 0
@@ -135,6 +136,7 @@
         The grant is empty if the node's session is not for this process of the upstream.
         """
         now_ns = self._clock.now_ns()
+        self._record_holds(now_ns)
         own_id, announcement = self._membership.own_id, self._announcement
         row = self._fleet.sessions.get(own_id) if own_id is not None else None
         if row is None or announcement is None or announcement.lifetime != row.session.lifetime:
@@ -178,6 +180,7 @@
         """
         if self._announcement is not None and self._is_silent(self._announcement, now_ns):
             self._mark_lost("upstream does not announce itself")
+        self._record_holds(now_ns)
         announcement = self._announcement
         if announcement is not None and announcement.state != "draining":
             self._session.set_upstream(
@@ -254,6 +257,20 @@
         ):
             self._draining_since_ns = now_ns
 
+    def _record_holds(self, now_ns: int) -> None:
+        """Records the keys that the upstream holds by its latest report.
+
+        An earlier process of this node may have granted them. The first report to this process
+        comes before its session is open; from then on the session may transfer shards.
+        """
+        announcement = self._announcement
+        if announcement is None or announcement is self._recorded:
+            return
+        holds = self._hold_table(announcement.service)
+        if holds is not None:
+            holds.on_report(announcement.holds, (), now_ns)
+            self._recorded = announcement
+
     def _hold_table(self, service: str) -> HoldTable | None:
         return self._mover.holds if service in self._fleet.tables else None
 
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -4,10 +4,12 @@
 from types import SimpleNamespace
 from unittest import mock
 
+import msgspec
+
 from auburnsail._clock import NS_PER_MS, ManualClock
 from auburnsail._control import Announcement
 from auburnsail._fleet import FleetState
-from auburnsail._holds import HoldGrant, HoldTable
+from auburnsail._holds import HeldRange, HoldGrant, HoldTable
 from auburnsail._journal import Journal
 from auburnsail._local_upstream import LocalUpstream
 from auburnsail._model import Assign, Entry, Grant, Join, Session, SessionId
@@ -162,6 +164,35 @@
         upstream.on_announcement(announcement(3))
         self.assertTrue(upstream.grant_holds().hold_ms)
 
+    def test_holds_of_an_earlier_process_are_known_before_the_session_transfers_keys(self):
+        """Guards against OWNER: two upstreams that hold a key after a restart of a node.
+
+        A restarted node takes over its session after the first report. Another session joins, and
+        a shard goes to it before the next report; the upstream still holds it by the last grant of
+        the earlier process.
+        """
+        held = (HeldRange(0, 63, 1),)
+        report = msgspec.structs.replace(announcement(7), holds=held)
+        for table_exists in (True, False):
+            with self.subTest(table_exists=table_exists):
+                fleet, mover = FleetState(), FakeMover()
+                mover.releasing = lambda service: set()
+                membership = SimpleNamespace(session=FakeSession(), own_id=None)
+                upstream = LocalUpstream(membership, mover, fleet, Journal(self.clock), self.clock)
+                if table_exists:
+                    fleet.add_service("s", 8, 64)
+                    mover.holds = HoldTable(8, 64, 4_000)
+                upstream.on_announcement(report)
+                self.assertEqual(upstream.grant_holds(), HoldGrant())
+                if not table_exists:
+                    # Log and settings are read after the first report.
+                    fleet.add_service("s", 8, 64)
+                    mover.holds = HoldTable(8, 64, 4_000)
+                upstream.update_session(self.clock.now_ns())
+                now_ns = self.clock.now_ns()
+                self.assertFalse(any(mover.holds.is_free(shard, now_ns) for shard in range(8)))
+                self.assertTrue(mover.holds.is_free(7, now_ns + 4_000 * NS_PER_MS))
+
 
 if __name__ == "__main__":
     unittest.main()
