The fuzz store's output names each odd answer and each write of the fleet's rows

The store's output had only rows that an odd answer showed with another key, version or value, so neither an earlier answer with unchanged rows to a read of other rows, nor the time at which a row was written.

Change: one line for each odd answer with its kind, path, query and status, one for each row it shows, and one for each write of a row of the table fleet.

--- a/tools/fuzz_platform_store.py
+++ b/tools/fuzz_platform_store.py
@@ -20,6 +20,8 @@
 SOCKET_KEY = "fuzz.socket"
 ADMIN_PATH = "/admin/odd"
 COMMIT_PATH = "/rows-tx"
+FLEET_TABLE = "fleet"
+TRACED_BYTES = 60
 # Longer than a node waits for the answer to a call.
 LATE_S = 2.0
 KINDS = ("value", "bytes", "doubled", "earlier", "status", "head", "late")
@@ -44,7 +46,7 @@
 
     An odd answer is a changed one, an earlier answer to a call with the same path, one that lists
     everything twice, one with another status, one that is late, or bytes that are no HTTP. The call
-    itself takes effect as usual.
+    itself takes effect as usual. The output has each odd answer and each write of the fleet's rows.
 
     Args:
         address: IP address and port to listen on.
@@ -66,13 +68,20 @@
         super().__init__(address)
         self._server.handler_class = _Handler
 
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Writes a row."""
+        super().put(table, key, value)
+        if table == FLEET_TABLE:
+            _trace(f"row {key} {self.version} {len(value)} bytes {value[:TRACED_BYTES]!r}")
+
     def _serve(self, environ, start_response):
         if environ["PATH_INFO"] == ADMIN_PATH:
             return self._serve_admin(environ, start_response)
         heads: list[tuple[str, list]] = []
         (body,) = super()._serve(environ, lambda *head: heads.append(head))
         ((status, headers),) = heads
-        step = environ["PATH_INFO"].split("/")[1]
+        path = environ["PATH_INFO"]
+        step = path.split("/")[1]
         earlier = self._earlier.setdefault(step, [])
         earlier.append(body)
         del earlier[:-100]
@@ -80,6 +89,7 @@
             kind = self._rng.choice(KINDS)
             self.counts[f"{step} {kind}"] += 1
             status, body = self._odd_answer(kind, step, status, body)
+            _trace(f"{kind} answer to {path}?{environ['QUERY_STRING']}: {status}")
             headers = [("content-length", str(len(body)))]
             shown = body
             if kind == "head":
@@ -127,7 +137,9 @@
             if row != current:
                 # A node that has seen another version of the row may log the current one again.
                 self.changed_rows += [str(row.get("value")), str(current.get("value"))]
-                click.echo(f"{time.time():.4f} {step} shows {str(row)[:300]}")
+            change = "the row" if row == current else "a changed row"
+            name = f"{row.get('key')!r:.60} {row.get('ver')!r:.60}"
+            _trace(f"{step} shows {change} {name} {row.get('value')!s:.200}")
 
     def _serve_admin(self, environ, start_response):
         if body := environ["wsgi.input"].read():
@@ -137,6 +149,10 @@
         return [answer]
 
 
+def _trace(text: str) -> None:
+    click.echo(f"{time.time():.4f} {text}")
+
+
 @click.command()
 @click.option("--listen", required=True, help="ip:port to listen on.")
 @click.option("--seed", default=1, show_default=True, help="Seed of the odd answers.")
