The fuzz store records a shown row without its value as an empty one, and nothing where no row was shown

Cause: an odd answer may leave the value of a row out (mutate_value deletes one field of ten). The store recorded the text "None" for it, which is valid base64 of three bytes that nobody showed, so the check allowed a line that can't come and not the one that can: a node logs such a row as an empty one. It recorded "None" for a missing current row and for values that no node decodes, too.

Change: a missing value is recorded as an empty one, a missing current row and a value that is no text not at all.

Measured: the two new tests fail before and pass after; the first shows the node's line next to what is recorded.

--- a/tests/test_fuzz_platform.py
+++ b/tests/test_fuzz_platform.py
@@ -1,19 +1,25 @@
 """A short run of whole nodes of the platform beside odd entries; `make fuzz` runs longer ones."""
 
+import base64
 import random
 import tempfile
 import unittest
 from collections import Counter
 from pathlib import Path
 from types import SimpleNamespace
+from unittest import mock
 
 import gevent
 import msgspec
 from gevent.server import StreamServer
+from structlog.testing import capture_logs
 
+from auburnsail._versioned_log import VersionedLog
+from auburnsail.platform._store import PlatformStore, PlatformTable
 from tools.fuzz_platform import PlatformFleet, run_platform
 from tools.fuzz_platform_load import PlatformLoad, judge
 from tools.fuzz_platform_logs import ExpectedLines, NodeLogs, line_of
+from tools.fuzz_platform_store import OddStore
 from tools.ports import LOOPBACK, reserve_port
 
 SEED = 1
@@ -81,6 +87,35 @@
         self.assertEqual(self.findings([1, 3], 1), [])
 
 
+class OddStoreTest(unittest.TestCase):
+    """What the store records of its odd answers."""
+
+    def test_a_row_that_is_shown_without_its_value_is_recorded(self):
+        """Guards against a finding for the line of an answer that leaves the value of a row out."""
+        store = OddStore((LOOPBACK, 0), random.Random(SEED))
+        self.addCleanup(store.stop)
+        log = VersionedLog(PlatformTable(PlatformStore(store.address)), "fleet")
+        store.put("fleet", f"log/{1:016d}", ROW)
+        shown = dict(store.rows["fleet", f"log/{1:016d}"])
+        del shown["value"]
+        body = msgspec.json.encode({"rows": [shown]})
+        with mock.patch.object(store, "_answer", return_value=(200, body)), capture_logs() as lines:
+            log.read_after(0)
+        store._record_changed_rows("rows-get", body)
+        recorded = [line_of("fleet-log", base64.b64decode(text)) for text in store.changed_rows]
+        logged = [(line["source"], line["size"], line["excerpt"]) for line in lines]
+        self.assertEqual(logged, [line_of("fleet-log", b"")])
+        self.assertEqual(Counter(recorded), Counter([*logged, LINE]))
+
+    def test_a_row_without_a_current_one_allows_one_line(self):
+        """Guards against lines that are allowed although no answer showed such a row."""
+        store = OddStore((LOOPBACK, 0), random.Random(SEED))
+        self.addCleanup(store.stop)
+        rows = [{"table": "fleet", "key": "log/x", "value": value} for value in ("wQ==", None, 1)]
+        store._record_changed_rows("rows-get", msgspec.json.encode({"rows": rows}))
+        self.assertEqual(store.changed_rows, ["wQ=="])
+
+
 class ProcessesTest(Folder):
     """What is found at the processes."""
 
--- a/tools/fuzz_platform_store.py
+++ b/tools/fuzz_platform_store.py
@@ -136,7 +136,9 @@
             current = self.rows.get((row.get("table"), row.get("key")), {})
             if row != current:
                 # A node that has seen another version of the row may log the current one again.
-                self.changed_rows += [str(row.get("value")), str(current.get("value"))]
+                # To a node, a row without a value is one with an empty value.
+                values = [shown.get("value", "") for shown in (row, current) if shown]
+                self.changed_rows += [value for value in values if isinstance(value, str)]
             change = "the row" if row == current else "a changed row"
             name = f"{row.get('key')!r:.60} {row.get('ver')!r:.60}"
             _trace(f"{step} shows {change} {name} {row.get('value')!s:.200}")
