--- a/tools/fuzz_platform_entries.py
+++ b/tools/fuzz_platform_entries.py
@@ -124,9 +124,11 @@
         self.counts.update(recorded.get("counts", {}))
         for key, shown, current in recorded.get("changed-rows", ()):
             for value in (shown, current):
-                with contextlib.suppress(ValueError):
-                    self._expected.rows[line_of(FLEET_LOG, base64.b64decode(value))] += 1
-            self._row_lines.get(key, set()).update(_lines_of_row(shown))
+                if value is not None:
+                    with contextlib.suppress(ValueError):
+                        self._expected.rows[line_of(FLEET_LOG, base64.b64decode(value))] += 1
+            if shown is not None:
+                self._row_lines.get(key, set()).update(_lines_of_row(shown))
 
     def behind(self) -> list[str]:
         """Returns the nodes that have not read the last odd row of the fleet log."""
