End an upload when a long answer to another request hides the final one

What callers saw: a peer that writes more than 128 KiB of an answer to another request before the early answer to an upload: 504 at the deadline, where gave 200 or a 502 at once. Cause: the check sees 128 KiB; once these were full their size no longer changed, and the check took that for no news. Change: full visible bytes end the upload; the exchange then reads on and finds the final answer. The test fails before, and passes.

--- a/src/auburnsail/_early_answer.py
+++ b/src/auburnsail/_early_answer.py
@@ -38,6 +38,9 @@
         if has_ended(sock):
             return True
         data = peek(sock, PEEK_BYTES)
+        if len(data) >= PEEK_BYTES:
+            # What follows cannot be seen before these bytes are read.
+            return True
         if len(data) == self._size:
             return False
         self._size = len(data)
--- a/tests/test_early_answers.py
+++ b/tests/test_early_answers.py
@@ -9,7 +9,12 @@
 
 from auburnsail._clock import BootClock
 from auburnsail._dialect import Dialect
-from auburnsail._early_answer import MAX_VISIBLE_HEAD_BYTES, ends_upload
+from auburnsail._early_answer import (
+    MAX_VISIBLE_HEAD_BYTES,
+    PEEK_BYTES,
+    EarlyAnswerCheck,
+    ends_upload,
+)
 from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
 from auburnsail._link_sender import LinkSender
 from auburnsail._relay import BUFFERED_BYTES
@@ -213,6 +218,22 @@
             with self.subTest(data[:40]):
                 self.assertTrue(self.ends(data))
 
+    def test_a_skipped_answer_that_fills_the_visible_bytes_ends_an_upload(self):
+        """Guards against a final answer that cannot be seen behind a long one to another request.
+
+        The caller would wait for its deadline.
+        """
+        check, echo = EarlyAnswerCheck(), ("x-id", "own")
+        with (
+            mock.patch("auburnsail._early_answer.has_ended", return_value=False),
+            mock.patch("auburnsail._early_answer.peek") as peek,
+        ):
+            skipped = self.OTHER.replace(b"100000", b"200000") + bytes(PEEK_BYTES)
+            peek.return_value = skipped[:1_000]
+            self.assertFalse(check.is_due(mock.Mock(), "POST", echo))
+            peek.return_value = skipped[:PEEK_BYTES]
+            self.assertTrue(check.is_due(mock.Mock(), "POST", echo))
+
     def test_a_head_too_long_to_be_seen_whole_ends_an_upload(self):
         """Guards against waiting for the end of a head that does not fit into the buffer."""
         data = b"HTTP/1.1 200 OK\r\nx: " + b"a" * MAX_VISIBLE_HEAD_BYTES
