Drop a block after the end of sending without a wait for the link

What callers saw: an early answer to an upload was read only after a block that was to be dropped had had its turn on a busy link, 2.47 s on 1 Mbit/s. Cause: the end of sending was checked after the wait. Change: it is checked before the wait too. Measured: found by a second review; test_a_block_after_the_end_of_sending_does_not_wait_for_the_link fails before (time-out), and passes.

--- a/src/auburnsail/_exchange.py
+++ b/src/auburnsail/_exchange.py
@@ -162,6 +162,8 @@
             self.sending_stopped = True
 
     def _write(self, data: bytes) -> None:
+        if self.sending_stopped:
+            raise WriteCancelledError("the peer needs no more of the request")
         link, sock = self._peer.link, self._open_socket()
 
         def write(block: bytes | memoryview) -> None:
--- a/tests/test_stopped_sending.py
+++ b/tests/test_stopped_sending.py
@@ -8,8 +8,11 @@
 import gevent
 from gevent import socket
 
+from auburnsail._clock import BootClock
 from auburnsail._early_answer import MAX_PAUSE_NS
 from auburnsail._exchange import Connection, Exchange
+from auburnsail._link_pacer import BYTES_PER_MBIT, LinkPacer
+from auburnsail._link_sender import LinkSender
 from tests.path_fakes import OK
 
 BODY = bytes(8_000_000)
@@ -106,6 +109,18 @@
         self.far.sendall(OK)
         self.assertEqual(self.exchange.receive_head("POST").status, 200)
 
+    def test_a_block_after_the_end_of_sending_does_not_wait_for_the_link(self):
+        """Guards against an answer that is read only after a busy link has had its turn."""
+        link = LinkSender(LinkPacer(BYTES_PER_MBIT), BootClock())
+        self.pool.link = link
+        other = link.begin(300_000)
+        sending = gevent.spawn(other.send, lambda block: None, bytes(300_000))
+        self.addCleanup(sending.kill)
+        gevent.sleep(0.05)
+        self.exchange.stop_sending()
+        with gevent.Timeout(1.0):
+            self.exchange.send(bytes(64 * 1024))
+
 
 if __name__ == "__main__":
     unittest.main()
