Lines of unanswered and cut requests: the error beside the cause, and one choice of level

What operators saw: a caller that left gave a line of level info or warning, depending on which call of the node was blocked, and a line with the reason of a stop no longer named the error. Change: both lines have `cause` and `error`, and the level info if the caller has ended its side.

--- a/src/auburnsail/_request_log.py
+++ b/src/auburnsail/_request_log.py
@@ -85,21 +85,20 @@
 
     def unanswered(self, context: RequestContext, error: CallerGoneError) -> None:
         """Logs a request whose connection ends without a complete answer of this node."""
-        write = self._log.info if context.caller_end else self._log.warning
         cause = context.stop_reason or error.detail
-        write("request unanswered", cause=cause, step=error.step, **self._end_facts(context))
+        facts = {"cause": cause, "step": error.step, "error": error.detail}
+        self._write_end("request unanswered", context, facts)
 
     def cut_short(self, context: RequestContext, error: AuburnsailError) -> None:
         """Logs an answer that ended early after a part of it was relayed."""
-        cause = context.stop_reason or str(error)
-        self._log.warning(
-            "answer cut short", cause=cause, error=str(error), **self._end_facts(context)
-        )
+        facts = {"cause": context.stop_reason or str(error), "error": str(error)}
+        self._write_end("answer cut short", context, facts)
 
-    def _end_facts(self, context: RequestContext) -> dict[str, object]:
-        """Returns what log lines state of a request whose connection ends without its answer."""
+    def _write_end(self, event: str, context: RequestContext, facts: dict[str, object]) -> None:
+        """Writes the line of a request whose connection ends without its whole answer."""
         now_ns = self._clock.now_ns()
-        return {
+        write = self._log.info if context.caller_end else self._log.warning
+        facts |= {
             "id": context.request_id,
             "service": context.destination.service,
             "kind": context.destination.kind,
@@ -111,8 +110,8 @@
             "hop": context.hop is not None,
             "age_ms": (now_ns - context.started_ns) // NS_PER_MS,
             "left_ms": (context.deadline_ns - now_ns) // NS_PER_MS,
-            **context.request.connection_facts(now_ns),
         }
+        write(event, **facts, **context.request.connection_facts(now_ns))
 
     def ended_with_process(self, context: RequestContext, state: str) -> None:
         """Logs a request that was still in flight when the process ended.
