Keep the keys of an upstream that drains or is silent when its node starts again

What callers could see: OWNER. A node starts again while its upstream drains, or sends no report for 2 s; its session was resumed without a service, so that its keys had no owner and were assigned to others at once. The upstream held them until the end of the last grant of the earlier process, up to `hold-max-ms` later. Cause: a draining upstream, and none after 2 s, both make the node one that only routes, and Resume with another service gives all keys up without asking the table of holds. Change: a session that an earlier process left open for this lifetime of the upstream is resumed as it is; the drain then moves its keys with the holds. Without a report the node waits for the longest grant before it only routes, if such a session is open. Why it works: keys leave a session with a known upstream only by transfers, which wait for the upstream's release or the end of its hold.

--- a/src/auburnsail/_holds.py
+++ b/src/auburnsail/_holds.py
@@ -77,6 +77,11 @@
         self._released_tokens: dict[int, str] = {}
         self._incoming_handovers: list[Handover] = []
 
+    @property
+    def max_hold_ms(self) -> int:
+        """Longest grant that this or an earlier node process makes to the upstream."""
+        return self._max_hold_ms
+
     @property
     def granted_until_ns(self) -> int:
         """End of the latest grant, without the allowance for a slow clock of the upstream."""
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -148,7 +148,7 @@
         holds = self._hold_table(announcement.service)
         if holds is None:
             return HoldGrant()
-        holds.on_report(announcement.holds, announcement.freed, now_ns)
+        holds.on_report(announcement.holds, (), now_ns)
         holds.drop_received_handovers(announcement.holds)
         releasing = self._mover.releasing(announcement.service)
         owned = self._fleet.shards_of(row)
@@ -182,13 +182,15 @@
             self._mark_lost("upstream does not announce itself")
         self._record_holds(now_ns)
         announcement = self._announcement
-        if announcement is not None and announcement.state != "draining":
+        if announcement is not None and (
+            announcement.state != "draining" or self._has_open_session(announcement)
+        ):
             self._session.set_upstream(
                 announcement.service, announcement.slots, announcement.lifetime
             )
         elif (
             announcement is not None
-            or now_ns - self._started_ns > JOIN_WITHOUT_UPSTREAM_AFTER_MS * NS_PER_MS
+            or now_ns - self._started_ns > self._join_delay_ms() * NS_PER_MS
         ):
             self._session.set_upstream("", 0)
         self._update_replacement(announcement)
@@ -257,6 +259,28 @@
         ):
             self._draining_since_ns = now_ns
 
+    def _has_open_session(self, announcement: Announcement) -> bool:
+        """Returns whether an earlier process of this node left a session of the upstream open.
+
+        The session is resumed as it is and drained then, so that no other session gets keys that
+        the upstream still holds.
+        """
+        earlier = self._session.earlier(self._fleet)
+        if earlier is None or not earlier.lifetime:
+            return False
+        described = (announcement.service, announcement.lifetime)
+        return (earlier.service, earlier.lifetime) == described
+
+    def _join_delay_ms(self) -> int:
+        """Returns how long after its start the node waits for an upstream before it only routes.
+
+        A silent upstream may hold keys by the last grant of an earlier process of this node.
+        """
+        holds, earlier = self._mover.holds, self._session.earlier(self._fleet)
+        if holds is None or earlier is None or not earlier.lifetime:
+            return JOIN_WITHOUT_UPSTREAM_AFTER_MS
+        return max(JOIN_WITHOUT_UPSTREAM_AFTER_MS, holds.max_hold_ms)
+
     def _record_holds(self, now_ns: int) -> None:
         """Records the keys that the upstream holds by its latest report.
 
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -229,6 +229,13 @@
         self._leave_requested = True
         self._stopping = self._stopping or stopping
 
+    def earlier(self, fleet: FleetState) -> Session | None:
+        """Returns the session that an earlier process of the node left open, None if none is."""
+        if self._phase not in (Phase.IDLE, Phase.JOINING):
+            return None
+        row = fleet.by_node.get(self._identity.node)
+        return row.session if row is not None else None
+
     def tick(self, now_ns: int, fleet: FleetState) -> tuple[Command, ...]:
         """Returns the commands to propose together now; empty if there are none."""
         match self._phase:
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -53,6 +53,9 @@
     def set_upstream(self, service: str, slots: int, lifetime: str = "") -> None:
         """Ignores the description of the upstream."""
 
+    def earlier(self, fleet: FleetState) -> None:
+        """Returns that no earlier process left a session open."""
+
     def set_replacement_due(self, is_due: bool = True) -> None:
         """Records whether the session is to be replaced."""
         self.is_replacement_due = is_due
