Know what the upstream has released before the session of a restarted node opens

What callers saw: a move after a restart waited up to `hold-max-ms`, and the next upstream started without the handover, if the upstream had released the keys in a report that came before the session was open. Cause: records the holds of such a report and not its releases, and the upstream lists a release until its report is answered. Change: both are recorded. A release of a shard that was granted since is ignored as before.

--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -148,7 +148,7 @@
         holds = self._hold_table(announcement.service)
         if holds is None:
             return HoldGrant()
-        holds.on_report(announcement.holds, (), now_ns)
+        holds.on_report(announcement.holds, announcement.freed, now_ns)
         holds.drop_received_handovers(announcement.holds)
         releasing = self._mover.releasing(announcement.service)
         owned = self._fleet.shards_of(row)
@@ -282,7 +282,7 @@
         return max(JOIN_WITHOUT_UPSTREAM_AFTER_MS, holds.max_hold_ms)
 
     def _record_holds(self, now_ns: int) -> None:
-        """Records the keys that the upstream holds by its latest report.
+        """Records the keys that the upstream holds and has released by its latest report.
 
         An earlier process of this node may have granted them. The first report to this process
         comes before its session is open; from then on the session may transfer shards.
@@ -292,7 +292,7 @@
             return
         holds = self._hold_table(announcement.service)
         if holds is not None:
-            holds.on_report(announcement.holds, (), now_ns)
+            holds.on_report(announcement.holds, announcement.freed, now_ns)
             self._recorded = announcement
 
     def _hold_table(self, service: str) -> HoldTable | None:
--- a/tests/test_restarted_nodes.py
+++ b/tests/test_restarted_nodes.py
@@ -4,13 +4,15 @@
 import unittest
 from types import SimpleNamespace
 
+import msgspec
+
 from auburnsail._clock import NS_PER_MS, ManualClock
 from auburnsail._control import Announcement
 from auburnsail._fleet import FleetState
 from auburnsail._holds import HeldRange, HoldTable
 from auburnsail._journal import Journal
 from auburnsail._local_upstream import LocalUpstream
-from auburnsail._model import Assign, Command, Entry, Grant, Join, Session, SessionId
+from auburnsail._model import Assign, Command, Entry, Grant, Handover, Join, Session, SessionId
 from auburnsail._session import NodeIdentity, OwnSession
 
 MAX_HOLD_MS = 4_000
@@ -112,6 +114,15 @@
         self.assertGreaterEqual(waited_ms, MAX_HOLD_MS)
         self.assertLess(waited_ms, 2 * MAX_HOLD_MS)
 
+    def test_a_release_before_the_session_opens_is_known(self):
+        """Guards against a shard that waits for the end of its longest grant, and a lost token."""
+        self.receive(report(7))
+        freed = (Handover(0, KEYS - 1, "token"),)
+        self.receive(msgspec.structs.replace(report(8), holds=(), freed=freed))
+        self.tick()
+        self.assertEqual(self.held(), [])
+        self.assertEqual([item.token for item in self.mover.holds.handovers([0])], ["token"])
+
 
 if __name__ == "__main__":
     unittest.main()
