NodeIdentity in a module of its own

Change: the class moves to _identity.py as it is; imports follow. Measured: make check; test_restarted_nodes, test_fleet_restart, test_membership and test_soak pass.

--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -20,6 +20,7 @@
 )
 from ._fleet import CommandResult, FleetState
 from ._grants import spread_shards
+from ._identity import NodeIdentity
 from ._messages import (
     Ack,
     Codec,
@@ -49,7 +50,7 @@
 from ._quarantine import CrashNotice
 from ._recorder import OwnerChoice
 from ._replica import Replica, affected_sessions, closes_session
-from ._session import NodeIdentity, OwnSession
+from ._session import OwnSession
 from ._watch_assignments import WatchAssignments
 from ._watcher import QueryWatchers, Seal, Watcher
 from .exceptions import InvariantViolation
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -28,6 +28,7 @@
 )
 from ._fleet import CommandResult, FleetState
 from ._gate import RequestGate
+from ._identity import NodeIdentity
 from ._io import Callbacks, FetchResult, NodeIo, Records, UdpSocket
 from ._journal import Journal
 from ._link_pacer import BYTES_PER_MBIT, LinkPacer
@@ -44,7 +45,6 @@
 from ._quarantine import CrashNotice
 from ._rebalancer import Rebalancer, RebalancerContext
 from ._routing import Router
-from ._session import NodeIdentity
 from ._settings import NodeSettings, TreeSettings
 from ._settings_applier import SettingsApplier
 from ._settings_long_poll import SettingsLongPoll
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -11,11 +11,11 @@
 from ._clock import NS_PER_MS
 from ._effects import JournalNote
 from ._fleet import FleetState
+from ._identity import NodeIdentity
 from ._lease import LeaseHolder
 from ._model import Command, Join, Leave, Resume, Session, SessionId, SetWatchers, Succeed
-from ._settings import NodeSettings
 
-__all__ = ["NodeIdentity", "OwnSession", "Phase", "choose_watchers"]
+__all__ = ["OwnSession", "Phase", "choose_watchers"]
 
 WATCHER_COUNT = 3
 WATCHER_SILENT_MS = 500
@@ -32,32 +32,6 @@
 REPLACEMENT_PROBABILITY = 0.25
 
 
-@dataclass(frozen=True, slots=True)
-class NodeIdentity:
-    """Name, location and addresses of a node, and the peers that its settings name."""
-
-    node: str
-    region: str
-    domain: str
-    data_address: str
-    control_address: str
-    store_region: str = ""
-    peers: tuple[str, ...] = ()
-
-    @classmethod
-    def from_settings(cls, settings: NodeSettings) -> "NodeIdentity":
-        """Returns the identity that a node's settings define."""
-        return cls(
-            node=settings.node,
-            region=settings.region,
-            domain=settings.domain,
-            data_address=settings.data_address,
-            control_address=settings.control_address,
-            store_region=settings.store_region,
-            peers=settings.peers,
-        )
-
-
 @dataclass(frozen=True, slots=True)
 class UpstreamDescription:
     """The local upstream as the session describes it to the fleet.
--- a/tests/test_fleet_restart.py
+++ b/tests/test_fleet_restart.py
@@ -5,10 +5,10 @@
 
 from auburnsail._effects import Send, StoreRequest
 from auburnsail._fleet import FleetState
+from auburnsail._identity import NodeIdentity
 from auburnsail._membership import Membership
 from auburnsail._messages import Codec, Propose
 from auburnsail._model import Assign, Entry, Grant, Join, Session, SessionId
-from auburnsail._session import NodeIdentity
 
 SECRET = "0123456789abcdef"
 NODES = 18
--- a/tests/test_restarted_nodes.py
+++ b/tests/test_restarted_nodes.py
@@ -10,10 +10,11 @@
 from auburnsail._control import Announcement
 from auburnsail._fleet import FleetState
 from auburnsail._holds import HeldRange, HoldTable
+from auburnsail._identity import NodeIdentity
 from auburnsail._journal import Journal
 from auburnsail._local_upstream import LocalUpstream
 from auburnsail._model import Assign, Command, Entry, Grant, Handover, Join, Session, SessionId
-from auburnsail._session import NodeIdentity, OwnSession
+from auburnsail._session import OwnSession
 
 MAX_HOLD_MS = 4_000
 SHARDS = 8
--- a/tools/soak_fleet.py
+++ b/tools/soak_fleet.py
@@ -10,12 +10,12 @@
 
 from auburnsail import _effects as effects
 from auburnsail._clock import NS_PER_MS
+from auburnsail._identity import NodeIdentity
 from auburnsail._membership import Membership
 from auburnsail._messages import Codec, Propose
 from auburnsail._model import Entry, Transfer, decode_entry
 from auburnsail._moves import GateDecision, Mover
 from auburnsail._rules import TICK_MS
-from auburnsail._session import NodeIdentity
 from tools.soak_fleet_log import FleetLog, new_fleet_state
 from tools.soak_nodes import (
     FAULT_WEIGHTS,
