--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""A liveness report that arrives after the deregistration of its sender."""
+"""Two backends leave, one of them the only one of a sharded service, and another one is added."""
 
 import asyncio
 from pathlib import Path
@@ -7,92 +7,92 @@
 from harness.deployment import CannotRunError, Deployment
 
 HOST, PREFIX = "jepu9.example", "/lepu270/"
-REPORT_LATE_S = 2.0
-SERVES_ON_S = 8.0
-REQUEST_INTERVAL_S = 0.03
+KEYS = (3, 9_000, 30_000, 60_000)
+# "Two backends that are up hold the same keys for over half a second, with requests or without."
+MAX_OVERLAP_S = 0.5
+# The backend of the sharded service leaves so long after the other one.
+LEAVES_AFTER_S = 0.08
+# The new backend starts so long after the old one has begun to drain.
+NEW_STARTS_AFTER_S = 1.0
+# "It continues serving for drain-ms after the ack and a little longer (at times many seconds)."
+SERVES_LONGER_S = 3.0
+REQUEST_INTERVAL_S = 0.05
 
 
 async def play(deployment: Deployment, trouble: bool) -> list[str]:
-    """Plays the case; returns the breaches of DRAIN."""
+    """Plays the case; returns the breaches of OWNER."""
     record, terms = deployment.record, deployment.terms
-    leaving = [
-        deployment.add_vm("l1", "ledger", "sahel-a", "sahel"),
-        deployment.add_vm("l2", "ledger", "sahel-b", "sahel"),
-    ]
-    staying = deployment.add_vm("l3", "ledger", "sud-a", "sud")
+    old = deployment.add_vm("p1", "portal", "nord-a", "nord", sharded=True)
+    new = deployment.add_vm("p2", "portal", "nord-b", "nord", sharded=True)
+    other_leaving = deployment.add_vm("l1", "ledger", "sahel-a", "sahel")
     others = [
-        deployment.add_vm("a1", "archive", "sahel-a", "sahel"),
-        deployment.add_vm("a2", "archive", "sahel-b", "sahel"),
+        deployment.add_vm("l2", "ledger", "sahel-b", "sahel"),
+        deployment.add_vm("a1", "archive", "sud-a", "sud"),
+        other_leaving,
     ]
-    vms = (*leaving, staying, *others)
     routes = [
-        {"name": "r-1", "host": HOST, "prefix": PREFIX, "kind": "unsafe", "service": "ledger"},
-        {"name": "r-2", "host": HOST, "prefix": "/arch/", "kind": "safe", "service": "archive"},
+        {"name": "r-1", "host": HOST, "prefix": PREFIX, "kind": "safe", "service": "portal"},
+        {"name": "r-2", "host": HOST, "prefix": "/ledg/", "kind": "safe", "service": "ledger"},
+        {"name": "r-3", "host": HOST, "prefix": "/arch/", "kind": "safe", "service": "archive"},
     ]
-    await deployment.store.put_config(deployment.config(7, routes, set()))
-    for vm in vms:
+    await deployment.store.put_config(deployment.config(7, routes, {"portal"}))
+    for vm in (old, *others):
         await deployment.start_node(vm, bootstrap=True)
-    await deployment.wait_ready(*vms)
-    for vm in vms:
+    await deployment.wait_ready(old, *others)
+    for vm in (old, *others):
         await deployment.start_backend(vm)
-    await deployment.wait_served(others[0], PREFIX, HOST)
+    for key in KEYS:
+        await deployment.wait_served(others[0], PREFIX, HOST, key=key)
     is_ending = asyncio.Event()
-    clients = [asyncio.create_task(send_requests(deployment, vm, is_ending)) for vm in others]
-    # All machines are in touch from here on: nothing happens to them, their links or the store.
+    client = asyncio.create_task(send_requests(deployment, others[0], is_ending))
     await asyncio.sleep(terms.stable_window_ms / 1000 + 1.0)
-    for vm in leaving:
-        if not record.find("backend runs", backend=vm.backend.name):
-            raise CannotRunError("a backend that is to leave got no requests before")
-    acknowledged_s = await asyncio.gather(*(leave(deployment, vm, trouble) for vm in leaving))
-    await asyncio.sleep(SERVES_ON_S)
-    for vm in leaving:
-        await vm.backend.exit()
-    await asyncio.sleep(0.5)
-    is_ending.set()
-    await asyncio.gather(*clients)
-    breaches = []
-    for vm, since_s in zip(leaving, acknowledged_s, strict=True):
-        breaches += late_requests(deployment, vm.backend.name, since_s)
-    return breaches
 
-
-async def leave(deployment: Deployment, vm, trouble: bool) -> float:
-    """Lets a backend deregister; returns the time of the acknowledgement."""
-    backend = vm.backend
-    backend.stop_reports()
+    # A machine is added, two backends leave, and the backend of the new machine starts.
+    await deployment.start_node(new)
+    await deployment.wait_ready(new)
+    leaving = []
     if trouble:
-        backend.late_reports[backend.sequence + 1] = REPORT_LATE_S
-    await backend.send_report()
-    if not await backend.deregister():
-        raise CannotRunError("a deregistration was not acknowledged")
-    return deployment.record.now_s()
-
-
-def late_requests(deployment: Deployment, name: str, acknowledged_s: float) -> list[str]:
-    """Returns a line if requests reached a backend too late after its acknowledged leaving."""
-    record, drain_ms = deployment.record, deployment.terms.drain_ms
-    refused = {item["id"] for item in record.find("backend refuses", backend=name)}
-    delays = [
-        item["t"] - acknowledged_s
-        for item in record.find("request reaches backend", backend=name)
-        if item["t"] > acknowledged_s + drain_ms / 1000 and item["id"] not in refused
-    ]
-    if not delays:
-        return []
+        leaving.append(asyncio.create_task(drain(deployment, other_leaving)))
+        await asyncio.sleep(LEAVES_AFTER_S)
+        leaving.append(asyncio.create_task(drain(deployment, old)))
+    await asyncio.sleep(NEW_STARTS_AFTER_S)
+    await deployment.start_backend(new)
+    await asyncio.gather(*leaving)
+    await asyncio.sleep(4.0)
+    is_ending.set()
+    await client
+    if not record.find("backend runs", backend=new.backend.name):
+        raise CannotRunError("the new backend got no requests")
+    record.end_holds()
     return [
-        f"DRAIN: {len(delays)} requests reached {name} later than {drain_ms} ms after its "
-        f"deregistration was acknowledged: {min(delays):.2f} to {max(delays):.2f} s after it"
+        f"OWNER: {one} and {two} held the same keys from {since_s:.2f} to {until_s:.2f} s, "
+        f"{until_s - since_s:.2f} s"
+        for one, two, since_s, until_s in record.overlaps
+        if until_s - since_s > MAX_OVERLAP_S
     ]
 
 
+async def drain(deployment: Deployment, vm) -> None:
+    """Lets a backend report that it drains, serve on, deregister and exit."""
+    record, backend = deployment.record, vm.backend
+    backend.stop_reports()
+    backend.state = "draining"
+    sequence = backend.sequence + 1
+    backend.start_reports()
+    while not record.find("report acknowledged", backend=backend.name, sequence=sequence):
+        await asyncio.sleep(0.01)
+    await asyncio.sleep(deployment.terms.drain_ms / 1000 + SERVES_LONGER_S)
+    await backend.deregister()
+    await backend.exit()
+
+
 async def send_requests(deployment: Deployment, vm, is_ending: asyncio.Event) -> None:
-    """Sends requests for the service of the leaving backend until the end of the case."""
+    """Sends requests for some keys until the end of the case."""
     number = 0
     while not is_ending.is_set():
         number += 1
-        await deployment.request(
-            vm, f"{PREFIX}{number:x}", HOST, method="POST", body=b"book a wash"
-        )
+        key = KEYS[number % len(KEYS)]
+        await deployment.request(vm, f"{PREFIX}{number:x}", HOST, key=key)
         await asyncio.sleep(REQUEST_INTERVAL_S)
 
 
--- a/review/harness/backend.py
+++ b/review/harness/backend.py
@@ -40,6 +40,7 @@
         slots: Requests that it runs at once; others wait.
         work_ms: Time that a request takes.
         sharded: Whether it runs only requests whose key it holds.
+        crashing_target: A request with this target crashes it, empty for none.
     """
 
     service: str
@@ -50,6 +51,7 @@
     slots: int = 6
     work_ms: float = 20.0
     sharded: bool = False
+    crashing_target: str = ""
 
 
 @dataclass
@@ -73,6 +75,7 @@
         self.sequence = 0
         self.held: list[Hold] = []
         self.held_until_s = 0.0
+        self.has_crashed = False
         self._freed: list[tuple[int, int, str]] = []
         self._highest_fences: list[Hold] = []
         self._working: dict[int, int] = {}
@@ -147,6 +150,11 @@
             self.record.add(
                 "backend runs", backend=self.name, id=attempt, key=key, target=request.target
             )
+            if request.target == self.options.crashing_target:
+                self.record.add("backend crashes", backend=self.name, id=attempt)
+                await self.exit()
+                self.has_crashed = True
+                raise ConnectionAbortedError
             self._working[key] = self._working.get(key, 0) + 1
             try:
                 await asyncio.sleep(self.options.work_ms / 1000)
--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -66,6 +66,7 @@
     process: asyncio.subprocess.Process | None = None
     backend: Backend | None = None
     started_s: list[float] = field(default_factory=list)
+    stopped_s: list[float] = field(default_factory=list)
 
     def address(self, role: str) -> str:
         """Returns one of its addresses."""
--- a/review/harness/store.py
+++ b/review/harness/store.py
@@ -18,13 +18,9 @@
     """Serves the store's HTTP interface.
 
     Each machine reaches it at an address of its own, so that the distance can differ.
-
-    Attributes:
-        slow_factor: Its answers take so many times as long as usual.
     """
 
     def __init__(self) -> None:
-        self.slow_factor = 1.0
         self.version = 0
         self._rows: dict[tuple[str, str, str], dict] = {}
         self._objects: dict[str, bytes] = {}
@@ -70,7 +66,7 @@
         try:
             while (request := await read_message(reader)) is not None:
                 await asyncio.sleep(one_way_s)
-                await asyncio.sleep(ANSWER_S * self.slow_factor)
+                await asyncio.sleep(ANSWER_S)
                 status, answer = await self._answer(request)
                 await asyncio.sleep(one_way_s)
                 body = answer if isinstance(answer, bytes) else json.dumps(answer).encode()
