--- a/review/harness/case.py
+++ b/review/harness/case.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Awaitable, Callable
@@ -35,6 +36,9 @@
 async def _run(folder: Path, play: Callable, terms: Terms | None) -> int:
     deployment = None
     code, lines = 2, []
+    task = asyncio.current_task()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(number, task.cancel)
     try:
         deployment = Deployment(terms)
         async with asyncio.timeout(TIME_LIMIT_S):
@@ -42,6 +46,8 @@
         code = 1 if lines else 0
     except (CannotRunError, TimeoutError) as error:
         lines = [f"could not run: {error!r}"]
+    except asyncio.CancelledError:
+        lines = ["could not run: ended by a signal"]
     except Exception:
         lines = [traceback.format_exc()]
     finally:
