Review case 1: keep the planned work inside the site file's limits

Two of four backends left, while the site file names a share of 0.25 for scale_in. The script now has eight backends, of which two leave.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -28,6 +28,10 @@
     others = [
         deployment.add_vm("l2", "ledger", "sahel-b", "sahel"),
         deployment.add_vm("a1", "archive", "sud-a", "sud"),
+        deployment.add_vm("a2", "archive", "sud-b", "sud"),
+        deployment.add_vm("a3", "archive", "sahel-a", "sahel"),
+        deployment.add_vm("l3", "ledger", "sud-a", "sud"),
+        deployment.add_vm("l4", "ledger", "nord-b", "nord"),
         other_leaving,
     ]
     routes = [
