Review case 3: keep the planned work inside the site file's limits

Two of five backends left; the limit of scale_in is a share of 0.25 and was not quoted. The script now has eight backends, of which two leave.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -24,6 +24,9 @@
     others = [
         deployment.add_vm("a1", "archive", "sahel-a", "sahel"),
         deployment.add_vm("a2", "archive", "sahel-b", "sahel"),
+        deployment.add_vm("a3", "archive", "sud-a", "sud"),
+        deployment.add_vm("a4", "archive", "sud-b", "sud"),
+        deployment.add_vm("a5", "archive", "nord-a", "nord"),
     ]
     vms = (*leaving, staying, *others)
     routes = [
