Keep the keys of a draining upstream until it holds none of them

The last upstream of a keyed service drained, and the one that joined next got all its keys at once.

Cause: when a drain found no target, the mover asked for the end of the session without looking at the recorded holds. The session that replaced it has no service, so the keys had no owner, and the recorder assigns such keys to the next session that joins. A drain also counted as finished when the session was being replaced, and a lost upstream's session was replaced while its recorded holds still ran.

Change: the drain of an upstream with a lifetime no longer ends the session. It goes on until the lifetime ends, and moves the keys as soon as a target is there. The session is replaced by one without the service only when the upstream holds none of its keys (Mover.are_free); that holds for a lost upstream too.

--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -111,7 +111,7 @@
         self._announcement = announcement
         self._announced_ns = now_ns
         if announcement.state == "draining":
-            self._mover.drain("upstream announced a drain", stopping=False, now_ns=now_ns)
+            self._start_drain("upstream announced a drain", announcement, now_ns)
         return True
 
     def on_deregistration(self, reason: str) -> None:
@@ -128,7 +128,7 @@
         now_ns, draining = self._clock.now_ns(), _as_draining(announcement)
         self._record_drain_start(draining, now_ns)
         self._announcement = self._latest_announcement = draining
-        self._mover.drain(reason, stopping=False, now_ns=now_ns)
+        self._start_drain(reason, draining, now_ns)
 
     def grant_holds(self) -> HoldGrant:
         """Applies the holds of the latest report and returns the keys to grant in answer to it.
@@ -151,7 +151,8 @@
         holds.on_report(announcement.holds, announcement.freed, now_ns)
         holds.drop_received_handovers(announcement.holds)
         releasing = self._mover.releasing(announcement.service)
-        owned = self._fleet.shards_of(row)
+        # Keys that get no further requests are released, for an upstream that joins later.
+        owned = self._fleet.shards_of(row) if self.address() is not None else []
         lease_end_ns = self._membership.expires_ns()
         return holds.grant(owned, releasing, row.fence, lease_end_ns, now_ns)
 
@@ -193,9 +194,9 @@
             or now_ns - self._started_ns > self._join_delay_ms() * NS_PER_MS
         ):
             self._session.set_upstream("", 0)
-        self._update_replacement(announcement)
+        self._update_replacement(announcement, now_ns)
 
-    def _update_replacement(self, announcement: Announcement | None) -> None:
+    def _update_replacement(self, announcement: Announcement | None, now_ns: int) -> None:
         own_id = self._membership.own_id
         row = self._fleet.sessions.get(own_id) if own_id is not None else None
         if row is None:
@@ -207,11 +208,17 @@
         if announcement is None:
             expected = ("", "")
         elif announcement.state == "draining":
-            # The session ends once its keys have moved to other sessions.
-            return
+            if self._fleet.shard_count(row):
+                # The keys move to other sessions first; without any, they stay until it has ended.
+                return
+            expected = ("", "")
         else:
             expected = (announcement.service, announcement.lifetime)
-        self._session.set_replacement_due((row.session.service, row.session.lifetime) != expected)
+        is_due = (row.session.service, row.session.lifetime) != expected
+        if row.session.service != expected[0]:
+            # The replacement leaves the keys without owner, and another session gets them at once.
+            is_due = is_due and self._mover.are_free(row, now_ns)
+        self._session.set_replacement_due(is_due)
 
     def _is_outdated(self, announcement: Announcement) -> bool:
         latest = self._latest_announcement
@@ -259,6 +266,11 @@
         ):
             self._draining_since_ns = now_ns
 
+    def _start_drain(self, reason: str, announcement: Announcement, now_ns: int) -> None:
+        # The session of an upstream with a lifetime is replaced when its keys have moved.
+        ends_session = not announcement.lifetime
+        self._mover.drain(reason, stopping=False, now_ns=now_ns, ends_session=ends_session)
+
     def _has_open_session(self, announcement: Announcement) -> bool:
         """Returns whether an earlier process of this node left a session of the upstream open.
 
--- a/src/auburnsail/_moves.py
+++ b/src/auburnsail/_moves.py
@@ -7,7 +7,7 @@
 from . import _rules
 from ._clock import NS_PER_MS
 from ._effects import JournalNote
-from ._fleet import CommandResult, FleetState
+from ._fleet import CommandResult, FleetState, SessionRow
 from ._grants import GrantCandidate, LostShards, candidate_of, spread_shards
 from ._holds import HoldTable
 from ._membership import Membership
@@ -76,6 +76,7 @@
         self._next_release_ns = 0
         self._leave_requested = False
         self._lacks_target = False
+        self._ends_session = True
         self.notes: list[JournalNote] = []
         self.transfer_wait_ms = MAX_TRANSFER_WAIT_MS
         self.holds: HoldTable | None = None
@@ -176,21 +177,34 @@
         facts = {"service": service, "shards": len(shards), "target": str(target)}
         self.notes.append(JournalNote("move", "released", facts))
 
-    def drain(self, reason: str, *, stopping: bool, now_ns: int = 0) -> None:
+    def drain(
+        self, reason: str, *, stopping: bool, now_ns: int = 0, ends_session: bool = True
+    ) -> None:
         """Starts a drain: transfers all shards to other sessions, then ends this node's session.
 
         Args:
             reason: Reason of the drain, for the journal.
             stopping: Whether the node stops after the drain and opens no new session.
             now_ns: Time from which `drain_grace_ms` counts; the default 0 leaves no grace.
+            ends_session: Whether the drain ends with the session, even if no other session can take
+                the shards. Otherwise it goes on until it is cancelled, and the caller replaces the
+                session.
         """
         self._stopping = self._stopping or stopping
+        self._ends_session = ends_session and (self._ends_session or not self._drain_reason)
         if not self._drain_reason:
             self._drain_reason = reason
             self._leave_requested = False
             self._drain_since_ns = now_ns
             self.notes.append(JournalNote("drain", reason, {"stopping": stopping}))
 
+    def are_free(self, row: SessionRow, now_ns: int) -> bool:
+        """Returns whether the upstream holds no shard of a session, so that others may get them."""
+        holds = self.holds
+        return holds is None or all(
+            holds.is_free(shard, now_ns) for shard in self._fleet.shards_of(row)
+        )
+
     def cancel_drain(self) -> None:
         """Cancels a drain, unless the node is stopping or has asked to end its session."""
         if self._drain_reason and not self._stopping and not self._leave_requested:
@@ -302,11 +316,14 @@
         if now_ns >= self._next_release_ns:
             self._next_release_ns = now_ns + DRAIN_RETRY_INTERVAL_MS * NS_PER_MS
             self._release_all(row.session.service, now_ns)
+        if not (self._ends_session or self._stopping):
+            return
         owned_count = self._fleet.shard_count(row)
         self._lacks_target = bool(owned_count) and not self._candidates(row.session.service)
         # Without a lease requirement, unkeyed requests can finish after the session has ended.
         idle = not self._in_flight_total or not self.unkeyed_needs_lease
-        if (not owned_count or self._lacks_target) and idle and not self._releases:
+        is_emptied = not owned_count or (self._lacks_target and self.are_free(row, now_ns))
+        if is_emptied and idle and not self._releases:
             self._leave_requested = True
             self._membership.session.leave(stopping=self._stopping)
             self.notes.append(JournalNote("drain", "leaving", {"shards_left": owned_count}))
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -8,7 +8,7 @@
 
 from auburnsail._clock import NS_PER_MS, ManualClock
 from auburnsail._control import Announcement
-from auburnsail._fleet import FleetState
+from auburnsail._fleet import FleetState, SessionRow
 from auburnsail._holds import HeldRange, HoldGrant, HoldTable
 from auburnsail._journal import Journal
 from auburnsail._local_upstream import LocalUpstream
@@ -26,7 +26,9 @@
         self.cancelled_drains = 0
         self.holds = None
 
-    def drain(self, reason: str, *, stopping: bool, now_ns: int = 0) -> None:
+    def drain(
+        self, reason: str, *, stopping: bool, now_ns: int = 0, ends_session: bool = True
+    ) -> None:
         """Records the reason of a drain."""
         self.drains.append(reason)
 
@@ -34,6 +36,10 @@
         """Counts cancelled drains."""
         self.cancelled_drains += 1
 
+    def are_free(self, row: SessionRow, now_ns: int) -> bool:
+        """Returns whether the upstream holds none of the service's keys."""
+        return self.holds is None or all(self.holds.is_free(s, now_ns) for s in range(8))
+
 
 def announcement(
     sequence: int, state: str = "ready", born_ms: int = 1000, instance: str = "i"
