Remember which lifetimes of the upstream have said that they leave

Cause: a departure was only the state of the latest report. A deregistration set it to draining under the number of the last report that had arrived, so a report that was sent before the deregistration and arrived after it had a higher number, the same lifetime and state ready, and replaced it. A deregistration of an upstream of which the process had no current report (it was silent, or the process had just started) was acknowledged and dropped. On a related path, a deregistration did not say which lifetime it ends, so a late one drained the next lifetime under the same id.

Change: the departures of lifetimes are kept apart from the reports (_departures). They are final; the first one sets the time from which no request is sent. A ready report of such a lifetime counts as draining, and one that is not the latest lifetime is outdated. Deregistrations carry the start of the lifetime, where the upstream says it.

--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -16,7 +16,7 @@
 from ._model import Handover
 from ._packing import pack
 
-__all__ = ["Announcement", "ControlApplication", "ControlledNode"]
+__all__ = ["Announcement", "ControlApplication", "ControlledNode", "lifetime_of"]
 
 MAX_BODY_BYTES = 8 << 20
 
@@ -68,7 +68,12 @@
     @property
     def lifetime(self) -> str:
         """Identifies one process of the upstream across restarts, empty if `born_ms` is unknown."""
-        return f"{self.instance}@{self.born_ms}" if self.born_ms else ""
+        return lifetime_of(self.instance, self.born_ms) if self.born_ms else ""
+
+
+def lifetime_of(instance: str, born_ms: int) -> str:
+    """Returns the identifier of one process of an upstream."""
+    return f"{instance}@{born_ms}"
 
 
 class ControlledNode(Protocol):
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -4,7 +4,8 @@
 
 from . import _supervision
 from ._clock import NS_PER_MS, Clock
-from ._control import Announcement
+from ._control import Announcement, lifetime_of
+from ._departures import Departures
 from ._fleet import FleetState
 from ._holds import HoldGrant, HoldTable
 from ._journal import Journal
@@ -68,7 +69,7 @@
         self._started_ns = clock.now_ns()
         self._refused_connection = False
         self._next_probe_ns = 0
-        self._draining_since_ns = 0
+        self._departures = Departures()
         self.lost_after_ms = 1000
         self.stop_work_ms = 1000
 
@@ -82,11 +83,9 @@
         announcement = self._announcement
         if announcement is None:
             return None
-        if announcement.lifetime and announcement.state == "draining":
-            # The drain may have ended with the session, but the upstream is still about to stop.
-            draining_ns = self._clock.now_ns() - self._draining_since_ns
-            if draining_ns >= self.stop_work_ms * NS_PER_MS:
-                return None
+        leaving_ns = self._departures.age_ns(announcement.lifetime, self._clock.now_ns())
+        if leaving_ns is not None and leaving_ns >= self.stop_work_ms * NS_PER_MS:
+            return None
         return announcement.address
 
     def on_announcement(self, announcement: Announcement) -> bool:
@@ -107,17 +106,31 @@
             self._start_new_lifetime()
         self._earlier, self._has_ended = None, False
         self._refused_connection = False
-        self._record_drain_start(announcement, now_ns)
+        if announcement.state == "draining":
+            self._departures.record(announcement.lifetime, now_ns)
+        elif announcement.lifetime in self._departures:
+            # A report from before the departure, or of an upstream that serves on after it.
+            announcement = _as_draining(announcement)
         self._announcement = announcement
         self._announced_ns = now_ns
         if announcement.state == "draining":
             self._start_drain("upstream announced a drain", announcement, now_ns)
         return True
 
-    def on_deregistration(self, reason: str) -> None:
-        """Handles a deregistration; starts a drain if the upstream has not announced one."""
+    def on_deregistration(self, instance: str, born_ms: int, reason: str) -> None:
+        """Handles a deregistration; starts a drain if the upstream has not announced one.
+
+        Args:
+            instance: Instance id of the upstream.
+            born_ms: Start of its process in Unix milliseconds, 0 if the deregistration has none.
+            reason: Reason of the drain, for the journal.
+        """
+        now_ns = self._clock.now_ns()
+        lifetime = self._deregistered_lifetime(instance, born_ms)
+        self._journal.record("upstream", "deregistered", instance=instance, lifetime=lifetime)
+        self._departures.record(lifetime, now_ns)
         announcement = self._announcement
-        if announcement is None:
+        if announcement is None or announcement.lifetime != lifetime:
             return
         if announcement.state == "draining":
             # It holds its keys until its process has ended, which a refused connection proves.
@@ -125,10 +138,8 @@
                 EXIT_PROBE_DELAY_S, "upstream.probe", self._probe, announcement
             )
             return
-        now_ns, draining = self._clock.now_ns(), _as_draining(announcement)
-        self._record_drain_start(draining, now_ns)
-        self._announcement = self._latest_announcement = draining
-        self._start_drain(reason, draining, now_ns)
+        self._announcement = self._latest_announcement = _as_draining(announcement)
+        self._start_drain(reason, announcement, now_ns)
 
     def grant_holds(self) -> HoldGrant:
         """Applies the holds of the latest report and returns the keys to grant in answer to it.
@@ -224,6 +235,8 @@
         latest = self._latest_announcement
         if latest is None or not announcement.born_ms:
             return False
+        if announcement.lifetime != latest.lifetime and announcement.lifetime in self._departures:
+            return True
         if announcement.lifetime == latest.lifetime:
             if latest.sequence - announcement.sequence < MAX_REPORTS_BEHIND:
                 return announcement.sequence <= latest.sequence
@@ -258,13 +271,16 @@
             return False
         return silent_ns > (ANNOUNCEMENT_TIMEOUT_MS + self.lost_after_ms) * NS_PER_MS
 
-    def _record_drain_start(self, announcement: Announcement, now_ns: int) -> None:
-        previous = self._announcement
-        was_draining = previous is not None and previous.state == "draining"
-        if announcement.state == "draining" and not (
-            was_draining and previous.lifetime == announcement.lifetime
-        ):
-            self._draining_since_ns = now_ns
+    def _deregistered_lifetime(self, instance: str, born_ms: int) -> str:
+        """Returns the lifetime that a deregistration ends, empty if it is none that may be used."""
+        latest = self._latest_announcement
+        if latest is not None and latest.instance == instance and born_ms in (0, latest.born_ms):
+            return latest.lifetime
+        if born_ms:
+            return lifetime_of(instance, born_ms)
+        earlier = self._session.earlier(self._fleet) if latest is None else None
+        is_of_earlier = earlier is not None and earlier.lifetime.rpartition("@")[0] == instance
+        return earlier.lifetime if is_of_earlier else ""
 
     def _start_drain(self, reason: str, announcement: Announcement, now_ns: int) -> None:
         # The session of an upstream with a lifetime is replaced when its keys have moved.
--- a/src/auburnsail/_node_control.py
+++ b/src/auburnsail/_node_control.py
@@ -195,11 +195,14 @@
         self._parts.data_path.set_upstream(announcement)
         return upstream.grant_holds()
 
-    def withdraw(self, instance: str) -> None:
-        """Withdraws the upstream after it reported its shutdown; ignores any other instance."""
-        announcement = self._parts.upstream.announcement
-        if announcement is not None and announcement.instance == instance:
-            self._parts.upstream.on_deregistration("the upstream said that it ends")
+    def withdraw(self, instance: str, born_ms: int = 0) -> None:
+        """Withdraws the upstream after it reported its shutdown; ignores any other lifetime.
+
+        Args:
+            instance: Instance id of the upstream.
+            born_ms: Start of its process in Unix milliseconds, 0 if unknown.
+        """
+        self._parts.upstream.on_deregistration(instance, born_ms, "the upstream said that it ends")
 
     @property
     def is_ready(self) -> bool:
--- a/src/auburnsail/platform/_reports.py
+++ b/src/auburnsail/platform/_reports.py
@@ -74,6 +74,16 @@
     freed: tuple[_Freed, ...] = ()
 
 
+class _Deregistration(msgspec.Struct, frozen=True):
+    """Body of a deregistration, which may be empty.
+
+    Attributes:
+        born: Start of the lifetime that ends, Unix time in ms; 0 if the body does not state it.
+    """
+
+    born: Count = 0
+
+
 def decode_report(instance: str, body: bytes) -> Announcement:
     """Decodes a heartbeat (liveness report).
 
@@ -154,8 +164,11 @@
         if method == "POST" and path.startswith(HEARTBEAT_PATH):
             return _respond(start_response, *self._handle_report(path[len(HEARTBEAT_PATH) :], body))
         if method == "POST" and path.startswith(DEREGISTER_PATH):
-            self._node.withdraw(path[len(DEREGISTER_PATH) :])
-            return _respond(start_response, "200 OK", b"{}")
+            return _respond(
+                start_response,
+                self._handle_deregistration(path[len(DEREGISTER_PATH) :], body),
+                b"{}",
+            )
         return _respond(start_response, "404 Not Found", b"{}")
 
     def _handle_report(self, instance: str, body: bytes) -> tuple[str, bytes]:
@@ -166,6 +179,14 @@
             return "400 Bad Request", b"{}"
         return "200 OK", encode_grant(self._node.report(announcement))
 
+    def _handle_deregistration(self, instance: str, body: bytes) -> str:
+        try:
+            deregistration = decode_json(body or b"{}", _Deregistration, SOURCE)
+        except InvalidInputError:
+            return "400 Bad Request"
+        self._node.withdraw(instance, deregistration.born)
+        return "200 OK"
+
     def _check_local(self, announcement: Announcement, body: bytes) -> None:
         """Raises InvalidInputError if the report is not that of the upstream on this VM."""
         if announcement.service != self._service:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from tests.simulated_node import SHARDS, SimulatedNode
+from tests.simulated_node import SHARDS, SimulatedNode, SimulatedUpstream
 
 ALL_SHARDS = list(range(SHARDS))
 # The append of an entry takes less or more time than one tick.
@@ -51,5 +51,74 @@
         self.assertEqual(node.owned(), [])
 
 
+class LateReportTest(unittest.TestCase):
+    """An upstream deregisters; a report that it sent before arrives later."""
+
+    def check_unused(self, node: SimulatedNode) -> None:
+        """Checks that no request reaches the upstream and that the fleet sends it none."""
+        self.assertFalse(node.may_be_used())
+        self.assertEqual(node.own_row.session.service, "")
+
+    def test_a_late_report_does_not_bring_it_back(self):
+        """Guards against DRAIN: the state of a late report replaced the deregistration."""
+        for append_ms in APPEND_TIMES_MS:
+            for late_ms in (1, 60, 1_000, 4_500):
+                with self.subTest(append_ms=append_ms, late_ms=late_ms):
+                    node = SimulatedNode(keyed=False, append_ms=append_ms)
+                    node.open_with_all_keys()
+                    late = node.simulated_upstream.report()
+                    node.upstream.on_deregistration("i-n", 1000, "it ends")
+                    node.run(late_ms)
+                    node.receive(late, answered=False)
+                    node.run(2_000)
+                    self.check_unused(node)
+                    node.run(500)
+                    self.check_unused(node)
+
+    def test_a_deregistration_without_a_report_since_the_start_is_remembered(self):
+        """Guards against DRAIN: a new process acknowledges the deregistration and forgets it."""
+        for born_ms in (0, 1000):
+            for appears in (True, False):
+                with self.subTest(born_ms=born_ms, appears=appears):
+                    node = SimulatedNode(keyed=False)
+                    node.open_with_all_keys()
+                    late = node.simulated_upstream.report()
+                    if appears:
+                        node.start_process()
+                    else:
+                        node.run(4_000)
+                    node.upstream.on_deregistration("i-n", born_ms, "it ends")
+                    node.receive(late, answered=False)
+                    node.run(2_000)
+                    self.check_unused(node)
+
+    def test_a_late_deregistration_of_an_ended_lifetime_drains_no_other_one(self):
+        """Guards against a restarted upstream that is not used because its predecessor left."""
+        node = SimulatedNode(keyed=False)
+        node.open_with_all_keys()
+        node.simulated_upstream = SimulatedUpstream(node.clock, born_ms=2000)
+        node.run(1_000, reports=True)
+        node.upstream.on_deregistration("i-n", 1000, "it ends")
+        node.run(3_000, reports=True)
+        self.assertTrue(node.may_be_used())
+        self.assertEqual(node.own_row.session.lifetime, "i-n@2000")
+        self.assertEqual(node.mover.drain_reason, "")
+
+    def test_a_departed_lifetime_does_not_replace_the_next_one(self):
+        """Guards against a late report of a departed lifetime whose clock was ahead."""
+        node = SimulatedNode(keyed=False)
+        node.open_with_all_keys()
+        late = node.simulated_upstream.report()
+        node.upstream.on_deregistration("i-n", 1000, "it ends")
+        node.upstream.on_misdirected("another instance")
+        node.simulated_upstream = SimulatedUpstream(node.clock, born_ms=500)
+        node.run(2_500, reports=True)
+        self.assertTrue(node.may_be_used())
+        node.receive(late, answered=False)
+        node.run(1_000, reports=True)
+        self.assertTrue(node.may_be_used())
+        self.assertEqual(node.own_row.session.lifetime, "i-n@500")
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -94,7 +94,7 @@
     def test_a_deregistration_starts_a_drain(self):
         """Guards against requests to an upstream that deregistered without announcing a drain."""
         self.upstream.on_announcement(announcement(1))
-        self.upstream.on_deregistration("it ends")
+        self.upstream.on_deregistration("i", 0, "it ends")
         self.assertEqual(len(self.mover.drains), 1)
         self.clock.advance_ms(STOP_WORK_MS)
         self.assertIsNone(self.upstream.address())
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -228,16 +228,16 @@
 
     def __init__(self) -> None:
         self.reports: list = []
-        self.withdrawn: list[str] = []
+        self.withdrawn: list[tuple[str, int]] = []
 
     def report(self, announcement):
         """Implements `NodeControl.report`."""
         self.reports.append(announcement)
         return HoldGrant((GrantedRange(0, 9, 3, "h"),), 1200)
 
-    def withdraw(self, instance: str) -> None:
+    def withdraw(self, instance: str, born_ms: int = 0) -> None:
         """Implements `NodeControl.withdraw`."""
-        self.withdrawn.append(instance)
+        self.withdrawn.append((instance, born_ms))
 
 
 class ReportTest(unittest.TestCase):
@@ -301,7 +301,11 @@
     def test_a_deregistration_withdraws_the_upstream(self):
         """Guards against a node that goes on using an upstream after its deregistration."""
         self.assertEqual(self.call("/Instances.Deregister/i-1", b"")[0], "200 OK")
-        self.assertEqual(self.control.withdrawn, ["i-1"])
+        self.assertEqual(self.call("/Instances.Deregister/i-1", b'{"born":7}')[0], "200 OK")
+        self.assertEqual(self.control.withdrawn, [("i-1", 0), ("i-1", 7)])
+        for body in (b'{"born":"7"}', b"[", b"[" * 10_000):
+            self.assertEqual(self.call("/Instances.Deregister/i-1", body)[0], "400 Bad Request")
+        self.assertEqual(len(self.control.withdrawn), 2)
 
     def test_an_answer_without_a_grant_lists_no_holds(self):
         """Guards against an empty list of holds, which would revoke all keys of the upstream."""
