--- a/tools/capacity_probes.py
+++ b/tools/capacity_probes.py
@@ -28,8 +28,8 @@
     encode_entry,
 )
 from auburnsail._recorder import resolve_grants
-from auburnsail._session import choose_watchers
 from auburnsail._tree import parse_tree
+from auburnsail._watcher_choice import choose_watchers
 
 __all__ = ["PROBES", "LineFit", "Probe", "build_fleet"]
 
