Record in the fleet log that an upstream leaves

Cause: that an upstream leaves, and since when, was known to one process only. The node was killed after the acknowledgement; its next process resumed the session, which the log still showed as one that takes requests, and counted the time of the drain from the first report that it got itself. A late report from before the drain brought the upstream back for good.

Change: a new command, Retire(node, lifetime), records the departure; it is written before the report or deregistration is answered, for up to 0.5 s. The session keeps its id, lease, watchers and shards, and is no member of its service any more: no node sends it new requests, and no command gives it shards. A Resume of the same lifetime keeps the mark. A new process that reads the mark, or whose first report of the lifetime says draining, sends the upstream nothing, since an earlier process may have acknowledged the departure long ago. Until now the first draining report replaced the session twice, which cost its watchers and its lease.

On a related path, two leaving upstreams no longer give their shards to each other, and an upstream that is lost in the first seconds of a process is described as lost, not joined again.

--- a/src/auburnsail/_assigner.py
+++ b/src/auburnsail/_assigner.py
@@ -36,7 +36,9 @@
             return []
         if self._unowned_since_ns is None:
             self._unowned_since_ns = now_ns
-        services = {row.session.service for row in fleet.sessions.values()}
+        services = {
+            row.session.service for row in fleet.sessions.values() if not row.session.is_leaving
+        }
         joins_settled = now_ns - self._last_join_ns >= ASSIGN_DELAY_MS * NS_PER_MS
         is_overdue = now_ns - self._unowned_since_ns >= MAX_ASSIGN_DELAY_MS * NS_PER_MS
         return [
--- a/src/auburnsail/_decision_facts.py
+++ b/src/auburnsail/_decision_facts.py
@@ -13,6 +13,7 @@
     Join,
     Leave,
     Resume,
+    Retire,
     SessionId,
     SetWatchers,
     Succeed,
@@ -41,6 +42,8 @@
         case Resume(old=old, session=session):
             facts = {"old": str(old), "session": str(session.id), "service": session.service}
             return facts | {"lifetime": session.lifetime}
+        case Retire(node=node, lifetime=lifetime):
+            return {"node": node, "lifetime": lifetime}
         case SetWatchers(session=session, watchers=watchers):
             return {"session": str(session), "watchers": [str(watcher) for watcher in watchers]}
         case Transfer():
--- a/src/auburnsail/_departures.py
+++ b/src/auburnsail/_departures.py
@@ -4,6 +4,7 @@
 
 # Reports arrive seconds late, so only the newest lifetimes matter.
 MAX_LIFETIMES = 16
+LONG_AGO_NS = -(1 << 62)
 
 
 class Departures:
@@ -26,6 +27,13 @@
         if len(self._since_ns) > MAX_LIFETIMES:
             del self._since_ns[next(iter(self._since_ns))]
 
+    def record_earlier(self, lifetime: str) -> None:
+        """Records that a lifetime said to an earlier process of the node that it leaves.
+
+        When it did is not known, so it gets no further requests.
+        """
+        self.record(lifetime, LONG_AGO_NS)
+
     def age_ns(self, lifetime: str, now_ns: int) -> int | None:
         """Returns how long ago a lifetime said that it leaves, None if it did not."""
         since_ns = self._since_ns.get(lifetime)
--- a/src/auburnsail/_fleet.py
+++ b/src/auburnsail/_fleet.py
@@ -17,6 +17,7 @@
     Join,
     Leave,
     Resume,
+    Retire,
     Session,
     SessionId,
     SetWatchers,
@@ -42,7 +43,7 @@
     Attributes:
         session: The session.
         index: The number that stands for the session in shard tables.
-        revision: Version of the log that last changed the session.
+        revision: Version of the log that last replaced the session or its watchers.
         fence: Fencing token: version of the log that last assigned it a shard. It is higher than
             every epoch at which its shards had other owners, and never decreases while the
             session is open.
@@ -115,6 +116,14 @@
             successor = self.ended[successor]
         return successor
 
+    def members_of(self, service: str) -> list[SessionRow]:
+        """Returns the open sessions whose upstream serves a service and does not leave."""
+        return [
+            row
+            for row in self.sessions.values()
+            if row.session.service == service and not row.session.is_leaving
+        ]
+
     def shards_of(self, row: SessionRow) -> list[int]:
         """Returns the shards that a session owns, in ascending order."""
         table = self.tables.get(row.session.service)
@@ -173,6 +182,8 @@
                 return self._succeed(command, version)
             case Resume(old=old, session=session):
                 return self._resume(old, session, version)
+            case Retire(node=node, lifetime=lifetime):
+                return self._retire(node, lifetime)
             case Transfer():
                 return self._transfer(command, version)
             case Assign():
@@ -238,6 +249,9 @@
             return "successor is another node"
         if previous.control_address != session.control_address:
             return "successor holds another address"
+        if previous.is_leaving and previous.lifetime == session.lifetime:
+            # The new process may not have known of the departure, which is final.
+            session = msgspec.structs.replace(session, slots=0)
         del self.sessions[old]
         self._record_ended(old, session.id)
         row.session, row.revision = session, version
@@ -252,6 +266,13 @@
             row.fence = version
         return ""
 
+    def _retire(self, node: str, lifetime: str) -> str:
+        row = self.by_node.get(node)
+        if row is None or not lifetime or row.session.lifetime != lifetime:
+            return "the node has no session of this lifetime"
+        row.session = msgspec.structs.replace(row.session, slots=0)
+        return ""
+
     def _record_ended(self, session_id: SessionId, successor: SessionId | None = None) -> None:
         self.ended[session_id] = successor
         while len(self.ended) > MAX_ENDED_SESSIONS:
@@ -314,8 +335,11 @@
         skipped = 0
         for grant in grants:
             target = self.sessions.get(grant.to)
-            if target is not None and target.session.service != service:
-                # The address of an ended session may since have passed to a VM of another service.
+            if target is not None and (
+                target.session.service != service or target.session.is_leaving
+            ):
+                # The address of an ended session may since have passed to a VM of another service,
+                # and the upstream of an open one may have said that it leaves.
                 target = None
             for shard in grant.shards:
                 if (
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -6,7 +6,7 @@
 from ._clock import NS_PER_MS, Clock
 from ._control import Announcement, lifetime_of
 from ._departures import Departures
-from ._fleet import FleetState
+from ._fleet import FleetState, SessionRow
 from ._holds import HoldGrant, HoldTable
 from ._journal import Journal
 from ._membership import Membership
@@ -106,7 +106,10 @@
             self._start_new_lifetime()
         self._earlier, self._has_ended = None, False
         self._refused_connection = False
-        if announcement.state == "draining":
+        if announcement.state == "draining" and latest is None:
+            # An earlier process of this node may have acknowledged the departure.
+            self._departures.record_earlier(announcement.lifetime)
+        elif announcement.state == "draining":
             self._departures.record(announcement.lifetime, now_ns)
         elif announcement.lifetime in self._departures:
             # A report from before the departure, or of an upstream that serves on after it.
@@ -148,8 +151,7 @@
         """
         now_ns = self._clock.now_ns()
         self._record_holds(now_ns)
-        own_id, announcement = self._membership.own_id, self._announcement
-        row = self._fleet.sessions.get(own_id) if own_id is not None else None
+        row, announcement = self._own_row(), self._announcement
         if row is None or announcement is None or announcement.lifetime != row.session.lifetime:
             return HoldGrant()
         if self._session.is_replacement_due:
@@ -192,45 +194,84 @@
         """
         if self._announcement is not None and self._is_silent(self._announcement, now_ns):
             self._mark_lost("upstream does not announce itself")
+        self._adopt_recorded_departure(now_ns)
         self._record_holds(now_ns)
+        self._describe_upstream(now_ns)
+        self._update_replacement(now_ns)
+
+    def is_departure_recorded(self) -> bool:
+        """Returns whether the log records the departure of the upstream, if it has said it."""
+        latest = self._latest_announcement
+        if latest is None or latest.lifetime not in self._departures:
+            return True
+        return self._session.is_departure_recorded(latest.lifetime, self._fleet)
+
+    def _adopt_recorded_departure(self, now_ns: int) -> None:
+        """Learns from the log that an earlier process acknowledged the upstream's departure."""
+        row = self._logged_row()
+        if row is None or not row.session.is_leaving or row.session.lifetime in self._departures:
+            return
+        session = row.session
+        self._departures.record_earlier(session.lifetime)
         announcement = self._announcement
-        if announcement is not None and (
-            announcement.state != "draining" or self._has_open_session(announcement)
-        ):
-            self._session.set_upstream(
-                announcement.service, announcement.slots, announcement.lifetime
-            )
-        elif (
-            announcement is not None
-            or now_ns - self._started_ns > self._join_delay_ms() * NS_PER_MS
-        ):
-            self._session.set_upstream("", 0)
-        self._update_replacement(announcement, now_ns)
+        if announcement is not None and announcement.lifetime == session.lifetime:
+            self._announcement = _as_draining(announcement)
+            self._start_drain("the log records the departure", announcement, now_ns)
 
-    def _update_replacement(self, announcement: Announcement | None, now_ns: int) -> None:
+    def _own_row(self) -> SessionRow | None:
         own_id = self._membership.own_id
-        row = self._fleet.sessions.get(own_id) if own_id is not None else None
+        return self._fleet.sessions.get(own_id) if own_id is not None else None
+
+    def _logged_row(self) -> SessionRow | None:
+        """Returns the session of this process, or one that an earlier process left open."""
+        row = self._own_row()
+        earlier = self._session.earlier(self._fleet) if row is None else None
+        return row if earlier is None else self._fleet.sessions[earlier.id]
+
+    def _describe_upstream(self, now_ns: int) -> None:
+        announcement = self._announcement
+        if announcement is None:
+            if self._own_row() is not None or self._may_join_without_upstream(now_ns):
+                row = self._logged_row()
+                is_leaving = row is not None and row.session.is_leaving
+                self._session.set_upstream("", 0, row.session.lifetime if is_leaving else "")
+            return
+        service, lifetime = announcement.service, announcement.lifetime
+        if lifetime and announcement.state == "draining":
+            self._session.set_upstream(service, 0, lifetime)
+        elif announcement.state == "draining":
+            self._session.set_upstream("", 0)
+        else:
+            slots = max(1, announcement.slots) if lifetime else announcement.slots
+            self._session.set_upstream(service, slots, lifetime)
+
+    def _update_replacement(self, now_ns: int) -> None:
+        announcement, row = self._announcement, self._own_row()
         if row is None:
             return
-        if not (row.session.lifetime or (announcement is not None and announcement.lifetime)):
+        session = row.session
+        if not (session.lifetime or (announcement is not None and announcement.lifetime)):
             if self._session.service_differs(self._fleet):
                 self._mover.drain("the upstream changed or is lost", stopping=False)
             return
         if announcement is None:
-            expected = ("", "")
-        elif announcement.state == "draining":
-            if self._fleet.shard_count(row):
-                # The keys move to other sessions first; without any, they stay until it has ended.
-                return
-            expected = ("", "")
+            is_due = bool(session.service) and not self._has_left(row)
+            service = ""
         else:
-            expected = (announcement.service, announcement.lifetime)
-        is_due = (row.session.service, row.session.lifetime) != expected
-        if row.session.service != expected[0]:
+            service = announcement.service
+            described = (service, announcement.lifetime)
+            is_due = (session.service, session.lifetime) != described and not (
+                session.is_leaving and session.lifetime == announcement.lifetime
+            )
+        if session.service != service:
             # The replacement leaves the keys without owner, and another session gets them at once.
             is_due = is_due and self._mover.are_free(row, now_ns)
         self._session.set_replacement_due(is_due)
 
+    def _has_left(self, row: SessionRow) -> bool:
+        """Returns whether a session is one of an upstream that leaves and owns no key any more."""
+        return row.session.is_leaving and not self._fleet.shard_count(row)
+
     def _is_outdated(self, announcement: Announcement) -> bool:
         latest = self._latest_announcement
         if latest is None or not announcement.born_ms:
@@ -287,27 +328,17 @@
         ends_session = not announcement.lifetime
         self._mover.drain(reason, stopping=False, now_ns=now_ns, ends_session=ends_session)
 
-    def _has_open_session(self, announcement: Announcement) -> bool:
-        """Returns whether an earlier process of this node left a session of the upstream open.
-
-        The session is resumed as it is and drained then, so that no other session gets keys that
-        the upstream still holds.
-        """
-        earlier = self._session.earlier(self._fleet)
-        if earlier is None or not earlier.lifetime:
-            return False
-        described = (announcement.service, announcement.lifetime)
-        return (earlier.service, earlier.lifetime) == described
-
-    def _join_delay_ms(self) -> int:
-        """Returns how long after its start the node waits for an upstream before it only routes.
+    def _may_join_without_upstream(self, now_ns: int) -> bool:
+        """Returns whether the node has waited long enough for an upstream and may only route.
 
         A silent upstream may hold keys by the last grant of an earlier process of this node.
         """
-        holds, earlier = self._mover.holds, self._session.earlier(self._fleet)
-        if holds is None or earlier is None or not earlier.lifetime:
-            return JOIN_WITHOUT_UPSTREAM_AFTER_MS
-        return max(JOIN_WITHOUT_UPSTREAM_AFTER_MS, holds.max_hold_ms)
+        holds, row = self._mover.holds, self._logged_row()
+        delay_ms = JOIN_WITHOUT_UPSTREAM_AFTER_MS
+        if holds is not None and row is not None and row.session.lifetime:
+            delay_ms = max(delay_ms, holds.max_hold_ms)
+        has_waited = now_ns - self._started_ns > delay_ms * NS_PER_MS
+        return has_waited and (row is None or self._mover.are_free(row, now_ns))
 
     def _record_holds(self, now_ns: int) -> None:
         """Records the keys that the upstream holds and has released by its latest report.
--- a/src/auburnsail/_model.py
+++ b/src/auburnsail/_model.py
@@ -19,6 +19,7 @@
     "Join",
     "Leave",
     "Resume",
+    "Retire",
     "Session",
     "SessionId",
     "SetWatchers",
@@ -54,7 +55,7 @@
         data_address: ``ip:port`` that serves requests.
         control_address: ``ip:port`` of the control HTTP server and the UDP socket.
         service: Service of the local upstream, empty if the node only routes.
-        slots: Number of requests that the upstream serves concurrently.
+        slots: Number of requests that the upstream serves concurrently, 0 if it leaves.
         watchers: Sessions that acknowledge this session's lease.
         lifetime: Identifies the running process of the upstream, empty if the upstream reports
             none. An upstream's holds end with its process.
@@ -70,6 +71,11 @@
     watchers: tuple[SessionId, ...] = ()
     lifetime: str = ""
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the upstream has said that it leaves: it gets no new requests and no shards."""
+        return bool(self.lifetime) and not self.slots
+
 
 class Evidence(msgspec.Struct, frozen=True, array_like=True):
     """A watcher's statement that it sealed a session that was silent for longer than a lease."""
@@ -140,6 +146,18 @@
     session: Session
 
 
+class Retire(msgspec.Struct, frozen=True, tag="retire"):
+    """Records that the upstream of a node has said that it leaves.
+
+    It names the lifetime and not the session, so that it takes effect also if a new process of the
+    node has replaced the session meanwhile.
+    """
+
+    id: str
+    node: str
+    lifetime: str
+
+
 class DeclareLost(msgspec.Struct, frozen=True, tag="lost"):
     """Ends a session that an operator declared lost."""
 
@@ -187,7 +205,9 @@
     shards: int
 
 
-Command = Join | SetWatchers | Close | Leave | Succeed | Resume | DeclareLost | Transfer | Assign
+Command = (
+    Join | SetWatchers | Close | Leave | Succeed | Resume | Retire | DeclareLost | Transfer | Assign
+)
 
 
 class Entry(msgspec.Struct, frozen=True):
--- a/src/auburnsail/_moves.py
+++ b/src/auburnsail/_moves.py
@@ -342,6 +342,6 @@
     def _candidates(self, service: str) -> list[GrantCandidate]:
         return [
             candidate_of(self._fleet, row)
-            for session_id, row in self._fleet.sessions.items()
-            if row.session.service == service and session_id != self._membership.own_id
+            for row in self._fleet.members_of(service)
+            if row.session.id != self._membership.own_id
         ]
--- a/src/auburnsail/_node_control.py
+++ b/src/auburnsail/_node_control.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+import gevent
+
 from ._adapter import Adapter
 from ._checked_input import rejected_inputs
 from ._checkpoint import dump_fleet
@@ -27,6 +29,10 @@
 
 __all__ = ["NodeControl", "NodeParts"]
 
+# A report must be answered within 1 s.
+MAX_DEPARTURE_WAIT_MS = 500
+DEPARTURE_POLL_INTERVAL_MS = 10
+
 
 class NodeEvents(Protocol):
     """State and events of the node itself that the control address uses.
@@ -161,7 +167,7 @@
         """Implements `ControlledNode.move`."""
         own = self._parts.fleet.sessions.get(self._parts.membership.own_id)
         other = self._parts.fleet.by_node.get(target)
-        if own is None or other is None or other.session.service != own.session.service:
+        if own is None or other not in self._parts.fleet.members_of(own.session.service):
             raise ValueError(f"{target!r} is not an open node of this node's service")
         shards = self._parts.fleet.shards_of(own)[:count]
         self._parts.mover.move(
@@ -193,6 +199,7 @@
         if not upstream.on_announcement(announcement):
             return None
         self._parts.data_path.set_upstream(announcement)
+        self._wait_for_recorded_departure()
         return upstream.grant_holds()
 
     def withdraw(self, instance: str, born_ms: int = 0) -> None:
@@ -203,6 +210,16 @@
             born_ms: Start of its process in Unix milliseconds, 0 if unknown.
         """
         self._parts.upstream.on_deregistration(instance, born_ms, "the upstream said that it ends")
+        self._wait_for_recorded_departure()
+
+    def _wait_for_recorded_departure(self) -> None:
+        """Waits until the log records the upstream's departure, so that the answer outlives this
+        process; without a store, until `MAX_DEPARTURE_WAIT_MS` have passed.
+        """
+        clock, upstream = self._parts.clock, self._parts.upstream
+        end_ns = clock.now_ns() + MAX_DEPARTURE_WAIT_MS * NS_PER_MS
+        while not upstream.is_departure_recorded() and clock.now_ns() < end_ns:
+            gevent.sleep(DEPARTURE_POLL_INTERVAL_MS / 1000)
 
     @property
     def is_ready(self) -> bool:
--- a/src/auburnsail/_rebalancer.py
+++ b/src/auburnsail/_rebalancer.py
@@ -196,11 +196,7 @@
         ):
             return
         service = row.session.service
-        peers = [
-            candidate
-            for candidate in fleet.sessions.values()
-            if candidate.session.service == service and candidate is not row
-        ]
+        peers = [peer for peer in fleet.members_of(service) if peer is not row]
         owner = RangeOwner(row.session.slots, self._loads.total, self._owned_loads(row))
         peer_shard_counts = [fleet.shard_count(peer) for peer in peers]
         if peers and should_plan_move(owner, peer_shard_counts):
@@ -255,11 +251,7 @@
     def _build_view(self, row: SessionRow) -> OwnerView:
         fleet, now_ns = self._context.fleet, self._context.clock.now_ns()
         service = row.session.service
-        members = [
-            other.session
-            for other in fleet.sessions.values()
-            if other.session.service == service and other is not row
-        ]
+        members = [other.session for other in fleet.members_of(service) if other is not row]
         peers = self._fetch_peer_loads(members)
         owned = fleet.shards_of(row)
         self._loads.retain(owned)
--- a/src/auburnsail/_recorder.py
+++ b/src/auburnsail/_recorder.py
@@ -244,8 +244,8 @@
     for service, items in lost_by_service.items():
         candidates = [
             candidate_of(fleet, row)
-            for session_id, row in fleet.sessions.items()
-            if row.session.service == service and session_id not in ending_sessions
+            for row in fleet.members_of(service)
+            if row.session.id not in ending_sessions
         ]
         table = fleet.tables.get(service)
         choose = spread_ranges if table is not None and table.keys else choose_owners
--- a/src/auburnsail/_routing.py
+++ b/src/auburnsail/_routing.py
@@ -104,6 +104,9 @@
             if is_forwarded and service not in self.tree.services:
                 # The forwarding node has newer settings, in which the service exists.
                 raise not_run("no-settings", f"no service {service!r} is known here yet", "route")
+            if is_forwarded and self._serves_unkeyed(service):
+                # Also while the upstream leaves: the gate decides until when it gets requests.
+                return Local(Target(service))
             route = self._find_route(service, key)
             if is_forwarded:
                 return self._route_forwarded(route, sender_version)
@@ -157,9 +160,7 @@
 
     def _route_forwarded(self, route: RoutingDecision, sender_version: int) -> RoutingDecision:
         match route:
-            case AnyOf(target=target, sessions=sessions):
-                if any(session.id == self.own_id for session in sessions):
-                    return Local(target)
+            case AnyOf():
                 raise not_run("not-member", "this node does not serve the service", "route")
             case Forward(session=session):
                 if sender_version > self._fleet.version:
@@ -179,11 +180,18 @@
                 )
         return route
 
+    def _serves_unkeyed(self, service: str) -> bool:
+        own = self._fleet.sessions.get(self.own_id) if self.own_id is not None else None
+        is_member = own is not None and own.session.service == service
+        return is_member and not self.tree.services[service].keyed
+
     def _members_of(self, service: str) -> tuple[Session, ...]:
         if self._members_version != self._fleet.version:
             self._members_version = self._fleet.version
             self._members.clear()
             for row in self._fleet.sessions.values():
+                if row.session.is_leaving:
+                    continue
                 known = self._members.get(row.session.service, ())
                 self._members[row.session.service] = (*known, row.session)
         return self._members.get(service, ())
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -12,7 +12,17 @@
 from ._fleet import FleetState
 from ._identity import NodeIdentity
 from ._lease import LeaseHolder
-from ._model import Command, Join, Leave, Resume, Session, SessionId, SetWatchers, Succeed
+from ._model import (
+    Command,
+    Join,
+    Leave,
+    Resume,
+    Retire,
+    Session,
+    SessionId,
+    SetWatchers,
+    Succeed,
+)
 from ._watcher_choice import WATCHER_COUNT, choose_watchers
 
 __all__ = ["OwnSession", "Phase"]
@@ -35,7 +45,8 @@
 
     Attributes:
         service: The upstream's service, empty for a node that only routes.
-        slots: Number of requests that the upstream runs concurrently.
+        slots: Number of requests that the upstream runs concurrently; 0 if it has a lifetime and
+            leaves.
         lifetime: Identifies one run of the upstream process, empty if the upstream reports none.
     """
 
@@ -71,6 +82,7 @@
         self._stopping = False
         self._leave_requested = False
         self._is_replacement_due = False
+        self._retirement: tuple[SessionId, str] | None = None
         self._next_join_ns = 0
         self._revision = 0
         self._proposed_ns = 0
@@ -102,7 +114,10 @@
         return self._lease
 
     def set_upstream(self, service: str, slots: int, lifetime: str = "") -> None:
-        """Sets the local upstream; an empty service means that the node only routes."""
+        """Sets the local upstream; an empty service means that the node only routes.
+
+        A lifetime without slots leaves; the log then records this.
+        """
         self._desired_upstream = UpstreamDescription(service, slots, lifetime)
 
     def service_differs(self, fleet: FleetState) -> bool:
@@ -136,6 +151,13 @@
         row = fleet.by_node.get(self._identity.node)
         return row.session if row is not None else None
 
+    def is_departure_recorded(self, lifetime: str, fleet: FleetState) -> bool:
+        """Returns whether the log records that a lifetime leaves, or has no session of it."""
+        row = fleet.by_node.get(self._identity.node)
+        if row is None or row.session.lifetime != lifetime:
+            return self._phase is not Phase.JOINING
+        return row.session.is_leaving
+
     def tick(self, now_ns: int, fleet: FleetState) -> tuple[Command, ...]:
         """Returns the commands to propose together now; empty if there are none."""
         match self._phase:
@@ -152,6 +174,10 @@
                 self._phase = Phase.LEAVING
                 self._leave_requested = False
                 return (Leave(f"leave:{self._id}", self._id),)
+            case Phase.OPEN if self._is_retirement_due(fleet):
+                lifetime = self._desired_upstream.lifetime
+                self._retirement = (self._id, lifetime)
+                return (Retire(f"retire:{self._id}:{lifetime}", self._id.node, lifetime),)
             case Phase.OPEN if self._is_replacement_due and now_ns >= self._next_join_ns:
                 self._is_replacement_due = False
                 return self._join(now_ns, fleet)
@@ -182,6 +208,14 @@
                 self._revision = row.revision
                 self._lease.confirm_watchers(row.session.watchers, now_ns)
 
+    def _is_retirement_due(self, fleet: FleetState) -> bool:
+        upstream, row = self._desired_upstream, fleet.sessions.get(self._id)
+        if upstream is None or not upstream.lifetime or upstream.slots or row is None:
+            return False
+        is_same = row.session.lifetime == upstream.lifetime
+        is_proposed = self._retirement == (self._id, upstream.lifetime)
+        return is_same and not row.session.is_leaving and not is_proposed
+
     def _has_lifetime(self, fleet: FleetState) -> bool:
         row = fleet.sessions.get(self._id)
         return row is not None and bool(row.session.lifetime)
--- a/tests/simulated_node.py
+++ b/tests/simulated_node.py
@@ -13,6 +13,7 @@
 from auburnsail._local_upstream import LocalUpstream
 from auburnsail._model import Assign, Command, Entry, Grant, Handover, Join, Session, SessionId
 from auburnsail._moves import Mover
+from auburnsail._node_control import MAX_DEPARTURE_WAIT_MS
 from auburnsail._session import OwnSession
 from auburnsail._shards import NO_OWNER, contiguous_runs
 
@@ -212,6 +213,12 @@
         if answered:
             self.simulated_upstream.on_answer(grant)
 
+    def acknowledge_departure(self) -> None:
+        """Runs until the answer to a report of a departure is sent, as `NodeControl` waits."""
+        end_ns = self.clock.now_ns() + MAX_DEPARTURE_WAIT_MS * NS_PER_MS
+        while not self.upstream.is_departure_recorded() and self.clock.now_ns() < end_ns:
+            self.tick()
+
     def tick(self) -> None:
         """Runs one tick, in the order of the timers of a node."""
         self.clock.advance_ms(TICK_MS)
@@ -258,6 +265,10 @@
         """Returns whether a request would be sent to the upstream."""
         return self.upstream.address() is not None
 
+    def is_member(self) -> bool:
+        """Returns whether other nodes would send requests without a key to the node."""
+        return self.own_row in self.fleet.members_of(SERVICE)
+
     def _assign_unowned(self) -> None:
         table = self.fleet.tables.get(SERVICE)
         others = [
--- a/tests/test_lifetimes.py
+++ b/tests/test_lifetimes.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from auburnsail._assigner import Assigner
 from auburnsail._checkpoint import dump_fleet, restore_fleet
 from auburnsail._clock import NS_PER_MS
 from auburnsail._fleet import FleetState
+from auburnsail._grants import spread_shards
 from auburnsail._model import (
     Assign,
     Close,
@@ -14,10 +16,12 @@
     Grant,
     Join,
     Resume,
+    Retire,
     Session,
     SessionId,
     Transfer,
 )
+from auburnsail._recorder import resolve_grants
 from auburnsail._rules import silence_before_seal_ns
 from auburnsail._watcher import Seal, Watcher
 
@@ -140,6 +144,30 @@
         self.assertNotEqual(self.append(Close("c", lost.id, evidence)), [""])
         self.assertIn(lost.id, self.fleet.sessions)
 
+    def test_a_departure_is_final_for_its_lifetime(self):
+        """Guards against a node that resumes the session of an upstream that leaves (DRAIN)."""
+        self.assertNotEqual(self.append(Retire("q", "n1", "a@0")), [""])
+        self.assertEqual(self.append(Retire("q", "n1", "a@1")), [""])
+        new = session("n1", 2, "a@1")
+        self.append(Resume("r", self.first.id, new))
+        self.assertTrue(self.row(new).session.is_leaving)
+        self.assertEqual(self.fleet.shards_of(self.row(new)), list(range(SHARDS)))
+        self.assertEqual([row.session.id for row in self.fleet.members_of("s")], [self.second.id])
+        restarted = session("n1", 3, "a@2")
+        self.append(Resume("r", new.id, restarted))
+        self.assertFalse(self.row(restarted).session.is_leaving)
+
+    def test_a_leaving_upstream_gets_no_shards(self):
+        """Guards against shards that move from one leaving upstream to another (churn)."""
+        self.append(Retire("q", "n2", "b@1"))
+        epoch = self.fleet.epoch("s", 7)
+        self.append(Transfer("t", "s", self.first.id, self.second.id, (7,), (epoch,)))
+        self.assertEqual(self.fleet.shards_of(self.row(self.first)), list(range(SHARDS)))
+        assign = Assign("a", "s", (), SHARDS)
+        self.append(Resume("r", self.first.id, session("n1", 2, service="")))
+        self.assertEqual(resolve_grants(self.fleet, (assign,), spread_shards), (assign,))
+        self.assertEqual(Assigner().due(self.fleet, 10**12), [])
+
     def row(self, session: Session):
         """Returns the fleet's row of an open session."""
         return self.fleet.sessions[session.id]
--- a/tests/test_local_upstream.py
+++ b/tests/test_local_upstream.py
@@ -75,6 +75,7 @@
         self.clock = ManualClock(10**12)
         self.mover = FakeMover()
         session = mock.create_autospec(OwnSession, instance=True)
+        session.earlier.return_value = None
         membership = SimpleNamespace(session=session, own_id=None)
         self.upstream = LocalUpstream(
             membership, self.mover, FleetState(), Journal(self.clock), self.clock
--- a/tests/test_restarted_nodes.py
+++ b/tests/test_restarted_nodes.py
@@ -58,6 +58,7 @@
             releasing=lambda service: set(),
             drain=lambda *args, **kwargs: None,
             cancel_drain=lambda: None,
+            are_free=lambda row, now_ns: not self.held(),
         )
         self.membership = SimpleNamespace(session=self.session, own_id=None)
         self.upstream = LocalUpstream(
