A new process of a node knows what the upstream may hold before a fresh report comes

A late one, from before the last grant of the earlier process, does not name the keys of that grant, so they counted as free and could move while the upstream held them. A range of keys that covers a shard in part, as for single keys still in work, was ignored, so the shard counted as free, too. A deregistration that was the first message to a new process was not written to the log.

Change: the keys of a session that an earlier process left open count as held until that process's longest grant has run out, unless the upstream releases them or has been restarted. A shard of which any key is in use is held, and its release is confirmed by the first report that does not name the key any more. A deregistered lifetime is recorded without waiting for a report.

--- a/src/auburnsail/_holds.py
+++ b/src/auburnsail/_holds.py
@@ -75,6 +75,7 @@
         self._granted = bytearray(shards)
         self._granted_until_ns = 0
         self._released_tokens: dict[int, str] = {}
+        self._unconfirmed_releases: dict[int, str] = {}
         self._incoming_handovers: list[Handover] = []
 
     @property
@@ -93,6 +94,13 @@
         self._granted = bytearray(self._shards)
         self._granted_until_ns = 0
         self._released_tokens.clear()
+        self._unconfirmed_releases.clear()
+
+    def assume_held(self, shards: Iterable[int], until_ns: int) -> None:
+        """Takes shards for held until a time, except those that the upstream has released."""
+        for shard in shards:
+            if shard not in self._released_tokens:
+                self._held_until_ns[shard] = max(self._held_until_ns[shard], until_ns)
 
     def on_report(
         self, held: Sequence[HeldRange], freed: Sequence[Handover], now_ns: int
@@ -107,19 +115,21 @@
         Returns:
             The shards that this report released.
         """
-        for row in held:
-            for shard in self._shards_within(row.first, row.last):
-                # An earlier process of this node made the grant, so its end is unknown here.
-                if not self._held_until_ns[shard]:
-                    self._held_until_ns[shard] = now_ns + self._max_hold_ms * NS_PER_MS
-        released = []
+        in_use = {shard for row in held for shard in self._shards_touching(row.first, row.last)}
+        for shard in in_use:
+            # An earlier process of this node made the grant, so its end is unknown here.
+            if not self._held_until_ns[shard]:
+                self._held_until_ns[shard] = now_ns + self._max_hold_ms * NS_PER_MS
         for row in freed:
             for shard in self._shards_within(row.first, row.last):
                 if not self._granted[shard]:
-                    self._held_until_ns[shard] = 0
-                    self._released_tokens[shard] = row.token
-                    released.append(shard)
-        return tuple(released)
+                    self._unconfirmed_releases[shard] = row.token
+        # An upstream may release a range while it still works on some of its keys.
+        released = tuple(shard for shard in self._unconfirmed_releases if shard not in in_use)
+        for shard in released:
+            self._held_until_ns[shard] = 0
+            self._released_tokens[shard] = self._unconfirmed_releases.pop(shard)
+        return released
 
     def grant(
         self,
@@ -152,6 +162,7 @@
             self._granted[shard] = 1
             self._held_until_ns[shard] = max(self._held_until_ns[shard], held_until_ns)
             self._released_tokens.pop(shard, None)
+            self._unconfirmed_releases.pop(shard, None)
         self._granted_until_ns = now_ns + hold_ms * NS_PER_MS
         rows = [row for run in contiguous_runs(granted) for row in self._granted_ranges(run, fence)]
         return HoldGrant(tuple(rows), hold_ms)
@@ -210,6 +221,11 @@
     def _key_range(self, first: int, last: int) -> KeyRange:
         return range_of_shards(first, last, self._shards, self._keys)
 
+    def _shards_touching(self, first: int, last: int) -> range:
+        """Returns the shards of which a range of keys contains any key."""
+        first, last = max(0, first), min(last, self._keys - 1)
+        return range(first * self._shards // self._keys, last * self._shards // self._keys + 1)
+
     def _shards_within(self, first: int, last: int) -> range:
         """Returns the shards whose keys all lie within a range of keys."""
         first, last = max(0, first), min(last, self._keys - 1)
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -70,6 +70,7 @@
         self._refused_connection = False
         self._next_probe_ns = 0
         self._departures = Departures()
+        self._assumed_lifetime = ""
         self.lost_after_ms = 1000
         self.stop_work_ms = 1000
 
@@ -101,7 +102,8 @@
             return False
         now_ns = self._clock.now_ns()
         latest, self._latest_announcement = self._latest_announcement, announcement
-        if latest is not None and latest.lifetime != announcement.lifetime:
+        known_lifetime = latest.lifetime if latest is not None else self._assumed_lifetime
+        if known_lifetime not in ("", announcement.lifetime):
             self._journal.record("upstream", "another life", lifetime=announcement.lifetime)
             self._start_new_lifetime()
         self._earlier, self._has_ended = None, False
@@ -200,11 +202,11 @@
         self._update_replacement(now_ns)
 
     def is_departure_recorded(self) -> bool:
-        """Returns whether the log records the departure of the upstream, if it has said it."""
-        latest = self._latest_announcement
-        if latest is None or latest.lifetime not in self._departures:
+        """Returns whether the log shows that the session's lifetime leaves, if it has said so."""
+        row = self._logged_row()
+        if row is None or row.session.lifetime not in self._departures:
             return True
-        return self._session.is_departure_recorded(latest.lifetime, self._fleet)
+        return row.session.is_leaving
 
     def _adopt_recorded_departure(self, now_ns: int) -> None:
         """Learns from the log that an earlier process acknowledged the upstream's departure."""
@@ -231,10 +233,7 @@
     def _describe_upstream(self, now_ns: int) -> None:
         announcement = self._announcement
         if announcement is None:
-            if self._own_row() is not None or self._may_join_without_upstream(now_ns):
-                row = self._logged_row()
-                is_leaving = row is not None and row.session.is_leaving
-                self._session.set_upstream("", 0, row.session.lifetime if is_leaving else "")
+            self._describe_without_upstream(now_ns)
             return
         service, lifetime = announcement.service, announcement.lifetime
         if lifetime and announcement.state == "draining":
@@ -245,6 +244,15 @@
             slots = max(1, announcement.slots) if lifetime else announcement.slots
             self._session.set_upstream(service, slots, lifetime)
 
+    def _describe_without_upstream(self, now_ns: int) -> None:
+        row = self._logged_row()
+        if self._own_row() is not None or self._may_join_without_upstream(now_ns):
+            is_leaving = row is not None and row.session.is_leaving
+            self._session.set_upstream("", 0, row.session.lifetime if is_leaving else "")
+        elif row is not None and row.session.lifetime in self._departures:
+            # It deregistered before its first report to this process.
+            self._session.set_upstream(row.session.service, 0, row.session.lifetime)
+
     def _update_replacement(self, now_ns: int) -> None:
         announcement, row = self._announcement, self._own_row()
         if row is None:
@@ -333,11 +341,8 @@
 
         A silent upstream may hold keys by the last grant of an earlier process of this node.
         """
-        holds, row = self._mover.holds, self._logged_row()
-        delay_ms = JOIN_WITHOUT_UPSTREAM_AFTER_MS
-        if holds is not None and row is not None and row.session.lifetime:
-            delay_ms = max(delay_ms, holds.max_hold_ms)
-        has_waited = now_ns - self._started_ns > delay_ms * NS_PER_MS
+        row = self._logged_row()
+        has_waited = now_ns - self._started_ns > JOIN_WITHOUT_UPSTREAM_AFTER_MS * NS_PER_MS
         return has_waited and (row is None or self._mover.are_free(row, now_ns))
 
     def _record_holds(self, now_ns: int) -> None:
@@ -346,6 +351,7 @@
         An earlier process of this node may have granted them. The first report to this process
         comes before its session is open; from then on the session may transfer shards.
         """
+        self._assume_earlier_holds()
         announcement = self._announcement
         if announcement is None or announcement is self._recorded:
             return
@@ -354,6 +360,23 @@
             holds.on_report(announcement.holds, announcement.freed, now_ns)
             self._recorded = announcement
 
+    def _assume_earlier_holds(self) -> None:
+        """Takes the keys of a session that an earlier process left open for held.
+
+        Until a fresh report comes, only the log tells of them: the first report may be an old one.
+        """
+        row = self._logged_row()
+        if self._assumed_lifetime or row is None or self._own_row() is not None:
+            return
+        holds, lifetime = self._hold_table(row.session.service), row.session.lifetime
+        announcement = self._announcement
+        if holds is None or not lifetime:
+            return
+        if announcement is None or announcement.lifetime == lifetime:
+            self._assumed_lifetime = lifetime
+            until_ns = self._started_ns + holds.max_hold_ms * NS_PER_MS
+            holds.assume_held(self._fleet.shards_of(row), until_ns)
+
     def _hold_table(self, service: str) -> HoldTable | None:
         return self._mover.holds if service in self._fleet.tables else None
 
--- a/src/auburnsail/_session.py
+++ b/src/auburnsail/_session.py
@@ -151,13 +151,6 @@
         row = fleet.by_node.get(self._identity.node)
         return row.session if row is not None else None
 
-    def is_departure_recorded(self, lifetime: str, fleet: FleetState) -> bool:
-        """Returns whether the log records that a lifetime leaves, or has no session of it."""
-        row = fleet.by_node.get(self._identity.node)
-        if row is None or row.session.lifetime != lifetime:
-            return self._phase is not Phase.JOINING
-        return row.session.is_leaving
-
     def tick(self, now_ns: int, fleet: FleetState) -> tuple[Command, ...]:
         """Returns the commands to propose together now; empty if there are none."""
         match self._phase:
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -2,6 +2,9 @@
 
 import unittest
 
+import msgspec
+
+from auburnsail._control import Announcement
 from auburnsail._model import Retire
 from tests.simulated_node import SHARDS, SimulatedNode, SimulatedUpstream, with_state
 
@@ -193,5 +196,64 @@
         self.assertTrue(node.is_member())
 
 
+class HoldsOfEarlierProcessTest(unittest.TestCase):
+    """A process of the node that starts beside an upstream with grants of the one before."""
+
+    def restart(self) -> tuple[SimulatedNode, Announcement]:
+        """Returns a restarted node, and a report from before the grants of its predecessor."""
+        node = SimulatedNode()
+        node.open_with_all_keys()
+        late = msgspec.structs.replace(node.simulated_upstream.report(), holds=())
+        node.receive(node.simulated_upstream.report())
+        node.start_process()
+        return node, late
+
+    def test_keys_that_a_late_first_report_does_not_name_are_held(self):
+        """Guards against OWNER: the first report to a new process may be an old one."""
+        node, late = self.restart()
+        node.run(100)
+        node.receive(late, answered=False)
+        node.run(200)
+        target = node.add_session("m")
+        node.mover.move("s", ALL_SHARDS, target.id, node.clock.now_ns())
+        node.run(5_000)
+
+    def test_one_report_and_then_silence(self):
+        """Guards against OWNER: the upstream counts as lost before its recorded hold has ended."""
+        node, _ = self.restart()
+        node.run(1_000)
+        # The answer does not arrive, so the hold of the earlier process runs on.
+        node.receive(node.simulated_upstream.report(), answered=False)
+        node.add_session("m")
+        node.run(8_000)
+        self.assertEqual(node.owned(), [])
+
+    def test_keys_move_at_once_if_the_upstream_was_restarted_too(self):
+        """Guards against keys that wait for a hold which ended with the upstream's process."""
+        node, _ = self.restart()
+        node.run(100)
+        node.simulated_upstream = SimulatedUpstream(node.clock, born_ms=2000)
+        node.receive(node.simulated_upstream.report())
+        node.run(500)
+        now_ns = node.clock.now_ns()
+        self.assertEqual(node.owned(), ALL_SHARDS)
+        self.assertTrue(all(node.mover.holds.is_free(shard, now_ns) for shard in ALL_SHARDS))
+
+    def test_a_deregistration_to_a_new_process_is_recorded(self):
+        """Guards against DRAIN: a further restart forgets a deregistration that came first."""
+        node, late = self.restart()
+        node.run(100)
+        node.upstream.on_deregistration("i-n", 1000, "it ends")
+        node.acknowledge_departure()
+        self.assertTrue(node.own_row.session.is_leaving)
+        node.start_process()
+        node.run(100)
+        node.receive(late, answered=False)
+        self.assertFalse(node.may_be_used())
+        node.add_session("m")
+        node.run(6_000)
+        self.assertEqual(node.owned(), [])
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_holds.py
+++ b/tests/test_holds.py
@@ -60,6 +60,26 @@
         self.assertTrue(holds.is_free(1, MAX_HOLD_MS * NS_PER_MS))
         self.assertTrue(holds.is_free(2, 0))
 
+    def test_a_shard_with_a_key_in_use_is_held(self):
+        """Guards against OWNER: a range that covers a shard in part was taken for free.
+
+        Upstreams report single keys on which they still work, also of a range that they release.
+        """
+        holds = table()
+        holds.grant(range(8), set(), 5, 2_000 * NS_PER_MS, 0)
+        holds.grant(range(8), {3}, 5, 2_000 * NS_PER_MS, 100 * NS_PER_MS)
+        in_use = (HeldRange(3 * WIDTH + 2, 3 * WIDTH + 2, 5),)
+        freed = (Handover(3 * WIDTH, 4 * WIDTH - 1, "t"),)
+        self.assertEqual(holds.on_report(in_use, freed, 150 * NS_PER_MS), ())
+        self.assertFalse(holds.is_free(3, 160 * NS_PER_MS))
+        self.assertEqual(holds.on_report((), (), 200 * NS_PER_MS), (3,))
+        self.assertTrue(holds.is_free(3, 200 * NS_PER_MS))
+        self.assertEqual(holds.handovers([3])[0].token, "t")
+        later = table()
+        later.on_report(in_use, (), 0)
+        self.assertFalse(later.is_free(3, 1))
+        self.assertTrue(later.is_free(2, 1) and later.is_free(4, 1))
+
     def test_a_restarted_upstream_holds_nothing(self):
         """Guards against waiting for holds of an upstream process that has ended."""
         holds = table()
