--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -11,12 +11,11 @@
 from ._journal import Journal
 from ._membership import Membership
 from ._moves import Mover
+from ._report_order import ANNOUNCEMENT_TIMEOUT_MS, ReportOrder
 from ._sockets import accepts_connections
 
 __all__ = ["LocalUpstream"]
 
-# Upstreams announce themselves every second; the loss of two announcements must not move keys.
-ANNOUNCEMENT_TIMEOUT_MS = 2000
 # After its start a node waits this long for an upstream, then it joins as a node that only routes.
 JOIN_WITHOUT_UPSTREAM_AFTER_MS = 2000
 PROBE_INTERVAL_MS = 100
@@ -24,8 +23,6 @@
 EXIT_PROBE_DELAY_S = 0.3
 # An upstream without announcements counts as alive if it answered a request within this time.
 RECENT_ANSWER_MS = 2000
-# A report that is late is a few reports behind the latest one, never this many.
-MAX_REPORTS_BEHIND = 1_000
 # A late report may renew an expired hold for this long before the keys move.
 LATE_REPORT_GRACE_MS = 300
 
@@ -60,16 +57,13 @@
         self._journal = journal
         self._clock = clock
         self._announcement: Announcement | None = None
-        self._latest_announcement: Announcement | None = None
-        self._earlier: Announcement | None = None
+        self._departures = Departures()
+        self._order = ReportOrder(self._departures)
         self._recorded: Announcement | None = None
-        self._has_ended = False
-        self._announced_ns = 0
         self._answered_ns = 0
         self._started_ns = clock.now_ns()
         self._refused_connection = False
         self._next_probe_ns = 0
-        self._departures = Departures()
         self._assumed_lifetime = ""
         self.lost_after_ms = 1000
         self.stop_work_ms = 1000
@@ -96,17 +90,17 @@
             Whether the announcement was accepted. It is rejected if it is older than the latest
             one, or if the upstream refused connections before and still does.
         """
-        if self._is_outdated(announcement):
+        now_ns = self._clock.now_ns()
+        if self._order.is_outdated(announcement, now_ns):
             return False
         if self._refused_connection and not accepts_connections(announcement.address):
             return False
-        now_ns = self._clock.now_ns()
-        latest, self._latest_announcement = self._latest_announcement, announcement
+        latest = self._order.latest
         known_lifetime = latest.lifetime if latest is not None else self._assumed_lifetime
         if known_lifetime not in ("", announcement.lifetime):
             self._journal.record("upstream", "another life", lifetime=announcement.lifetime)
             self._start_new_lifetime()
-        self._earlier, self._has_ended = None, False
+        self._order.accept(announcement, now_ns)
         self._refused_connection = False
         if announcement.state == "draining" and latest is None:
             # An earlier process of this node may have acknowledged the departure.
@@ -117,7 +111,6 @@
             # A report from before the departure, or of an upstream that serves on after it.
             announcement = _as_draining(announcement)
         self._announcement = announcement
-        self._announced_ns = now_ns
         if announcement.state == "draining":
             self._start_drain("upstream announced a drain", announcement, now_ns)
         return True
@@ -143,7 +136,7 @@
                 EXIT_PROBE_DELAY_S, "upstream.probe", self._probe, announcement
             )
             return
-        self._announcement = self._latest_announcement = _as_draining(announcement)
+        self._announcement = _as_draining(announcement)
         self._start_drain(reason, announcement, now_ns)
 
     def grant_holds(self) -> HoldGrant:
@@ -280,37 +273,8 @@
         """Returns whether a session is one of an upstream that leaves and owns no key any more."""
         return row.session.is_leaving and not self._fleet.shard_count(row)
 
-    def _is_outdated(self, announcement: Announcement) -> bool:
-        latest = self._latest_announcement
-        if latest is None or not announcement.born_ms:
-            return False
-        if announcement.lifetime != latest.lifetime and announcement.lifetime in self._departures:
-            return True
-        if announcement.lifetime == latest.lifetime:
-            if latest.sequence - announcement.sequence < MAX_REPORTS_BEHIND:
-                return announcement.sequence <= latest.sequence
-        elif announcement.born_ms >= latest.born_ms:
-            return False
-        return not self._replaces_later(announcement)
-
-    def _replaces_later(self, announcement: Announcement) -> bool:
-        """Returns whether reports that look far too old come from the upstream that runs now.
-
-        The time of day may have jumped back between the starts of two lifetimes, or another writer
-        sent a report with a start time or a number far too high. A late report comes once, and
-        while it comes the latest lifetime still reports.
-        """
-        previous, self._earlier = self._earlier, announcement
-        is_silent = self._clock.now_ns() - self._announced_ns > ANNOUNCEMENT_TIMEOUT_MS * NS_PER_MS
-        return (
-            (is_silent or self._has_ended)
-            and previous is not None
-            and previous.lifetime == announcement.lifetime
-            and previous.sequence < announcement.sequence
-        )
-
     def _is_silent(self, announcement: Announcement, now_ns: int) -> bool:
-        silent_ns = now_ns - self._announced_ns
+        silent_ns = now_ns - self._order.accepted_ns
         holds = self._mover.holds
         if holds is not None and announcement.lifetime and holds.granted_until_ns:
             return now_ns > holds.granted_until_ns + LATE_REPORT_GRACE_MS * NS_PER_MS and (
@@ -322,7 +286,7 @@
 
     def _deregistered_lifetime(self, instance: str, born_ms: int) -> str:
         """Returns the lifetime that a deregistration ends, empty if it is none that may be used."""
-        latest = self._latest_announcement
+        latest = self._order.latest
         if latest is not None and latest.instance == instance and born_ms in (0, latest.born_ms):
             return latest.lifetime
         if born_ms:
@@ -381,7 +345,7 @@
         return self._mover.holds if service in self._fleet.tables else None
 
     def _start_new_lifetime(self) -> None:
-        self._has_ended = True
+        self._order.end_lifetime()
         if self._mover.holds is not None:
             self._mover.holds.clear_holds()
         self._mover.cancel_drain()
--- a/tests/test_clock_jumps.py
+++ b/tests/test_clock_jumps.py
@@ -7,7 +7,8 @@
 from auburnsail._fleet import FleetState
 from auburnsail._hop import HopSigner
 from auburnsail._journal import Journal
-from auburnsail._local_upstream import ANNOUNCEMENT_TIMEOUT_MS, LocalUpstream
+from auburnsail._local_upstream import LocalUpstream
+from auburnsail._report_order import ANNOUNCEMENT_TIMEOUT_MS
 from tests.path_fakes import SECRET, FakeUpstream, PathNode, connect, exchange, reason_of, request
 from tests.test_local_upstream import FakeMover, announcement
 
