Refuse liveness reports without zone, version or remaining cold time

Cause: reports of another writer that lack fields were accepted if the fields that the node uses were there. Such a report counted as a new lifetime of the upstream, for which the node forgets all holds, and the first request under its id was misdirected, so the node gave the keys up.

Change: a report must have every field that the platform's page lists.

What is left: a complete report of another writer cannot be told from one of a new lifetime.

--- a/src/auburnsail/platform/_reports.py
+++ b/src/auburnsail/platform/_reports.py
@@ -34,9 +34,14 @@
 
 
 class _UpstreamInfo(msgspec.Struct, frozen=True):
-    """Properties of an upstream that stay constant from its start to its end."""
+    """Properties of an upstream that stay constant from its start to its end.
+
+    Zone and version are not used, but a report without them is not one of an upstream.
+    """
 
     service: Name
+    version: Name
+    zone: Name
     slots: _Slots
 
 
@@ -51,7 +56,7 @@
 
     state: Name
     sequence: Count
-    cold_remaining_ms: Count = 0
+    cold_remaining_ms: Count
 
 
 class _Report(msgspec.Struct, frozen=True):
--- a/tests/test_platform_formats.py
+++ b/tests/test_platform_formats.py
@@ -298,6 +298,23 @@
                 self.assertEqual(self.call("/Instances.Heartbeat/i-1", body)[0], "400 Bad Request")
         self.assertEqual(self.control.reports, [])
 
+    def test_a_report_with_a_missing_field_is_refused(self):
+        """Guards against OWNER: another writer's report counted as a new lifetime (review/2).
+
+        The node forgot what the upstream held, and another upstream got its keys.
+        """
+        required = [("address",), ("born",)]
+        required += [("info", name) for name in ("service", "version", "zone", "slots")]
+        required += [("status", name) for name in ("state", "sequence", "cold-remaining-ms")]
+        for path in required:
+            with self.subTest(path=path):
+                report = msgspec.json.decode(msgspec.json.encode(REPORT))
+                parent = report[path[0]] if len(path) > 1 else report
+                del parent[path[-1]]
+                body = msgspec.json.encode(report)
+                self.assertEqual(self.call("/Instances.Heartbeat/i-1", body)[0], "400 Bad Request")
+        self.assertEqual(self.control.reports, [])
+
     def test_a_deregistration_withdraws_the_upstream(self):
         """Guards against a node that goes on using an upstream after its deregistration."""
         self.assertEqual(self.call("/Instances.Deregister/i-1", b"")[0], "200 OK")
