Check that the upstream is still there right before a request is sent to it

Change: the address is read again right before the request is sent. If it is gone, the request is refused as not run.

Evidence: the new test fails before the change, at one hop and two, and passes after it.

--- a/src/auburnsail/_attempt.py
+++ b/src/auburnsail/_attempt.py
@@ -272,6 +272,7 @@
         try:
             # The lease may have expired while connecting, so ownership is confirmed again.
             if local is not None:
+                self._confirm_upstream(address)
                 self._confirm_ownership(local)
             self._check_stopped(context)
             self._watch_silence(context, exchange, address, local)
@@ -369,6 +370,11 @@
             self._check_stopped(context)
             raise
 
+    def _confirm_upstream(self, address: str) -> None:
+        """Raises if the upstream left or was lost while the request waited for a slot."""
+        if self._ownership.upstream_address() != address:
+            raise not_run("no-upstream", "the upstream left before the request was sent", "send")
+
     def _confirm_ownership(self, target: Target) -> None:
         reason = self._ownership.gate.confirm(target.service, target.shard, target.epoch)
         if reason:
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -85,6 +85,22 @@
             self.assertEqual(reason_of(answer), (503, "not-run", "connect-failed"))
             self.assertIn(b"\r\nauburnsail-retry-after-ms: ", answer)
 
+    def test_a_request_that_waits_while_the_upstream_leaves_is_not_sent(self):
+        """Guards against DRAIN: the wait for a slot outlasts the time for work that is left."""
+        for node in self.entry_nodes():
+            with self.subTest(node=node.session.id.node):
+                admit = self.owner.gate.admit
+
+                def admit_and_leave(*arguments, admit=admit) -> str:
+                    self.owner.upstream = None
+                    return admit(*arguments)
+
+                with mock.patch.object(self.owner.gate, "admit", admit_and_leave):
+                    answer = exchange(node.address, request("POST", "/catalogue/k1"))
+                self.owner.upstream = self.upstream
+                self.assertEqual(reason_of(answer), (503, "not-run", "no-upstream"))
+        self.assertEqual(self.upstream.runs, [])
+
     def test_not_run_answer_of_an_upstream_is_relayed(self):
         """Guards against losing a "not run" answer, and against inferring it from a bare 503."""
         for node in self.entry_nodes():
