Tell nodes that start of the crashes that others know

Cause: suspects are kept in memory, and a notice is sent once, when the crash happens. A process that starts later knows none of them, and its node is the only one that checks requests for its upstream.

Change: when a session joins or is resumed, the nodes that it names as its watchers send it the notices whose requests are still suspect. A notice carries its age, so that entries expire when they would have.

What is left: if all watchers of a node start at the same time as it, nobody knows.

--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -192,6 +192,10 @@
         """Records a crash that another node reported; returns False for a duplicate notice."""
         return self._crash_monitor.merge(notice)
 
+    def crash_notices(self) -> list[CrashNotice]:
+        """Returns the notices of crashes whose causes are still suspect."""
+        return self._crash_monitor.quarantine.notices(self._clock.now_ns())
+
     def tick(self, now_ns: int) -> None:
         """Refuses queued requests whose maximum wait for a slot has passed."""
         self._admission.tick(now_ns)
--- a/src/auburnsail/_identity.py
+++ b/src/auburnsail/_identity.py
@@ -1,5 +1,6 @@
 """What identifies a node to the others."""
 
+import random
 from dataclasses import dataclass
 
 from ._settings import NodeSettings
@@ -31,3 +32,10 @@
             store_region=settings.store_region,
             peers=settings.peers,
         )
+
+    def random_source(self, rng: random.Random) -> str:
+        """Returns the address of a random peer, or an empty string for the store.
+
+        While the store is down, only a peer from the settings can supply the logs.
+        """
+        return rng.choice(("", *self.peers)) if self.peers else ""
--- a/src/auburnsail/_membership.py
+++ b/src/auburnsail/_membership.py
@@ -46,6 +46,7 @@
     Succeed,
 )
 from ._outbox import MAX_ENTRY_BYTES, Outbox
+from ._pauses import PauseDetector
 from ._proposal_router import ProposalRouter
 from ._quarantine import CrashNotice
 from ._recorder import OwnerChoice
@@ -57,7 +58,6 @@
 
 __all__ = ["Membership"]
 
-PAUSE_THRESHOLD_MS = 300
 CLOSE_RETRY_MS = 1000
 
 
@@ -91,7 +91,7 @@
             identity.control_address, identity.store_region, fleet, self._outbox, rng, choose_owners
         )
         self._replica = Replica(fleet, rng)
-        self._last_tick_ns: int | None = None
+        self._pauses = PauseDetector()
         self._next_close_ns: dict[SessionId, int] = {}
         self._lapsed = False
 
@@ -163,6 +163,11 @@
         self._forward(notice, source)
         return self._collect_effects()
 
+    def send_crash_notice(self, notice: CrashNotice, receiver: SessionId) -> list[Effect]:
+        """Sends a crash notice to one session."""
+        self._outbox.send_to((receiver,), notice)
+        return self._collect_effects()
+
     def on_store_reply(self, ticket: int, reply: StoreReply, now_ns: int) -> list[Effect]:
         """Handles the reply to a `StoreRequest`."""
         data = self._proposals.on_store_reply(ticket, reply, now_ns)
@@ -215,10 +220,8 @@
         return [*self._outbox.drain(), *notes]
 
     def _detect_pause(self, now_ns: int) -> None:
-        last_ns = self._last_tick_ns
-        self._last_tick_ns = now_ns
-        if last_ns is not None and now_ns - last_ns > PAUSE_THRESHOLD_MS * NS_PER_MS:
-            self._outbox.note("pause", "no tick for a while", ms=(now_ns - last_ns) // NS_PER_MS)
+        if pause_ms := self._pauses.tick(now_ns):
+            self._outbox.note("pause", "no tick for a while", ms=pause_ms)
             if self._session.lease is not None:
                 self._session.lease.restart_silence_timers(now_ns)
 
@@ -233,13 +236,12 @@
     def _run_watcher(self, now_ns: int) -> None:
         if self._watcher is None:
             return
-        own_id = self._watcher.session
         for action in self._watcher.tick(now_ns):
             sealing_id = self._watcher.sealing_id(action.holder)
             others = self._watch_assignments.other_watchers(action.holder)
             match action:
                 case QueryWatchers(holder=holder):
-                    self._outbox.send_to(others, SilenceQuery(holder, own_id))
+                    self._outbox.send_to(others, SilenceQuery(holder, self._watcher.session))
                 case Seal(holder=holder, silent_ms=silent_ms, is_new=is_new):
                     if is_new:
                         facts = {"session": str(holder), "silent_ms": silent_ms}
@@ -390,12 +392,8 @@
         is_detached = self._lapsed or self.own_id is None
         for_fleet = self._proposals.polls(self.own_id, now_ns)
         if self._replica.poll_due(now_ns, for_fleet=for_fleet, is_detached=is_detached):
-            self._replica.poll(now_ns, self._poll_address())
+            # A node without a session is not notified of new versions.
+            is_notified = self.own_id is not None
+            address = "" if is_notified else self._identity.random_source(self._rng)
+            self._replica.poll(now_ns, address)
         self._outbox.add(*self._replica.due_fetches(now_ns))
-
-    def _poll_address(self) -> str:
-        # A node without a session is not notified of new versions. While the store is down, only
-        # a peer from the node's settings can supply them.
-        if self.own_id is not None or not self._identity.peers:
-            return ""
-        return self._rng.choice(("", *self._identity.peers))
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -14,6 +14,7 @@
 from ._clock import NS_PER_MS, BootClock, Timers
 from ._control import Announcement, ControlApplication
 from ._control_server import ControlServer
+from ._crash_notices import CrashNotices
 from ._data_path import DataPath
 from ._decision_facts import command_facts, fetch_facts, is_notable
 from ._decision_lines import DecisionLogger
@@ -42,7 +43,6 @@
 from ._node_checks import NodeChecks
 from ._node_control import NodeControl, NodeParts
 from ._ownership import UpstreamHooks
-from ._quarantine import CrashNotice
 from ._rebalancer import Rebalancer, RebalancerContext
 from ._routing import Router
 from ._settings import NodeSettings, TreeSettings
@@ -146,7 +146,7 @@
             self._gate,
             self._clock,
             lambda error: self._record_violation(str(error)),
-            self._on_crash,
+            lambda notice: self._crash_notices.on_crash(notice),
             self._upstream.on_failed_attempt,
             Observers((self._snapshots.measurements, self._metrics)),
             adapter,
@@ -155,6 +155,9 @@
             ),
             self._link,
         )
+        self._crash_notices = CrashNotices(
+            self._membership, self._data_path, self._journal, self._run_effects
+        )
         self._rebalancer = Rebalancer(
             RebalancerContext(
                 self._membership,
@@ -262,21 +265,16 @@
                 case SettingsChanged():
                     self._settings_applier.apply(effect)
                 case CrashReported(notice=notice, address=address):
-                    if self._data_path.merge_crash(notice):
-                        self._run_effects(self._membership.forward_crash_notice(notice, address))
+                    self._crash_notices.on_notice(notice, address)
                 case JournalNote():
                     self._record_note(effect)
                 case _:
                     self._io.run(effect)
 
-    def _on_crash(self, notice: CrashNotice) -> None:
-        facts = {"id": notice.id, "suspects": len(notice.fingerprints)}
-        self._journal.record("crash", "the upstream crashed", **facts)
-        self._run_effects(self._membership.forward_crash_notice(notice, ""))
-
     def _on_applied(self, applied: Applied) -> None:
         self._router.own_id = self._membership.own_id
         self._mover.on_applied(applied.results)
+        self._crash_notices.on_applied(applied.results)
         for result in applied.results:
             self._expect_handovers(result)
             facts = command_facts(result.command, self._fleet)
--- a/src/auburnsail/_quarantine.py
+++ b/src/auburnsail/_quarantine.py
@@ -34,10 +34,12 @@
     Attributes:
         id: Identifies the crash, so that a repeated notice counts once.
         fingerprints: Fingerprints of the requests that may have caused it.
+        age_ms: Time since the crash.
     """
 
     id: str
     fingerprints: tuple[bytes, ...]
+    age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +57,13 @@
     expires_ns: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Crash:
+    notice: CrashNotice
+    since_ns: int
+    expires_ns: int
+
+
 def fingerprint(method: str, target: str, body_start: bytes) -> bytes:
     """Returns a digest that identifies equal requests.
 
@@ -79,7 +88,7 @@
     def __init__(self, limits: QuarantineLimits | None = None) -> None:
         self._limits = limits or QuarantineLimits()
         self._suspects: dict[bytes, _Suspect] = {}
-        self._seen_crashes: dict[str, int] = {}
+        self._seen_crashes: dict[str, _Crash] = {}
         self._in_flight: dict[bytes, int] = {}
 
     @property
@@ -175,18 +184,31 @@
         """
         if notice.id in self._seen_crashes:
             return False
-        expires_ns = now_ns + int(self._limits.expiry_s * MS_PER_S * NS_PER_MS)
-        self._seen_crashes[notice.id] = expires_ns
+        since_ns = now_ns - max(0, notice.age_ms) * NS_PER_MS
+        expires_ns = since_ns + int(self._limits.expiry_s * MS_PER_S * NS_PER_MS)
+        self._seen_crashes[notice.id] = _Crash(notice, since_ns, expires_ns)
         for digest in notice.fingerprints:
             suspect = self._suspects.setdefault(digest, _Suspect(0, expires_ns))
             suspect.crashes += 1
-            suspect.expires_ns = expires_ns
+            suspect.expires_ns = max(suspect.expires_ns, expires_ns)
         self._evict()
         return True
 
+    def notices(self, now_ns: int) -> list[CrashNotice]:
+        """Returns the notices of crashes whose causes are still suspect, for nodes that start."""
+        notices = []
+        for crash in self._seen_crashes.values():
+            suspects = tuple(d for d in crash.notice.fingerprints if d in self._suspects)
+            if suspects and crash.expires_ns > now_ns:
+                age_ms = (now_ns - crash.since_ns) // NS_PER_MS
+                notices.append(CrashNotice(crash.notice.id, suspects, age_ms))
+        return notices
+
     def tick(self, now_ns: int) -> None:
         """Drops expired entries."""
-        self._seen_crashes = {key: end for key, end in self._seen_crashes.items() if end > now_ns}
+        self._seen_crashes = {
+            key: crash for key, crash in self._seen_crashes.items() if crash.expires_ns > now_ns
+        }
         self._suspects = {
             digest: suspect
             for digest, suspect in self._suspects.items()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -6,6 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
+from auburnsail._clock import NS_PER_MS
 from auburnsail._quarantine import Quarantine, QuarantineLimits, Treatment, fingerprint
 
 MAX_CRASHES = 2
@@ -51,6 +52,27 @@
                 node.record_end(digest, completed=digest != poison and poison not in running)
         self.assertLessEqual(crash_count, MAX_CRASHES)
 
+    def test_a_node_that_starts_later_refuses_what_crashed_others(self):
+        """Guards against BUDGET: a restarted node let a known request crash its upstream again."""
+        quarantine, digest, harmless = Quarantine(QuarantineLimits(expiry_s=1)), b"d", b"h"
+        for request in (digest, harmless):
+            quarantine.record_start(request)
+        quarantine.record_crash("0", 100 * NS_PER_MS)
+        for request in (digest, harmless):
+            quarantine.record_end(request, completed=False)
+        quarantine.record_start(harmless)
+        quarantine.record_end(harmless, completed=True)
+        quarantine.record_start(digest)
+        quarantine.record_crash("1", 100 * NS_PER_MS)
+        started = Quarantine(QuarantineLimits(expiry_s=1))
+        for notice in quarantine.notices(600 * NS_PER_MS):
+            self.assertTrue(started.merge(notice, 600 * NS_PER_MS))
+        self.assertIs(started.treatment(digest, 601 * NS_PER_MS), Treatment.REFUSED)
+        self.assertIs(started.treatment(harmless, 601 * NS_PER_MS), Treatment.NORMAL)
+        # It expires with the entries of the other nodes, however often nodes are restarted.
+        self.assertIs(started.treatment(digest, 1_101 * NS_PER_MS), Treatment.NORMAL)
+        self.assertEqual(quarantine.notices(1_101 * NS_PER_MS), [])
+
     def test_quarantine_expires(self):
         """Guards against refusing a request permanently."""
         quarantine = Quarantine(QuarantineLimits(expiry_s=1))
