A lifetime that deregisters before its first report is not used

Cause: a report of a departed lifetime that was not the latest one counted as outdated. A new life that deregistered before the node had heard any report of it was never heard then; the life before it stayed in use, at the same address.

Change: only a departed lifetime that another one has replaced is outdated, and the deregistration of a later life ends the earlier one.

--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -128,7 +128,13 @@
         self._journal.record("upstream", "deregistered", instance=instance, lifetime=lifetime)
         self._departures.record(lifetime, now_ns)
         announcement = self._announcement
-        if announcement is None or announcement.lifetime != lifetime:
+        if announcement is None:
+            return
+        if announcement.instance == instance and announcement.born_ms < born_ms:
+            # It started under the same id after the latest report, so the earlier one has ended.
+            self._mark_lost("a later life deregistered")
+            self._start_new_lifetime()
+        if announcement.lifetime != lifetime:
             return
         if announcement.state == "draining":
             # It holds its keys until its process has ended, which a refused connection proves.
--- a/src/auburnsail/_report_order.py
+++ b/src/auburnsail/_report_order.py
@@ -10,19 +10,22 @@
 ANNOUNCEMENT_TIMEOUT_MS = 2000
 # A report that is late is a few reports behind the latest one, never this many.
 MAX_REPORTS_BEHIND = 1_000
+# Reports arrive seconds late, so only the newest lifetimes matter.
+MAX_SUPERSEDED = 16
 
 
 class ReportOrder:
     """Tells announcements that are news from those that are outdated.
 
     Args:
-        departures: Lifetimes that leave; none of them replaces another lifetime.
+        departures: Lifetimes that leave; none of them replaces one that came after it.
     """
 
     def __init__(self, departures: Departures) -> None:
         self._departures = departures
         self._latest: Announcement | None = None
         self._rejected: Announcement | None = None
+        self._superseded: list[str] = []
         self._has_ended = False
         self._accepted_ns = 0
 
@@ -38,6 +41,8 @@
 
     def accept(self, announcement: Announcement, now_ns: int) -> None:
         """Makes an announcement the latest one."""
+        if self._latest is not None and self._latest.lifetime != announcement.lifetime:
+            self._superseded = [*self._superseded, self._latest.lifetime][-MAX_SUPERSEDED:]
         self._latest, self._accepted_ns = announcement, now_ns
         self._rejected, self._has_ended = None, False
 
@@ -50,11 +55,13 @@
         latest = self._latest
         if latest is None or not announcement.born_ms:
             return False
-        if announcement.lifetime != latest.lifetime and announcement.lifetime in self._departures:
-            return True
         if announcement.lifetime == latest.lifetime:
             if latest.sequence - announcement.sequence < MAX_REPORTS_BEHIND:
                 return announcement.sequence <= latest.sequence
+        elif (
+            announcement.lifetime in self._superseded and announcement.lifetime in self._departures
+        ):
+            return True
         elif announcement.born_ms >= latest.born_ms:
             return False
         return not self._replaces_later(announcement, now_ns)
--- a/tests/simulated_node.py
+++ b/tests/simulated_node.py
@@ -53,6 +53,10 @@
         """Returns whether an entry contains a command."""
         return command_id in self._logged
 
+    def repeat_pending(self) -> None:
+        """Makes all pending commands due, as after an outage of the store."""
+        self._pending = [(0, commands) for _, commands in self._pending]
+
     def apply_due(self) -> None:
         """Applies the entries whose delay has passed."""
         now_ns = self._node.clock.now_ns()
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -108,6 +108,18 @@
         self.assertEqual(node.own_row.session.lifetime, "i-n@2000")
         self.assertEqual(node.mover.drain_reason, "")
 
+    def test_a_lifetime_that_deregisters_before_its_first_report_is_not_used(self):
+        """Guards against DRAIN: reports after the deregistration were dropped as outdated.
+
+        The earlier lifetime, which has ended, stayed in use at the same address and under the id.
+        """
+        node = SimulatedNode(keyed=False)
+        node.open_with_all_keys()
+        node.simulated_upstream = SimulatedUpstream(node.clock, born_ms=2000)
+        node.upstream.on_deregistration("i-n", 2000, "it ends")
+        node.run(2_000, reports=True)
+        self.check_unused(node)
+
     def test_a_departed_lifetime_does_not_replace_the_next_one(self):
         """Guards against a late report of a departed lifetime whose clock was ahead."""
         node = SimulatedNode(keyed=False)
