Refuse waiting requests when a leaving upstream gets no further ones

Cause: requests that waited for a slot of an upstream that leaves went on waiting after drain.stop_work_ms until a slot became free or their own time ended, though none of them could be sent any more.

Change: they are refused at once, as not run, so that their node or their caller tries another upstream in the time that is left.

The call itself is one line of the node's tick and has no test of its own."

--- a/src/auburnsail/_admission_queue.py
+++ b/src/auburnsail/_admission_queue.py
@@ -288,11 +288,11 @@
         heapq.heapify(self._heap)
         self._unreported = [item for item in self._unreported if item is not waiter]
 
-    def refuse_all(self, reason: str) -> list[Waiter]:
-        """Refuses all waiters because the node ends; returns them."""
+    def refuse_all(self, reason: str, retry_after_ms: int = 0) -> list[Waiter]:
+        """Refuses all waiters because the node or the upstream ends; returns them."""
         waiters = [item[3] for item in self._heap]
         for waiter in waiters:
-            waiter.decision = self._refuse(reason, 0)
+            waiter.decision = self._refuse(reason, retry_after_ms * NS_PER_MS)
         self._heap = []
         return waiters
 
--- a/src/auburnsail/_data_path.py
+++ b/src/auburnsail/_data_path.py
@@ -21,6 +21,7 @@
 from ._link_sender import LinkSender
 from ._link_usage import LinkUsage
 from ._model import SessionId
+from ._outcome import RETRY_HINT_MS
 from ._ownership import Gate, UpstreamHooks
 from ._quarantine import CrashNotice, QuarantineLimits
 from ._request_policy import policies_by_service
@@ -200,6 +201,10 @@
         """Refuses queued requests whose maximum wait for a slot has passed."""
         self._admission.tick(now_ns)
 
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuses the requests that wait for a slot of the upstream, which gets no further ones."""
+        self._admission.refuse_waiting(reason, RETRY_HINT_MS)
+
     def expire(self, now_ns: int, open_sessions: set[SessionId]) -> None:
         """Drops state of closed sessions and expired quarantine entries.
 
--- a/src/auburnsail/_limits.py
+++ b/src/auburnsail/_limits.py
@@ -73,9 +73,9 @@
         """Refuses expired waiters; must be called periodically by the timer service."""
         self._wake(self._queue.tick(now_ns))
 
-    def refuse_waiting(self, reason: str) -> None:
-        """Refuses all waiting requests because the node ends."""
-        self._wake(self._queue.refuse_all(reason))
+    def refuse_waiting(self, reason: str, retry_after_ms: int = 0) -> None:
+        """Refuses all waiting requests because the node or the upstream ends."""
+        self._wake(self._queue.refuse_all(reason, retry_after_ms))
 
     def admit(self, target: Target, request: AdmissionRequest) -> "SlotTicket":
         """Implements `Admission.admit`.
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -73,15 +73,17 @@
         """The current announcement, None before the first one and while the upstream is lost."""
         return self._announcement
 
+    @property
+    def has_stopped_work(self) -> bool:
+        """Whether the upstream leaves and gets no further requests."""
+        lifetime = self._announcement.lifetime if self._announcement is not None else ""
+        leaving_ns = self._departures.age_ns(lifetime, self._clock.now_ns())
+        return leaving_ns is not None and leaving_ns >= self.stop_work_ms * NS_PER_MS
+
     def address(self) -> str | None:
         """Returns the upstream's address, or None if no new request may be sent to it."""
         announcement = self._announcement
-        if announcement is None:
-            return None
-        leaving_ns = self._departures.age_ns(announcement.lifetime, self._clock.now_ns())
-        if leaving_ns is not None and leaving_ns >= self.stop_work_ms * NS_PER_MS:
-            return None
-        return announcement.address
+        return None if announcement is None or self.has_stopped_work else announcement.address
 
     def on_announcement(self, announcement: Announcement) -> bool:
         """Handles an announcement of the upstream.
--- a/src/auburnsail/_node.py
+++ b/src/auburnsail/_node.py
@@ -39,7 +39,7 @@
 from ._messages import Codec
 from ._metrics import Metrics, MetricsApplication, Observers
 from ._model import Transfer
-from ._moves import Mover
+from ._moves import GateDecision, Mover
 from ._node_checks import NodeChecks
 from ._node_control import NodeControl, NodeParts
 from ._ownership import UpstreamHooks
@@ -215,6 +215,8 @@
 
     def _tick(self, now_ns: int) -> None:
         self._data_path.tick(now_ns)
+        if self._upstream.has_stopped_work:
+            self._data_path.refuse_waiting(GateDecision.DRAINING.value)
         self._mover.tick(now_ns)
         self._run_effects(self._membership.tick(now_ns))
         self._record_mover_notes()
--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -85,6 +85,25 @@
         )
         self.assertEqual(len(upstream.runs), 1)
 
+    def test_waiting_requests_are_refused_when_the_upstream_gets_no_further_ones(self):
+        """Guards against a wait for a slot of an upstream that has left, until the deadline."""
+        clock = BootClock()
+        admission = SlotAdmission(Limits(1, 1, 10, 5_000), clock)
+        upstream = FakeUpstream(lambda sock, run: gevent.sleep(5))
+        node = PathNode("n", upstream, "catalogue", admission=admission, clock=clock)
+        self.addCleanup(upstream.stop)
+        self.addCleanup(node.stop)
+        connect(node, owner=node)
+        data = request("POST", "/catalogue/k1", body=b"x")
+        callers = [gevent.spawn(exchange, node.address, data) for _ in range(2)]
+        self.assertTrue(wait_for(lambda: admission._queue.queued == 1))
+        node.upstream = None
+        admission.refuse_waiting("draining", 250)
+        refused = gevent.wait(callers, timeout=0.2, count=1)
+        self.assertEqual(
+            [reason_of(item.value) for item in refused], [(503, "not-run", "no-upstream")]
+        )
+
 
 if __name__ == "__main__":
     unittest.main()
