--- a/tests/test_node_stop.py
+++ b/tests/test_node_stop.py
@@ -59,11 +59,8 @@
             data.end_requests.assert_not_called()
             node._stopped.set.assert_called_once()
 
-    def test_requests_in_flight_at_the_end_of_the_grace_time_are_answered(self):
-        """Guards against callers whose connection ends without an answer (LOST).
-
-        One request runs at the upstream, one waits for its slot.
-        """
+    def start_two_requests(self) -> tuple[PathNode, SlotAdmission, list[gevent.Greenlet]]:
+        """Returns a node with a request at its upstream and one that waits for the only slot."""
         clock = BootClock()
         admission = SlotAdmission(Limits(1, 1, 10, 5_000), clock)
         upstream = FakeUpstream(lambda sock, run: gevent.sleep(5))
@@ -74,6 +71,14 @@
         data = request("POST", "/catalogue/k1", body=b"x")
         callers = [gevent.spawn(exchange, node.address, data) for _ in range(2)]
         self.assertTrue(wait_for(lambda: admission._queue.queued == 1))
+        return node, admission, callers
+
+    def test_requests_in_flight_at_the_end_of_the_grace_time_are_answered(self):
+        """Guards against callers whose connection ends without an answer (LOST).
+
+        One request runs at the upstream, one waits for its slot.
+        """
+        node, admission, callers = self.start_two_requests()
         admission.refuse_waiting(STOPPING)
         node.application.end_requests()
         gevent.joinall(callers, timeout=0.2)
@@ -81,22 +86,13 @@
         self.assertEqual(
             answers,
             [(502, "unknown", "stopping"), (503, "not-run", "stopping")],
-            len(upstream.runs),
+            len(node.upstream.runs),
         )
-        self.assertEqual(len(upstream.runs), 1)
+        self.assertEqual(len(node.upstream.runs), 1)
 
     def test_waiting_requests_are_refused_when_the_upstream_gets_no_further_ones(self):
         """Guards against a wait for a slot of an upstream that has left, until the deadline."""
-        clock = BootClock()
-        admission = SlotAdmission(Limits(1, 1, 10, 5_000), clock)
-        upstream = FakeUpstream(lambda sock, run: gevent.sleep(5))
-        node = PathNode("n", upstream, "catalogue", admission=admission, clock=clock)
-        self.addCleanup(upstream.stop)
-        self.addCleanup(node.stop)
-        connect(node, owner=node)
-        data = request("POST", "/catalogue/k1", body=b"x")
-        callers = [gevent.spawn(exchange, node.address, data) for _ in range(2)]
-        self.assertTrue(wait_for(lambda: admission._queue.queued == 1))
+        node, admission, callers = self.start_two_requests()
         node.upstream = None
         admission.refuse_waiting("draining", 250)
         refused = gevent.wait(callers, timeout=0.2, count=1)
