A new process takes no late report of an earlier life for the present one

A late one of the life before counted as a new lifetime until the next report came, and the node took the holds of the present life for ended.

Change: before the first report, the lifetime that the log names counts as the latest one. Reports of lives that started before it are outdated, unless a second one with a higher number shows that the time of day has jumped back.

--- a/src/auburnsail/_control.py
+++ b/src/auburnsail/_control.py
@@ -16,7 +16,7 @@
 from ._model import Handover
 from ._packing import pack
 
-__all__ = ["Announcement", "ControlApplication", "ControlledNode", "lifetime_of"]
+__all__ = ["Announcement", "ControlApplication", "ControlledNode", "born_of", "lifetime_of"]
 
 MAX_BODY_BYTES = 8 << 20
 
@@ -76,6 +76,12 @@
     return f"{instance}@{born_ms}"
 
 
+def born_of(lifetime: str) -> int:
+    """Returns the start in Unix milliseconds that a lifetime states, 0 if it states none."""
+    born = lifetime.rpartition("@")[2]
+    return int(born) if born.isascii() and born.isdecimal() else 0
+
+
 class ControlledNode(Protocol):
     """Operations of a node that `ControlApplication` calls."""
 
--- a/src/auburnsail/_local_upstream.py
+++ b/src/auburnsail/_local_upstream.py
@@ -4,7 +4,7 @@
 
 from . import _supervision
 from ._clock import NS_PER_MS, Clock
-from ._control import Announcement, lifetime_of
+from ._control import Announcement, born_of, lifetime_of
 from ._departures import Departures
 from ._fleet import FleetState, SessionRow
 from ._holds import HoldGrant, HoldTable
@@ -92,7 +92,8 @@
             Whether the announcement was accepted. It is rejected if it is older than the latest
             one, or if the upstream refused connections before and still does.
         """
-        now_ns = self._clock.now_ns()
+        now_ns, row = self._clock.now_ns(), self._logged_row()
+        self._order.logged_born_ms = born_of(row.session.lifetime) if row is not None else 0
         if self._order.is_outdated(announcement, now_ns):
             return False
         if self._refused_connection and not accepts_connections(announcement.address):
--- a/src/auburnsail/_report_order.py
+++ b/src/auburnsail/_report_order.py
@@ -19,6 +19,10 @@
 
     Args:
         departures: Lifetimes that leave; none of them replaces one that came after it.
+
+    Attributes:
+        logged_born_ms: Start in Unix milliseconds of the lifetime that the fleet log names; before
+            the first announcement, those of earlier lifetimes are outdated.
     """
 
     def __init__(self, departures: Departures) -> None:
@@ -28,6 +32,7 @@
         self._superseded: list[str] = []
         self._has_ended = False
         self._accepted_ns = 0
+        self.logged_born_ms = 0
 
     @property
     def latest(self) -> Announcement | None:
@@ -53,9 +58,12 @@
     def is_outdated(self, announcement: Announcement, now_ns: int) -> bool:
         """Returns whether an announcement is older than the latest one."""
         latest = self._latest
-        if latest is None or not announcement.born_ms:
+        if not announcement.born_ms:
             return False
-        if announcement.lifetime == latest.lifetime:
+        if latest is None:
+            if announcement.born_ms >= self.logged_born_ms:
+                return False
+        elif announcement.lifetime == latest.lifetime:
             if latest.sequence - announcement.sequence < MAX_REPORTS_BEHIND:
                 return announcement.sequence <= latest.sequence
         elif (
--- a/tests/test_clock_jumps.py
+++ b/tests/test_clock_jumps.py
@@ -69,6 +69,7 @@
         """An upstream with a late start time reports for a while."""
         self.clock = ManualClock(10**12)
         session = mock.MagicMock()
+        session.earlier.return_value = None
         membership = mock.Mock(session=session, own_id=None)
         self.upstream = LocalUpstream(
             membership, FakeMover(), FleetState(), Journal(self.clock), self.clock
--- a/tests/test_departures.py
+++ b/tests/test_departures.py
@@ -230,6 +230,28 @@
         node.mover.move("s", ALL_SHARDS, target.id, node.clock.now_ns())
         node.run(5_000)
 
+    def test_a_late_report_of_the_life_before_is_not_taken_for_the_present_one(self):
+        """Guards against OWNER: the new process took the holds of the present life for ended.
+
+        If the time of day has jumped back between the lives, the second report shows it.
+        """
+        node, _ = self.restart()
+        late = msgspec.structs.replace(node.simulated_upstream.report(), born_ms=500)
+        node.run(100)
+        node.receive(late, answered=False)
+        node.run(200)
+        self.assertFalse(node.may_be_used())
+        target = node.add_session("m")
+        node.receive(node.simulated_upstream.report())
+        node.run(300)
+        self.assertEqual(node.own_row.session.lifetime, "i-n@1000")
+        node.mover.move("s", ALL_SHARDS, target.id, node.clock.now_ns())
+        node.run(5_000)
+        node, _ = self.restart()
+        node.simulated_upstream = SimulatedUpstream(node.clock, born_ms=500)
+        node.run(1_500, reports=True)
+        self.assertEqual(node.own_row.session.lifetime, "i-n@500")
+
     def test_one_report_and_then_silence(self):
         """Guards against OWNER: the upstream counts as lost before its recorded hold has ended."""
         node, _ = self.restart()
